--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/connection/ConvergenceMessage.kt
@@ -0,0 +1,7 @@
+package kingcuptide.coordination.connection
+
+import kotlinx.serialization.Serializable
+
+/** Convergence control messages. */
+@Serializable
+public sealed interface ConvergenceMessage : ControlMessage
--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/connection/MembershipMessage.kt
@@ -0,0 +1,7 @@
+package kingcuptide.coordination.connection
+
+import kotlinx.serialization.Serializable
+
+/** Membership control messages. */
+@Serializable
+public sealed interface MembershipMessage : ControlMessage
--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/connection/RequestFrame.kt
@@ -0,0 +1,130 @@
+package kingcuptide.coordination.connection
+
+import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.process.Incarnation
+import kingcuptide.coordination.process.RouteId
+import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.request.Outcome
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+
+/** A frame on a request connection: from the entry daemon to the daemon beside a target, or back. */
+@Serializable
+public sealed interface RequestFrame
+
+/** First frame of each side. A peer of another protocol version is refused. */
+@Serializable
+@SerialName("hello")
+public data class Hello(
+    val protocolVersion: Int,
+    val host: HostId,
+    val incarnation: Incarnation,
+) : RequestFrame
+
+/** A recent reading of the gate's own clock. A request that echoes an old one has waited too long somewhere. */
+@Serializable
+@SerialName("stamp")
+public data class Stamp(
+    val valueMs: Long,
+) : RequestFrame
+
+/** One HTTP header line. */
+@Serializable
+public data class Header(
+    val name: String,
+    val value: String,
+)
+
+/**
+ * The start of a request.
+ *
+ * @property number never used twice on one connection
+ * @property stampMs the newest [Stamp] that the entry has seen on this connection
+ * @property remainingMs time left until the deadline, at the moment of sending
+ * @property version number of the document under which the entry chose this target
+ * @property keyHash digest of tenant, route and idempotency key, or null if the caller sent no key
+ * @property hasBody whether [BodyChunk] frames follow
+ */
+@Serializable
+@SerialName("request")
+public data class RequestHead(
+    val number: Long,
+    val stampMs: Long,
+    val remainingMs: Long,
+    val version: Long,
+    val route: RouteId,
+    val tenant: TenantId?,
+    val method: String,
+    val pathAndQuery: String,
+    val headers: List<Header>,
+    val repeatable: Boolean,
+    val keyHash: String?,
+    val hasBody: Boolean,
+) : RequestFrame
+
+/** A piece of the request's or the answer's body; the last one has [last] set and may be empty. */
+@Serializable
+@SerialName("body")
+public data class BodyChunk(
+    val number: Long,
+    @ByteString val bytes: ByteArray,
+    val last: Boolean,
+) : RequestFrame {
+    override fun equals(other: Any?): Boolean =
+        other is BodyChunk && number == other.number && last == other.last && bytes.contentEquals(other.bytes)
+
+    override fun hashCode(): Int = 31 * number.hashCode() + bytes.contentHashCode()
+}
+
+/** Allows the other side to send [bytes] more of this request's body or answer. */
+@Serializable
+@SerialName("window")
+public data class Window(
+    val number: Long,
+    val bytes: Int,
+) : RequestFrame
+
+/** How much the gate has in hand, for the entry's next choices. */
+@Serializable
+public data class GateLoad(
+    val inFlight: Int,
+    val limit: Int,
+    val queued: Int,
+)
+
+/** The start of the target's answer. */
+@Serializable
+@SerialName("answer")
+public data class AnswerHead(
+    val number: Long,
+    val status: Int,
+    val headers: List<Header>,
+    val load: GateLoad,
+) : RequestFrame
+
+/** The gate's own final word instead of an answer. [code] is the number of a result code. */
+@Serializable
+@SerialName("refusal")
+public data class Refusal(
+    val number: Long,
+    val code: Int,
+    val outcome: Outcome,
+    val retryAfterMs: Long,
+    val load: GateLoad,
+) : RequestFrame
+
+/** The answer broke off after its head was sent. */
+@Serializable
+@SerialName("abort")
+public data class AnswerAbort(
+    val number: Long,
+    val code: Int,
+) : RequestFrame
+
+/** The entry no longer wants the answer. A request that has not started must not start afterwards. */
+@Serializable
+@SerialName("cancel")
+public data class Cancel(
+    val number: Long,
+) : RequestFrame
--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/connection/VersionMessage.kt
@@ -0,0 +1,7 @@
+package kingcuptide.coordination.connection
+
+import kotlinx.serialization.Serializable
+
+/** Version control messages. */
+@Serializable
+public sealed interface VersionMessage : ControlMessage
--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
@@ -0,0 +1,90 @@
+package kingcuptide.coordination.process
+
+import kingcuptide.coordination.request.Outcome
+
+/**
+ * Every refusal and fault that kingcuptide reports, by number.
+ *
+ * The table in docs/RESULT-CODES.md lists the same numbers; a test compares the two.
+ *
+ * @property number the number that callers, logs and metrics carry
+ * @property httpStatus the status that a caller gets, or 0 for a code that no caller sees
+ * @property outcome what the code says of the request, or null for a code that is not about a request
+ * @property retryable whether the entry daemon may try another target under the retry budget
+ */
+public enum class ResultCode(
+    public val number: Int,
+    public val httpStatus: Int,
+    public val outcome: Outcome? = null,
+    public val retryable: Boolean = false,
+) {
+    // 1xx: the request itself is at fault
+    MALFORMED_REQUEST(100, 400, Outcome.NOT_RUN),
+    UNKNOWN_ROUTE(101, 404, Outcome.NOT_RUN),
+    UNKNOWN_TENANT(102, 403, Outcome.NOT_RUN),
+    TENANT_MISSING(103, 400, Outcome.NOT_RUN),
+    BODY_TOO_LARGE(104, 413, Outcome.NOT_RUN),
+    HEADERS_TOO_LARGE(105, 431, Outcome.NOT_RUN),
+    WRONG_REGION(106, 421, Outcome.NOT_RUN),
+    METHOD_NOT_ALLOWED(107, 405, Outcome.NOT_RUN),
+    BAD_DEADLINE(108, 400, Outcome.NOT_RUN),
+    BAD_IDEMPOTENCY_KEY(109, 400, Outcome.NOT_RUN),
+
+    // 2xx: refused, and it did not run
+    NO_CONFIGURATION(200, 503, Outcome.NOT_RUN),
+    NO_TARGET(201, 503, Outcome.NOT_RUN),
+    TARGET_FULL(202, 503, Outcome.NOT_RUN, retryable = true),
+    TARGET_COLD(203, 503, Outcome.NOT_RUN, retryable = true),
+    DRAINING(204, 503, Outcome.NOT_RUN, retryable = true),
+    FAILURE_DOMAIN_TAKEN_OUT(205, 503, Outcome.NOT_RUN, retryable = true),
+    DEADLINE_PASSED(206, 504, Outcome.NOT_RUN),
+    STALE_FRAME(207, 503, Outcome.NOT_RUN, retryable = true),
+    AWAKENING(208, 503, Outcome.NOT_RUN, retryable = true),
+    TARGET_DOWN(209, 503, Outcome.NOT_RUN, retryable = true),
+    CANCELLED(210, 499, Outcome.NOT_RUN),
+    RETRY_BUDGET_SPENT(211, 503, Outcome.NOT_RUN),
+    KEY_NOT_GRANTED(212, 503, Outcome.NOT_RUN, retryable = true),
+    QUARANTINED(213, 422, Outcome.NOT_RUN),
+    SUSPECT_BUSY(214, 503, Outcome.NOT_RUN),
+    ENTRY_FULL(215, 503, Outcome.NOT_RUN),
+    PEER_UNREACHABLE(216, 503, Outcome.NOT_RUN, retryable = true),
+    VERSION_BEHIND(217, 503, Outcome.NOT_RUN, retryable = true),
+
+    // 3xx: it may have run
+    ANSWER_LOST(300, 502, Outcome.UNKNOWN),
+    ANSWER_TRUNCATED(301, 502, Outcome.UNKNOWN),
+    DEADLINE_PASSED_RUNNING(302, 504, Outcome.UNKNOWN),
+    KEY_ALREADY_USED(303, 409, Outcome.UNKNOWN),
+    TARGET_DIED(304, 502, Outcome.UNKNOWN),
+
+    // 4xx: documents and versions
+    DOCUMENT_UNREADABLE(400, 0),
+    DOCUMENT_TOO_LARGE(401, 0),
+    DOCUMENT_UNKNOWN_FIELD(402, 0),
+    DOCUMENT_BROKEN_REFERENCE(403, 0),
+    DOCUMENT_VALUE_OUT_OF_RANGE(404, 0),
+    VERSION_CONFLICT(405, 0),
+    VERSION_FELL(406, 0),
+    DELTA_DIGEST_MISMATCH(407, 0),
+    DELTA_BASE_UNKNOWN(408, 0),
+    NO_TARGET_IN_HOME_REGION(409, 0),
+    DUPLICATE_PATH_PREFIX(410, 0),
+
+    // 5xx: between daemons and with the platform
+    PEER_PROTOCOL_VERSION(500, 0),
+    PEER_FRAME_MALFORMED(501, 0),
+    PEER_FRAME_TOO_LARGE(502, 0),
+    SOURCE_UNAVAILABLE(503, 0),
+    SOURCE_BUDGET_SPENT(504, 0),
+    SOURCE_MALFORMED(505, 0),
+    LATE_ANSWER_DROPPED(506, 0),
+
+    // 6xx: settings and command line
+    SETTINGS_UNREADABLE(600, 0),
+    SETTINGS_UNKNOWN_KEY(601, 0),
+    SETTINGS_VALUE_OUT_OF_RANGE(602, 0),
+    SETTINGS_MISSING(603, 0),
+    SETTINGS_CONFLICT(604, 0),
+    DAEMON_UNREACHABLE(605, 0),
+    WAIT_TIMED_OUT(606, 0),
+}
