--- /dev/null
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/DaemonSettings.kt
@@ -0,0 +1,56 @@
+package kingcuptide.daemon.process
+
+import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.ServiceId
+import kotlinx.serialization.Serializable
+
+/** Everything that a daemon is told at its start. A restarted daemon knows nothing else. */
+@Serializable
+data class DaemonSettings(
+    val host: HostId,
+    val ip: String,
+    val httpPort: Int,
+    val peerPort: Int,
+    val adminPort: Int,
+    val failureDomain: FailureDomainId,
+    val region: RegionId,
+    val service: ServiceId,
+    val target: TargetSettings,
+    val platform: PlatformSettings,
+    val seeds: List<SeedPeer> = emptyList(),
+    val joinWaitMs: Long = 3_000,
+    val drainMs: Long = 10_000,
+    val leaveNoticeMs: Long = 1_000,
+    val maxEntryRequests: Int = 512,
+)
+
+/** Where the target of this host listens. */
+@Serializable
+data class TargetSettings(
+    val ip: String,
+    val port: Int,
+    val healthPath: String = "/health",
+    val healthIntervalMs: Long = 1_000,
+)
+
+/** Where the platform's configuration service listens, and how often this daemon may call it. */
+@Serializable
+data class PlatformSettings(
+    val url: String,
+    val region: RegionId,
+    val maxCallsPerSecond: Double = 1.0,
+    val watchWaitMs: Long = 20_000,
+    val callTimeoutMs: Long = 5_000,
+)
+
+/** A peer known before the first host list. */
+@Serializable
+data class SeedPeer(
+    val host: HostId,
+    val ip: String,
+    val peerPort: Int,
+    val failureDomain: FailureDomainId,
+    val region: RegionId,
+)
--- /dev/null
+++ b/standins/src/main/kotlin/kingcuptide/standins/StandIns.kt
@@ -0,0 +1,14 @@
+package kingcuptide.standins
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+
+/** Small stand-ins for what kingcuptide meets outside itself. */
+class StandIns : CliktCommand(name = "standins") {
+    override fun run() = Unit
+}
+
+fun main(args: Array<String>) {
+    StandIns().subcommands(PlatformCommand(), TargetCommand()).main(args)
+}
