--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
@@ -69,6 +69,7 @@
     DELTA_BASE_UNKNOWN(408, 0),
     NO_TARGET_IN_HOME_REGION(409, 0),
     DUPLICATE_PATH_PREFIX(410, 0),
+    HOME_REGION_TAKEN_OUT(411, 0),
 
     // 5xx: between daemons and with the platform
     PEER_PROTOCOL_VERSION(500, 0),
--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/DocumentContent.kt
@@ -0,0 +1,69 @@
+package kingcuptide.coordination.version
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.process.RouteId
+import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.process.TenantId
+import kotlinx.serialization.builtins.ListSerializer
+
+/**
+ * Returns this document in canonical form: one entry for each failure domain, service, route and tenant, one for the
+ * failure domains taken out and one for the limits.
+ *
+ * Equal documents give equal digests, in whatever order their maps and sets are. Fields that have their default are
+ * left out, so that a later release with a further field digests an old document alike.
+ */
+public fun ConfigDocument.toContent(): ResourceContent {
+    val entries = HashMap<String, String>()
+    failureDomains.forEach { (id, spec) -> entries.put(FAILURE_DOMAIN, id.value, FailureDomainSpec.serializer(), spec) }
+    services.forEach { (id, spec) -> entries.put(SERVICE, id.value, ServiceSpec.serializer(), spec) }
+    routes.forEach { (id, spec) -> entries.put(ROUTE, id.value, RouteSpec.serializer(), spec.sorted()) }
+    tenants.forEach { (id, spec) -> entries.put(TENANT, id.value, TenantSpec.serializer(), spec.sorted()) }
+    entries[TAKEN_OUT] =
+        CANONICAL_JSON.encodeToString(TAKEN_OUT_SERIALIZER, takenOutFailureDomains.sortedBy { it.value })
+    entries[LIMITS] = CANONICAL_JSON.encodeToString(FleetLimits.serializer(), limits)
+    return ResourceContent.of(ResourceKind.DOCUMENT, version, entries)
+}
+
+/** Reads a document back from its canonical form; [validateDocument] checks its values and references. */
+public fun ResourceContent.toDocument(): Result<ConfigDocument, List<DocumentFault>> {
+    if (kind != ResourceKind.DOCUMENT) return refuse(ResultCode.DOCUMENT_UNREADABLE, "the content is no document")
+    val reader = EntryReader(entries)
+    val takenOut = reader.readOne(TAKEN_OUT, TAKEN_OUT_SERIALIZER)
+    val limits = reader.readOne(LIMITS, FleetLimits.serializer())
+    val document =
+        ConfigDocument(
+            version = version.number,
+            failureDomains = reader.readAll(FAILURE_DOMAIN, FailureDomainSpec.serializer(), ::FailureDomainId),
+            takenOutFailureDomains = takenOut.orEmpty().toSet(),
+            services = reader.readAll(SERVICE, ServiceSpec.serializer(), ::ServiceId),
+            routes = reader.readAll(ROUTE, RouteSpec.serializer(), ::RouteId),
+            tenants = reader.readAll(TENANT, TenantSpec.serializer(), ::TenantId),
+            limits = limits ?: FleetLimits(),
+        )
+    val faults = reader.finish()
+    return if (faults.isEmpty()) Ok(document) else Err(faults)
+}
+
+private fun RouteSpec.sorted(): RouteSpec = copy(
+    methods = methods.sorted().toSet(),
+    nonRepeatableMethods = nonRepeatableMethods.sorted().toSet(),
+    homeRegions = homeRegions.sorted(),
+)
+
+private fun TenantSpec.sorted(): TenantSpec = copy(homeRegions = homeRegions.sorted())
+
+private fun Set<RegionId>.sorted(): Set<RegionId> = sortedBy { it.value }.toSet()
+
+private val TAKEN_OUT_SERIALIZER = ListSerializer(FailureDomainId.serializer())
+private const val FAILURE_DOMAIN = "failure-domain"
+private const val SERVICE = "service"
+private const val ROUTE = "route"
+private const val TENANT = "tenant"
+private const val TAKEN_OUT = "taken-out"
+private const val LIMITS = "limits"
--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/DocumentWarnings.kt
@@ -0,0 +1,31 @@
+package kingcuptide.coordination.version
+
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.ResultCode
+
+/**
+ * Returns what in [document] leaves requests without a place to run because failure domains are taken out.
+ *
+ * These are warnings: an operator must be able to take out anything, at once.
+ */
+public fun documentWarnings(document: ConfigDocument): List<DocumentFault> {
+    val takenOut = document.takenOutRegions()
+    if (takenOut.isEmpty()) return emptyList()
+    val routes = document.routes.map { (id, route) -> "routes.$id.homeRegions" to route.homeRegions }
+    val tenants = document.tenants.map { (id, tenant) -> "tenants.$id.homeRegions" to tenant.homeRegions }
+    return (routes + tenants).flatMap { (path, homeRegions) ->
+        homeRegions.filter { it in takenOut }.map { takenOutWarning(path, it) }
+    }
+}
+
+private fun ConfigDocument.takenOutRegions(): Set<RegionId> {
+    val inService = failureDomains.filterKeys { it !in takenOutFailureDomains }.values.map { it.region }
+    return regions() - inService.toSet()
+}
+
+private fun takenOutWarning(path: String, region: RegionId): DocumentFault = DocumentFault(
+    code = ResultCode.HOME_REGION_TAKEN_OUT,
+    path = path,
+    reason = "every failure domain of region $region is taken out",
+    severity = Severity.WARNING,
+)
--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/LiveTargets.kt
@@ -0,0 +1,20 @@
+package kingcuptide.coordination.version
+
+import kingcuptide.coordination.process.HostList
+import kingcuptide.coordination.process.HostState
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.ServiceId
+
+/** Where a host list has live targets of each service. */
+internal class LiveTargets(
+    hostList: HostList,
+) {
+    private val regions: Map<ServiceId, Set<RegionId>> =
+        hostList.hosts
+            .filter { it.state == HostState.LIVE }
+            .groupBy({ it.service }, { it.region })
+            .mapValues { it.value.toSet() }
+
+    /** Returns the regions in which [service] has a live target. */
+    fun regionsOf(service: ServiceId): Set<RegionId> = regions[service].orEmpty()
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ValidateHostList.kt
@@ -0,0 +1,90 @@
+package kingcuptide.coordination.version
+
+import kingcuptide.coordination.process.HostEntry
+import kingcuptide.coordination.process.HostList
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.process.isIpAddress
+
+/** Checks every value of [hostList] and returns all faults; an empty list means that it may be used. */
+public fun validateHostList(hostList: HostList): List<DocumentFault> {
+    val collector = FaultCollector()
+    collector.requireRange("revision", hostList.revision, 1..Long.MAX_VALUE)
+    hostList.hosts.forEachIndexed { index, host -> validateHost("hosts[$index]", host, collector) }
+    val repeated = hostList.hosts.groupBy { it.host }.filterValues { it.size > 1 }
+    for (host in repeated.keys) {
+        collector.outOfRange("hosts", "host $host is listed ${repeated.getValue(host).size} times")
+    }
+    return collector.faults
+}
+
+/**
+ * Compares [document] with [hostList] and returns, as warnings, the routes and tenants that have no live target where
+ * they must run, and the hosts that contradict the document about regions.
+ *
+ * A host list lags behind the truth, so nothing in it is a reason to refuse a document.
+ */
+public fun validateAgainstHosts(document: ConfigDocument, hostList: HostList): List<DocumentFault> {
+    val targets = LiveTargets(hostList)
+    return routeWarnings(document, targets) + tenantWarnings(document, targets) + hostWarnings(document, hostList)
+}
+
+private fun validateHost(path: String, host: HostEntry, collector: FaultCollector) {
+    collector.requireName("$path.host", host.host.value)
+    collector.requireName("$path.failureDomain", host.failureDomain.value)
+    collector.requireName("$path.region", host.region.value)
+    collector.requireName("$path.service", host.service.value)
+    collector.requireRange("$path.peerPort", host.peerPort, PORTS)
+    collector.requireRange("$path.httpPort", host.httpPort, PORTS)
+    if (!isIpAddress(host.ip)) collector.outOfRange("$path.ip", "not an IP number")
+}
+
+private fun routeWarnings(document: ConfigDocument, targets: LiveTargets): List<DocumentFault> =
+    document.routes.flatMap { (id, route) ->
+        val regions = targets.regionsOf(route.service)
+        when {
+            route.homeRegions.isNotEmpty() -> (route.homeRegions - regions).map { region ->
+                noTarget("routes.$id.homeRegions", "service ${route.service} has no live target in region $region")
+            }
+            regions.isEmpty() -> listOf(noTarget("routes.$id.service", "service ${route.service} has no live target"))
+            else -> emptyList()
+        }
+    }
+
+private fun tenantWarnings(document: ConfigDocument, targets: LiveTargets): List<DocumentFault> {
+    val unservedByHome = mutableMapOf<HomeRegions, List<String>>()
+    return document.tenants.mapNotNull { (id, tenant) ->
+        val home = homeRegionsOf(tenant.homeRegions)
+        val unserved = unservedByHome.getOrPut(home) { unservedRoutes(document, home, targets) }
+        if (unserved.isEmpty()) return@mapNotNull null
+        noTarget("tenants.$id.homeRegions", "no live target in the home regions for routes ${unserved.joinToString()}")
+    }
+}
+
+/** Routes that a tenant with [home] could use if only there were a target in the regions that both allow. */
+private fun unservedRoutes(document: ConfigDocument, home: HomeRegions, targets: LiveTargets): List<String> {
+    if (home is HomeRegions.Anywhere) return emptyList()
+    return document.routes
+        .filterValues { route ->
+            val allowed = home.intersect(homeRegionsOf(route.homeRegions))
+            !allowed.isNowhere && targets.regionsOf(route.service).none { allowed.allows(it) }
+        }.keys
+        .map { it.value }
+}
+
+private fun hostWarnings(document: ConfigDocument, hostList: HostList): List<DocumentFault> =
+    hostList.hosts.mapNotNull { host ->
+        val domain = document.failureDomains[host.failureDomain]
+        val reason =
+            when {
+                domain == null -> "failure domain ${host.failureDomain} is not in the document"
+                domain.region != host.region ->
+                    "the host list puts it in region ${host.region}, the document in ${domain.region}"
+                else -> return@mapNotNull null
+            }
+        DocumentFault(ResultCode.DOCUMENT_BROKEN_REFERENCE, "hosts.${host.host}", reason, Severity.WARNING)
+    }
+
+private fun noTarget(path: String, reason: String): DocumentFault =
+    DocumentFault(ResultCode.NO_TARGET_IN_HOME_REGION, path, reason, Severity.WARNING)
+
+private val PORTS = 1..65_535
