--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/FleetSnapshot.kt
@@ -0,0 +1,28 @@
+package kingcuptide.coordination.process
+
+/** An immutable picture of the fleet, for readers on other threads. */
+internal class FleetSnapshot(
+    val hostList: HostList,
+    private val index: Map<HostId, Int>,
+    private val states: Array<HostStatus>,
+    val generation: Long,
+) {
+    fun entry(host: HostId): HostEntry? = index[host]?.let { hostList.hosts[it] }
+
+    fun status(host: HostId): HostStatus? = index[host]?.let { states[it] }
+
+    /** Returns this picture with other [states]. */
+    fun with(states: Array<HostStatus>): FleetSnapshot = FleetSnapshot(hostList, index, states, generation + 1)
+}
+
+/** What the view shows of one host. */
+internal data class HostStatus(
+    val liveness: Liveness,
+    val incarnation: Incarnation?,
+    val cold: Boolean,
+)
+
+internal fun fleetSnapshot(hostList: HostList, states: Array<HostStatus>, generation: Long): FleetSnapshot {
+    val index = hostList.hosts.withIndex().associate { (position, entry) -> entry.host to position }
+    return FleetSnapshot(hostList, index, states, generation)
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/TableHash.kt
@@ -0,0 +1,32 @@
+package kingcuptide.coordination.process
+
+/**
+ * Returns one hash for each bucket of members, over what hosts announced and who is taken for dead.
+ *
+ * Two tables with equal hashes hold the same; the others are compared bucket by bucket.
+ */
+internal fun bucketHashes(members: List<Member>): IntArray {
+    val hashes = IntArray(BUCKETS)
+    for (member in members) {
+        if (!member.heard) continue
+        hashes[bucketOf(member)] = hashes[bucketOf(member)] xor stateHash(member)
+    }
+    return hashes
+}
+
+internal fun bucketOf(member: Member): Int = member.key and (BUCKETS - 1)
+
+private fun stateHash(member: Member): Int {
+    var hash = member.key.toLong()
+    hash = hash * MULTIPLIER + member.incarnation
+    hash = hash * MULTIPLIER + member.revision
+    val bits = (if (member.health == Health.DEAD) 1 else 0) + (if (member.leaving) 2 else 0)
+    hash = hash * MULTIPLIER + bits
+    hash *= MULTIPLIER
+    return (hash xor (hash ushr Int.SIZE_BITS)).toInt()
+}
+
+/** Number of buckets; a power of two. */
+internal const val BUCKETS: Int = 32
+
+private const val MULTIPLIER = -0x61c8864680b583ebL
