Encode frames and control messages as bounded CBOR

Bytes from a peer decode to a frame or a result code, never an exception. A check of the declared CBOR lengths precedes the library's decoder, which allocates for them.

--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/connection/FrameCodec.kt
@@ -0,0 +1,120 @@
+package kingcuptide.coordination.connection
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import kingcuptide.coordination.process.ResultCode
+import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.SerializationStrategy
+import kotlinx.serialization.cbor.Cbor
+
+/** Version of the protocol between daemons. Every frame starts with it. */
+public const val PROTOCOL_VERSION: Int = 1
+
+/** Greatest size of one frame, without its length prefix. */
+public const val MAX_FRAME_BYTES: Int = 256 * 1024
+
+/** Greatest size of the body piece that one [BodyChunk] carries. */
+public const val MAX_CHUNK_BYTES: Int = 32 * 1024
+
+/** Size of the big-endian length that precedes each frame on a connection. */
+public const val LENGTH_PREFIX_BYTES: Int = Int.SIZE_BYTES
+
+/**
+ * Turns frames and control messages into bytes and back. Thread-safe.
+ *
+ * A frame is one byte of protocol version and one CBOR item. Bytes from a peer are never trusted: whatever they hold,
+ * decoding returns a frame or a code, and allocates no more than a small multiple of their own size.
+ */
+public class FrameCodec internal constructor() {
+    /** Encodes [frame] with its length prefix, or refuses it if it is over the bounds. */
+    public fun encode(frame: RequestFrame): Result<ByteArray, ResultCode> {
+        if (frame is BodyChunk && frame.bytes.size > MAX_CHUNK_BYTES) {
+            return Err(ResultCode.PEER_FRAME_TOO_LARGE)
+        }
+        return encodeItem(RequestFrame.serializer(), frame, prefixBytes = LENGTH_PREFIX_BYTES)
+    }
+
+    /** Encodes [envelope] without a length prefix, as a datagram carries it, or refuses it if it is over the bound. */
+    public fun encode(envelope: ControlEnvelope): Result<ByteArray, ResultCode> =
+        encodeItem(ControlEnvelope.serializer(), envelope, prefixBytes = 0)
+
+    /** Encodes [envelope] with its length prefix, as a connection carries it, or refuses it if it is over the bound. */
+    public fun encodePrefixed(envelope: ControlEnvelope): Result<ByteArray, ResultCode> =
+        encodeItem(ControlEnvelope.serializer(), envelope, prefixBytes = LENGTH_PREFIX_BYTES)
+
+    /** Returns [prefix] if a frame may have that length; checked before a buffer is allocated. */
+    public fun checkLength(prefix: Int): Result<Int, ResultCode> = when {
+        prefix < MIN_FRAME_BYTES -> Err(ResultCode.PEER_FRAME_MALFORMED)
+        prefix > MAX_FRAME_BYTES -> Err(ResultCode.PEER_FRAME_TOO_LARGE)
+        else -> Ok(prefix)
+    }
+
+    /** Decodes one request frame from [payload], which has no length prefix. */
+    public fun decodeRequestFrame(payload: ByteArray): Result<RequestFrame, ResultCode> =
+        decodeItem(RequestFrame.serializer(), payload).andThen(::checkFrame)
+
+    /** Decodes one control message from [payload], which has no length prefix. */
+    public fun decodeControl(payload: ByteArray): Result<ControlEnvelope, ResultCode> =
+        decodeItem(ControlEnvelope.serializer(), payload)
+
+    private fun <T> encodeItem(
+        serializer: SerializationStrategy<T>,
+        value: T,
+        prefixBytes: Int,
+    ): Result<ByteArray, ResultCode> {
+        val item = cbor.encodeToByteArray(serializer, value)
+        val length = item.size + VERSION_BYTES
+        if (length > MAX_FRAME_BYTES) {
+            return Err(ResultCode.PEER_FRAME_TOO_LARGE)
+        }
+        val bytes = ByteArray(prefixBytes + length)
+        for (index in 0 until prefixBytes) {
+            bytes[index] = (length ushr (Byte.SIZE_BITS * (prefixBytes - 1 - index))).toByte()
+        }
+        bytes[prefixBytes] = PROTOCOL_VERSION.toByte()
+        item.copyInto(bytes, prefixBytes + VERSION_BYTES)
+        return Ok(bytes)
+    }
+
+    private fun <T> decodeItem(
+        serializer: DeserializationStrategy<T>,
+        payload: ByteArray,
+    ): Result<T, ResultCode> = checkLength(payload.size).andThen {
+        when {
+            payload[0] != PROTOCOL_VERSION.toByte() -> Err(ResultCode.PEER_PROTOCOL_VERSION)
+            !isWellFormedCbor(payload, VERSION_BYTES) -> Err(ResultCode.PEER_FRAME_MALFORMED)
+            else -> decodeChecked(serializer, payload.copyOfRange(VERSION_BYTES, payload.size))
+        }
+    }
+
+    // The library reports malformed input by several unrelated exception types.
+    private fun <T> decodeChecked(
+        serializer: DeserializationStrategy<T>,
+        item: ByteArray,
+    ): Result<T, ResultCode> = try {
+        Ok(cbor.decodeFromByteArray(serializer, item))
+    } catch (_: RuntimeException) {
+        Err(ResultCode.PEER_FRAME_MALFORMED)
+    }
+
+    private fun checkFrame(frame: RequestFrame): Result<RequestFrame, ResultCode> = when {
+        frame is Hello && frame.protocolVersion != PROTOCOL_VERSION -> Err(ResultCode.PEER_PROTOCOL_VERSION)
+        frame is BodyChunk && frame.bytes.size > MAX_CHUNK_BYTES -> Err(ResultCode.PEER_FRAME_TOO_LARGE)
+        else -> Ok(frame)
+    }
+
+    private companion object {
+        const val VERSION_BYTES = 1
+        const val MIN_FRAME_BYTES = 2
+
+        val cbor = Cbor {
+            ignoreUnknownKeys = true
+            useDefiniteLengthEncoding = true
+        }
+    }
+}
+
+/** Returns a codec. One is enough for a process. */
+public fun frameCodec(): FrameCodec = FrameCodec()
