--- /dev/null
+++ b/standins/src/main/kotlin/kingcuptide/standins/fleet/ChildProcess.kt
@@ -0,0 +1,40 @@
+package kingcuptide.standins.fleet
+
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** A process that this one started. Only such processes are ever signalled. */
+class ChildProcess internal constructor(
+    val name: String,
+    val logFile: Path,
+    private val process: Process,
+) {
+    val pid: Long get() = process.pid()
+    val isAlive: Boolean get() = process.isAlive
+
+    /** Asks the process to stop (SIGTERM). */
+    fun terminate() {
+        process.destroy()
+    }
+
+    /** Ends the process at once (SIGKILL). */
+    fun kill() {
+        process.destroyForcibly()
+    }
+
+    /** Suspends the process until [wake]. */
+    fun freeze() = signal("STOP")
+
+    /** Lets a suspended process go on. */
+    fun wake() = signal("CONT")
+
+    /** Waits for the end; returns the exit status, or null if it still runs after [limit]. */
+    fun awaitExit(limit: Duration): Int? =
+        if (process.waitFor(limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)) process.exitValue() else null
+
+    private fun signal(signal: String) {
+        val status = ProcessBuilder("kill", "-$signal", pid.toString()).start().waitFor()
+        check(status == 0) { "signal $signal to $name failed with status $status" }
+    }
+}
