--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/SpreadRoles.kt
@@ -0,0 +1,180 @@
+package kingcuptide.coordination.version
+
+import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.process.FleetView
+import kingcuptide.coordination.process.HostEntry
+import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.process.HostList
+import kingcuptide.coordination.process.HostState
+import kingcuptide.coordination.process.Liveness
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.rendezvousWeight
+
+/**
+ * Which host has which part in the distribution: pure functions of the host list and of liveness.
+ *
+ * Daemons that disagree on either give the parts to different hosts for a while. That costs calls or bytes only.
+ *
+ * The *anchors* of a failure domain are its first hosts by rendezvous hashing. Those of the host list alone are the
+ * witnesses; those that are not dead are the roots of the spread. Not thread-safe.
+ */
+internal class SpreadRoles(
+    private val fleet: FleetView,
+    private val settings: VersionSettings,
+) {
+    private var orderedFor: HostList? = null
+    private var ordered: List<HostEntry> = emptyList()
+    private var byDomain: Map<FailureDomainId, List<HostEntry>> = emptyMap()
+    private val readerOrders = mutableMapOf<ResourceKind, ReaderOrder>()
+    private var witnesses: List<HostEntry> = emptyList()
+
+    /** All hosts of the host list but this one. */
+    fun others(): List<HostEntry> {
+        refresh()
+        return ordered
+    }
+
+    /**
+     * Whether this daemon keeps a watch at the platform for the successor of [number].
+     *
+     * The readers of a failure domain are its first usable hosts by rendezvous hashing for [number], so that the whole
+     * contents that the platform sends fall on other hosts at each change.
+     */
+    fun isReader(kind: ResourceKind, number: Long?): Boolean {
+        if (fleet.self.region != settings.platformRegion || fleet.self.state != HostState.LIVE) return false
+        refresh()
+        val order = readerOrders.getOrPut(kind) { ReaderOrder(null, emptyList()) }
+        val current = if (order.number == number && order.hosts.isNotEmpty()) order else orderReaders(kind, number)
+        return current.hosts.asSequence()
+            .filter { it.host == fleet.self.host || isUsable(it) }
+            .take(settings.readersPerFailureDomain)
+            .any { it.host == fleet.self.host }
+    }
+
+    /** Whether this daemon is among the usable anchors of its failure domain. */
+    fun isAnchor(): Boolean = fleet.self.host in usableAnchors(fleet.self.failureDomain)
+
+    /**
+     * The witnesses that guard this daemon's restarts, this daemon excepted: the anchors of its region's failure
+     * domains, or of the whole fleet if the region has fewer than [MIN_WITNESS_DOMAINS] failure domains.
+     */
+    fun witnesses(): List<HostEntry> {
+        refresh()
+        return witnesses
+    }
+
+    /** Whether this daemon is a witness for others of its region. */
+    fun isWitness(): Boolean {
+        refresh()
+        val domain = fleet.self.failureDomain
+        val before = byDomain[domain].orEmpty().count { it.host != fleet.self.host && precedesSelf(it.host) }
+        return before < settings.anchorsPerFailureDomain
+    }
+
+    /** The usable anchors of [region] that come first: they offer a new version to all of the region, and abroad. */
+    fun roots(region: RegionId): List<HostId> {
+        refresh()
+        return withSelf(
+            ordered.asSequence().filter {
+                it.region == region && isUsable(it)
+            },
+            region == fleet.self.region,
+        )
+            .take(ROOTS_PER_REGION)
+    }
+
+    /** The regions of the host list other than this daemon's. */
+    fun otherRegions(): Set<RegionId> {
+        refresh()
+        return ordered.mapTo(mutableSetOf()) { it.region } - fleet.self.region
+    }
+
+    /** The failure domains of this daemon's region. */
+    fun domainsOfRegion(): Set<FailureDomainId> {
+        refresh()
+        return ordered.filter { it.region == fleet.self.region }.mapTo(mutableSetOf()) { it.failureDomain } +
+            fleet.self.failureDomain
+    }
+
+    /** The usable hosts of [domain] in the order of the tree that spreads [version]. */
+    fun tree(domain: FailureDomainId, version: ResourceVersion): List<HostId> {
+        refresh()
+        val usable = byDomain[domain].orEmpty().filter { isUsable(it) }.map { it.host }
+        val members = if (domain == fleet.self.failureDomain) usable + fleet.self.host else usable
+        val key = "tree:${version.number}"
+        return members.map { it to rendezvousWeight(key, it) }
+            .sortedWith(compareByDescending<Pair<HostId, ULong>> { it.second }.thenBy { it.first })
+            .map { it.first }
+    }
+
+    /** Whether [host] is believed able to take part. */
+    fun isUsable(host: HostEntry): Boolean =
+        host.state == HostState.LIVE && fleet.liveness(host.host).let { it != Liveness.DEAD && it != Liveness.LEAVING }
+
+    private fun orderReaders(kind: ResourceKind, number: Long?): ReaderOrder {
+        val hosts = byDomain[fleet.self.failureDomain].orEmpty() + fleet.self
+        val order =
+            ReaderOrder(number, hosts.sortedByDescending { rendezvousWeight("reader:${kind.name}:$number", it.host) })
+        readerOrders[kind] = order
+        return order
+    }
+
+    private fun usableAnchors(domain: FailureDomainId): List<HostId> {
+        refresh()
+        val usable = byDomain[domain].orEmpty().asSequence().filter { isUsable(it) }
+        return withSelf(usable, domain == fleet.self.failureDomain).take(settings.anchorsPerFailureDomain)
+    }
+
+    private fun withSelf(usable: Sequence<HostEntry>, includeSelf: Boolean): List<HostId> {
+        val first = usable.take(MAX_ANCHORS).map { it.host }.toList()
+        if (!includeSelf || fleet.self.state != HostState.LIVE) return first
+        return first.filter { precedesSelf(it) } + fleet.self.host + first.filterNot { precedesSelf(it) }
+    }
+
+    private fun precedesSelf(host: HostId): Boolean {
+        val own = rendezvousWeight(ANCHOR_KEY, fleet.self.host)
+        val weight = rendezvousWeight(ANCHOR_KEY, host)
+        return weight > own || (weight == own && host < fleet.self.host)
+    }
+
+    private fun refresh() {
+        val list = fleet.hostList
+        if (list === orderedFor) return
+        orderedFor = list
+        readerOrders.clear()
+        ordered = list.hosts.filter { it.host != fleet.self.host }.map { it to rendezvousWeight(ANCHOR_KEY, it.host) }
+            .sortedWith(compareByDescending<Pair<HostEntry, ULong>> { it.second }.thenBy { it.first.host })
+            .map { it.first }
+        byDomain = ordered.groupBy { it.failureDomain }
+        witnesses = computeWitnesses()
+    }
+
+    private fun computeWitnesses(): List<HostEntry> {
+        val region = domainsOfRegion()
+        val domains = if (region.size >= MIN_WITNESS_DOMAINS) region else byDomain.keys
+        return domains.flatMap { domain ->
+            val hosts = byDomain[domain].orEmpty().take(settings.anchorsPerFailureDomain)
+            if (domain != fleet.self.failureDomain) return@flatMap hosts
+            val ahead = hosts.filter { precedesSelf(it.host) }
+            if (ahead.size >=
+                settings.anchorsPerFailureDomain
+            ) {
+                ahead
+            } else {
+                hosts.take(settings.anchorsPerFailureDomain - 1)
+            }
+        }
+    }
+
+    private data class ReaderOrder(
+        val number: Long?,
+        val hosts: List<HostEntry>,
+    )
+
+    private companion object {
+        const val ANCHOR_KEY = "anchor"
+        const val ROOTS_PER_REGION = 2
+        const val MIN_WITNESS_DOMAINS = 3
+        const val MAX_ANCHORS = 8
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/TokenBucket.kt
@@ -0,0 +1,37 @@
+package kingcuptide.coordination.version
+
+import kingcuptide.coordination.process.Clock
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** A budget that refills by [ratePerSecond] up to [burst]. Not thread-safe. */
+internal class TokenBucket(
+    private val clock: Clock,
+    private var ratePerSecond: Double,
+    private var burst: Double,
+) {
+    private var tokens = burst
+    private var refilledAt: Duration = clock.now()
+
+    /** Changes rate and burst; what is in the bucket stays, up to the new burst. */
+    fun resize(ratePerSecond: Double, burst: Double) {
+        refill()
+        this.ratePerSecond = ratePerSecond
+        this.burst = burst
+        tokens = tokens.coerceAtMost(burst)
+    }
+
+    /** Takes [amount] if there is as much, or if the bucket is full and [amount] would never fit. */
+    fun tryTake(amount: Double = 1.0): Boolean {
+        refill()
+        if (tokens < amount && tokens < burst) return false
+        tokens -= amount
+        return true
+    }
+
+    private fun refill() {
+        val now = clock.now()
+        tokens = (tokens + (now - refilledAt).toDouble(DurationUnit.SECONDS) * ratePerSecond).coerceAtMost(burst)
+        refilledAt = now
+    }
+}
