--- /dev/null
+++ b/bench/src/main/kotlin/kingcuptide/bench/membership/FleetNode.kt
@@ -0,0 +1,39 @@
+package kingcuptide.bench.membership
+
+import kingcuptide.coordination.connection.MembershipMessage
+import kingcuptide.coordination.process.HostEntry
+import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.process.Membership
+
+/** A message that arrived at a process that does not run. */
+data class BufferedMessage(
+    val from: HostId,
+    val message: MembershipMessage,
+)
+
+/** One daemon of a [MembershipFleet]: its process may run, be frozen, or be gone. */
+class FleetNode(
+    val entry: HostEntry,
+    var membership: Membership,
+) {
+    val host: HostId get() = entry.host
+
+    /** Rises with each process on this host. */
+    var process = 0
+
+    var running = true
+
+    var frozen = false
+
+    /** What arrived while the process was frozen, as far as its socket buffer reaches. */
+    val buffer = ArrayDeque<BufferedMessage>()
+
+    var receivedBytes = 0L
+
+    var receivedMessages = 0L
+
+    var crossRegionBytes = 0L
+
+    /** Whether this daemon runs at this moment. */
+    val live: Boolean get() = running && !frozen
+}
