--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/PayloadCodec.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/PayloadCodec.kt
@@ -1,51 +1,34 @@
 package kingcuptide.coordination.version
 
-import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.flatMap
 import kingcuptide.coordination.process.ResultCode
-import kotlinx.serialization.KSerializer
-import kotlinx.serialization.Serializable
-import kotlinx.serialization.cbor.Cbor
-
-/** The largest payload that is decoded, in bytes after inflating. */
-public const val MAX_INFLATED_BYTES: Int = 8_388_608
-
-/** Packs a whole [content] for a peer. */
-public fun encodeWhole(content: ResourceContent): ByteArray =
-    pack(WholePayload.serializer(), WholePayload(content.kind, content.version, content.entries))
-
-/** Packs a difference for a peer. */
-public fun encodeDelta(delta: ResourceDelta): ByteArray = pack(ResourceDelta.serializer(), delta)
-
-/** Unpacks what [encodeWhole] packed. The digest is checked, so a damaged payload is never taken for a version. */
-public fun decodeWhole(bytes: ByteArray): Result<ResourceContent, ResultCode> =
-    unpack(WholePayload.serializer(), bytes).flatMap { payload ->
-        val content = ResourceContent.of(payload.kind, payload.version.number, payload.entries)
-        if (content.version == payload.version) Ok(content) else Err(ResultCode.PEER_FRAME_MALFORMED)
-    }
-
-/** Unpacks what [encodeDelta] packed. [apply] checks its digests. */
-public fun decodeDelta(bytes: ByteArray): Result<ResourceDelta, ResultCode> = unpack(ResourceDelta.serializer(), bytes)
-
-@Serializable
-private class WholePayload(
-    val kind: ResourceKind,
-    val version: ResourceVersion,
-    val entries: Map<String, String>,
-)
-
-private fun <T> pack(serializer: KSerializer<T>, value: T): ByteArray =
-    deflate(PAYLOAD_CBOR.encodeToByteArray(serializer, value))
-
-private fun <T> unpack(serializer: KSerializer<T>, bytes: ByteArray): Result<T, ResultCode> =
-    inflate(bytes, MAX_INFLATED_BYTES).flatMap { inflated ->
-        try {
-            Ok(PAYLOAD_CBOR.decodeFromByteArray(serializer, inflated))
-        } catch (_: IllegalArgumentException) {
-            Err(ResultCode.PEER_FRAME_MALFORMED)
-        }
-    }
-
-private val PAYLOAD_CBOR = Cbor { useDefiniteLengthEncoding = true }
+
+/** Turns contents and differences into compressed bytes for peers, and back. */
+public interface PayloadCodec {
+    /** Encodes [content] so that a receiver needs no base. */
+    public fun encodeWhole(content: ResourceContent): ByteArray
+
+    /** Encodes [delta] for a receiver that holds its base. */
+    public fun encodeDelta(delta: ResourceDelta): ByteArray
+
+    /** Decodes what [encodeWhole] made. The digest is computed anew from the entries. */
+    public fun decodeWhole(bytes: ByteArray): Result<ResourceContent, ResultCode>
+
+    /** Decodes what [encodeDelta] made, and applies it to a copy of [base]. */
+    public fun decodeDelta(base: ResourceContent, bytes: ByteArray): Result<ResourceContent, ResultCode>
+}
+
+/** Returns the codec that daemons use: CBOR, compressed with deflate. Thread-safe. */
+public fun deflatePayloadCodec(): PayloadCodec = DeflatePayloadCodec
+
+private object DeflatePayloadCodec : PayloadCodec {
+    override fun encodeWhole(content: ResourceContent): ByteArray = packWhole(content)
+
+    override fun encodeDelta(delta: ResourceDelta): ByteArray = packDelta(delta)
+
+    override fun decodeWhole(bytes: ByteArray): Result<ResourceContent, ResultCode> = unpackWhole(bytes)
+
+    override fun decodeDelta(base: ResourceContent, bytes: ByteArray): Result<ResourceContent, ResultCode> =
+        unpackDelta(bytes).flatMap { base.apply(it) }
+}
