--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/HomeRegionCheck.kt
@@ -0,0 +1,64 @@
+package kingcuptide.coordination.request
+
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.version.ConfigDocument
+import kingcuptide.coordination.version.RouteSpec
+
+/** Whether a region may serve a request. */
+public sealed interface HomeRegionCheck {
+    /** The request may be served, sent and stored here. */
+    public data object Allowed : HomeRegionCheck
+
+    /** The request may not be read any further; [regions] are the places for it, sorted by name. */
+    public data class Elsewhere(
+        val regions: List<RegionId>,
+    ) : HomeRegionCheck
+
+    /** Route and tenant have no home region in common, so that no place may serve the request. */
+    public data object Nowhere : HomeRegionCheck
+}
+
+/** Home regions of a request. */
+public sealed interface HomeRegions {
+    /** The request may be served anywhere. */
+    public data object Anywhere : HomeRegions
+
+    /** The request may be served only in [regions]; there may be none. */
+    public data class Only(
+        val regions: Set<RegionId>,
+    ) : HomeRegions
+}
+
+/**
+ * Returns where a request of [tenant] on [route] may be served: at home for both of them. A tenant that the document does
+ * not have is at home nowhere.
+ */
+public fun homeRegionsOf(route: RouteSpec, tenant: TenantId?, document: ConfigDocument): HomeRegions {
+    if (tenant != null && tenant !in document.tenants) return HomeRegions.Only(emptySet())
+    val tenantRegions = tenant?.let { document.tenants[it]?.homeRegions }.orEmpty()
+    return when {
+        route.homeRegions.isEmpty() && tenantRegions.isEmpty() -> HomeRegions.Anywhere
+        route.homeRegions.isEmpty() -> HomeRegions.Only(tenantRegions)
+        tenantRegions.isEmpty() -> HomeRegions.Only(route.homeRegions)
+        else -> HomeRegions.Only(route.homeRegions intersect tenantRegions)
+    }
+}
+
+/** Decides whether a daemon in region [own] may take a request with [home]; called before the body is read. */
+public fun checkHomeRegion(own: RegionId, home: HomeRegions): HomeRegionCheck =
+    when (home) {
+        HomeRegions.Anywhere -> HomeRegionCheck.Allowed
+        is HomeRegions.Only -> check(own, home.regions)
+    }
+
+/** Returns whether [region] may serve a request with these home regions. */
+public operator fun HomeRegions.contains(region: RegionId): Boolean =
+    checkHomeRegion(region, this) == HomeRegionCheck.Allowed
+
+private fun check(own: RegionId, regions: Set<RegionId>): HomeRegionCheck =
+    when {
+        own in regions -> HomeRegionCheck.Allowed
+        regions.isEmpty() -> HomeRegionCheck.Nowhere
+        else -> HomeRegionCheck.Elsewhere(regions.sortedBy { it.value })
+    }
