--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryBody.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryBody.kt
@@ -2,6 +2,7 @@
 
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
+import kingcuptide.daemon.connection.BodyBrokenException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.ReceiveChannel
@@ -80,8 +81,6 @@
     }
 }
 
-/** The caller's body ended before its declared length. */
-class BodyBrokenException : Exception("request body broke off")
 
 private suspend fun ByteReadChannel.readUpTo(limit: Int): ByteArray {
     var buffer = ByteArray(minOf(limit, FIRST_BUFFER_BYTES))
