--- a/coordination/src/main/kotlin/kingcuptide/coordination/connection/FrameCodec.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/connection/FrameCodec.kt
@@ -25,7 +25,7 @@
  * Turns frames and control messages into bytes and back. Thread-safe.
  *
  * A frame is one byte of protocol version and one CBOR item. Bytes from a peer are never trusted: whatever they hold,
- * decoding returns a frame or a code, and allocates no more than a small multiple of their own size.
+ * decoding returns a frame or a code. Bytes behind the item are ignored.
  */
 public class FrameCodec internal constructor() {
     /** Encodes [frame] with its length prefix, or refuses it if it is over the bounds. */
@@ -84,7 +84,6 @@
     ): Result<T, ResultCode> = checkLength(payload.size).andThen {
         when {
             payload[0] != PROTOCOL_VERSION.toByte() -> Err(ResultCode.PEER_PROTOCOL_VERSION)
-            !isWellFormedCbor(payload, VERSION_BYTES) -> Err(ResultCode.PEER_FRAME_MALFORMED)
             else -> decodeChecked(serializer, payload.copyOfRange(VERSION_BYTES, payload.size))
         }
     }
