Decide both ends of a request connection

The entry echoes an estimate of the gate's clock (newest stamp plus the time since it arrived) in the head, so that an idle connection needs no stamps and a frame that waited anywhere shows its age.

--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/connection/GateConnectionCounters.kt
@@ -0,0 +1,14 @@
+package kingcuptide.coordination.connection
+
+/** What a [GateConnection] counted since it was made. */
+public data class GateConnectionCounters(
+    val accepted: Long = 0,
+    val refusedStale: Long = 0,
+    val refusedFull: Long = 0,
+    val expiredNotRun: Long = 0,
+    val expiredRunning: Long = 0,
+    val cancelledNotRun: Long = 0,
+    val cancelledRunning: Long = 0,
+    val duplicatesDropped: Long = 0,
+    val unknownDropped: Long = 0,
+)
--- a/coordination/src/main/kotlin/kingcuptide/coordination/connection/RequestFrame.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/connection/RequestFrame.kt
@@ -22,13 +22,18 @@
     val incarnation: Incarnation,
 ) : RequestFrame
 
-/** A recent reading of the gate's own clock. A request that echoes an old one has waited too long somewhere. */
+/** A reading of the gate's own clock, from which the entry estimates that clock later on. */
 @Serializable
 @SerialName("stamp")
 public data class Stamp(
     val valueMs: Long,
 ) : RequestFrame
 
+/** Asks the gate for a fresh [Stamp]; sent by an entry whose newest one is too old to estimate from. */
+@Serializable
+@SerialName("stamp-request")
+public data object StampRequest : RequestFrame
+
 /** One HTTP header line. */
 @Serializable
 public data class Header(
@@ -40,7 +45,9 @@
  * The start of a request.
  *
  * @property number never used twice on one connection
- * @property stampMs the newest [Stamp] that the entry has seen on this connection
+ * @property stampMs the gate's clock at the moment of sending, as the entry estimates it: the newest [Stamp] plus the
+ *   time since it arrived. It is never ahead of the gate's clock by more than the drift of the two, so a frame that
+ *   waited anywhere shows its age
  * @property remainingMs time left until the deadline, at the moment of sending
  * @property version number of the document under which the entry chose this target
  * @property keyHash digest of tenant, route and idempotency key, or null if the caller sent no key
