--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
@@ -29,6 +29,7 @@
     METHOD_NOT_ALLOWED(107, 405, Outcome.NOT_RUN),
     BAD_DEADLINE(108, 400, Outcome.NOT_RUN),
     BAD_IDEMPOTENCY_KEY(109, 400, Outcome.NOT_RUN),
+    LENGTH_REQUIRED(110, 411, Outcome.NOT_RUN),
 
     // 2xx: refused, and it did not run
     NO_CONFIGURATION(200, 503, Outcome.NOT_RUN),
--- a/daemon/src/main/kotlin/kingcuptide/daemon/connection/EntryLink.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/connection/EntryLink.kt
@@ -144,7 +144,8 @@
                 is HeadDecision.AwaitStamp -> {
                     decision.request?.let { pipe.write(it) }
                     pipe.flush()
-                    withTimeoutOrNull(STAMP_TIMEOUT) { stampRenewed.receive() } ?: return fail(write.number, ResultCode.PEER_UNREACHABLE)
+                    withTimeoutOrNull(STAMP_TIMEOUT) { stampRenewed.receive() }
+                        ?: return fail(write.number, ResultCode.PEER_UNREACHABLE)
                 }
             }
         }
@@ -152,7 +153,16 @@
 
     private fun refuseHead(number: Long, code: ResultCode) {
         connection.abandon(number)
-        fail(EntryDecision.Failed(number, code.number, Outcome.NOT_RUN, retryAfterMs = 0, load = null, answerBegun = false))
+        fail(
+            EntryDecision.Failed(
+                number,
+                code.number,
+                Outcome.NOT_RUN,
+                retryAfterMs = 0,
+                load = null,
+                answerBegun = false,
+            ),
+        )
     }
 
     private suspend fun sendBody(call: PendingCall, body: ReceiveChannel<ByteArray>) {
--- a/daemon/src/main/kotlin/kingcuptide/daemon/connection/MemoryPipe.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/connection/MemoryPipe.kt
@@ -17,7 +17,9 @@
 
     override suspend fun flush() = Unit
 
-    override suspend fun read(): Result<RequestFrame, ResultCode>? = incoming.receiveCatching().getOrNull()?.let { Ok(it) }
+    override suspend fun read(): Result<RequestFrame, ResultCode>? = incoming.receiveCatching().getOrNull()?.let {
+        Ok(it)
+    }
 
     override fun close() {
         outgoing.close()
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryBody.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryBody.kt
@@ -81,7 +81,6 @@
     }
 }
 
-
 private suspend fun ByteReadChannel.readUpTo(limit: Int): ByteArray {
     var buffer = ByteArray(minOf(limit, FIRST_BUFFER_BYTES))
     var size = 0
--- /dev/null
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryHandler.kt
@@ -0,0 +1,249 @@
+package kingcuptide.daemon.request
+
+import com.github.michaelbull.result.getOrElse
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.plugins.origin
+import io.ktor.server.request.contentLength
+import io.ktor.server.request.receiveChannel
+import kingcuptide.coordination.connection.HeadDraft
+import kingcuptide.coordination.connection.RequestHead
+import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.process.HostEntry
+import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.process.RouteId
+import kingcuptide.coordination.request.ATTEMPT_HEADER
+import kingcuptide.coordination.request.AttemptOutcome
+import kingcuptide.coordination.request.CallLevel
+import kingcuptide.coordination.request.ChoiceRequest
+import kingcuptide.coordination.request.DEPTH_HEADER
+import kingcuptide.coordination.request.Outcome
+import kingcuptide.coordination.request.RequestCounters
+import kingcuptide.coordination.request.RetryBudget
+import kingcuptide.coordination.request.RetryDecision
+import kingcuptide.coordination.request.RetryState
+import kingcuptide.coordination.request.TargetChoice
+import kingcuptide.coordination.request.TargetChooser
+import kingcuptide.coordination.request.attemptOutcomeOf
+import kingcuptide.coordination.request.callLevelOf
+import kingcuptide.coordination.request.decideRetry
+import kingcuptide.coordination.request.retryBudget
+import kingcuptide.coordination.version.Snapshot
+import kingcuptide.daemon.connection.Attempt
+import kingcuptide.daemon.connection.AttemptResult
+import kingcuptide.daemon.connection.BodyBrokenException
+import kingcuptide.daemon.connection.PeerLinks
+import kingcuptide.daemon.process.DaemonMetrics
+import kingcuptide.daemon.process.Side
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** What the entry needs to know of the rest of the daemon at each request. */
+interface EntrySurroundings {
+    /** The snapshot in force, or null before the first one. */
+    fun snapshot(): Snapshot?
+
+    /** Whether this daemon's knowledge is fresh enough to take new work. */
+    fun mayTakeWork(): Boolean
+
+    /** Whether a planned stop has begun. */
+    fun isDraining(): Boolean
+
+    /** Whether [ip] is the address of a host of the fleet. */
+    fun isFleetHost(ip: String): Boolean
+}
+
+/** Takes callers' requests, finds a target for each, and gives each its final answer. */
+class EntryHandler(
+    private val region: RegionId,
+    private val maxRequests: Int,
+    private val surroundings: EntrySurroundings,
+    private val chooser: TargetChooser,
+    private val links: PeerLinks,
+    private val clock: Clock,
+    private val random: Random,
+    private val counters: RequestCounters,
+    private val metrics: DaemonMetrics,
+) {
+    private val inFlight = AtomicInteger()
+    private val budgets = ConcurrentHashMap<RouteId, RetryBudget>()
+
+    /** Requests taken and not yet answered. */
+    val requestsInFlight: Int get() = inFlight.get()
+
+    /** Handles one request of a caller. */
+    suspend fun handle(call: ApplicationCall) {
+        val startedAt = clock.now()
+        try {
+            if (inFlight.incrementAndGet() > maxRequests) return refuse(call, EntryRefusal(ResultCode.ENTRY_FULL))
+            handleCounted(call, startedAt)
+        } finally {
+            inFlight.decrementAndGet()
+            metrics.requestTook(clock.now() - startedAt)
+        }
+    }
+
+    private suspend fun handleCounted(call: ApplicationCall, startedAt: Duration) {
+        if (surroundings.isDraining()) return refuse(call, EntryRefusal(ResultCode.DRAINING))
+        val snapshot = surroundings.snapshot() ?: return refuse(call, EntryRefusal(ResultCode.NO_CONFIGURATION))
+        if (!surroundings.mayTakeWork()) return refuse(call, EntryRefusal(ResultCode.AWAKENING))
+        val request = readEntryRequest(call, snapshot, region).getOrElse { return refuse(call, it) }
+        val body =
+            try {
+                EntryBody.read(call.receiveChannel(), call.request.contentLength(), isChunked(call))
+            } catch (_: BodyBrokenException) {
+                return refuse(call, EntryRefusal(ResultCode.MALFORMED_REQUEST))
+            }
+        if (body.isUnboundedStream) return refuse(call, EntryRefusal(ResultCode.LENGTH_REQUIRED))
+        serve(call, Served(request, body, levelOf(call), startedAt + request.timeout, headOf(call, request, body)))
+    }
+
+    private suspend fun serve(call: ApplicationCall, served: Served) {
+        budgetOf(served).recordFirstAttempt()
+        while (true) {
+            val choice =
+                when (val choice = chooser.choose(served.choiceRequest())) {
+                    is TargetChoice.Chosen -> choice.entry
+                    is TargetChoice.None -> return refuse(
+                        call,
+                        served.lastOr(EntryFailure(choice.code, Outcome.NOT_RUN, choice.retryAfter)),
+                    )
+                }
+            val failed = attempt(call, served, choice) ?: return
+            val decision =
+                decideRetry(
+                    failed.toFailedAttempt(choice.host),
+                    served.retryState(clock.now()),
+                    budgetOf(served),
+                    random,
+                    counters,
+                )
+            served.tried += choice.host
+            served.last = EntryFailure(failed.code, failed.outcome, failed.retryAfter)
+            when (decision) {
+                is RetryDecision.GiveUp -> return refuse(
+                    call,
+                    EntryFailure(decision.code, decision.outcome, decision.retryAfter),
+                )
+                is RetryDecision.Retry -> if (!served.body.canReplay) return refuse(call, checkNotNull(served.last))
+            }
+            metrics.retried(failed.code)
+        }
+    }
+
+    /** Makes one attempt; returns null if the caller has its answer, otherwise how the attempt failed. */
+    private suspend fun attempt(call: ApplicationCall, served: Served, host: HostEntry): AttemptResult.Failed? =
+        coroutineScope {
+            chooser.begin(host.host)
+            var outcome = AttemptOutcome.ABANDONED
+            var load = null as kingcuptide.coordination.connection.GateLoad?
+            val attempt = links.attempt(host, HeadDraft(served.head, served.deadline), served.body.pieces(this))
+            try {
+                when (val result = awaitResult(attempt, served.deadline)) {
+                    is AttemptResult.Answered -> {
+                        outcome = AttemptOutcome.ANSWERED
+                        load = result.load
+                        metrics.answered(result.status)
+                        call.respondAnswer(result, served.request.snapshot.version)
+                        null
+                    }
+                    is AttemptResult.Failed -> {
+                        outcome = attemptOutcomeOf(result.code)
+                        load = result.load
+                        result
+                    }
+                }
+            } finally {
+                attempt.abandon()
+                chooser.finish(host.host, outcome, load)
+                coroutineContext[kotlinx.coroutines.Job]?.children?.forEach { it.cancel() }
+            }
+        }
+
+    private suspend fun awaitResult(attempt: Attempt, deadline: Duration): AttemptResult {
+        val result = withTimeoutOrNull(deadline - clock.now()) { attempt.result() }
+        if (result != null) return result
+        val outcome = attempt.abandon()
+        val code = if (outcome == Outcome.NOT_RUN) ResultCode.DEADLINE_PASSED else ResultCode.DEADLINE_PASSED_RUNNING
+        return AttemptResult.Failed(code, outcome, null, null)
+    }
+
+    private fun headOf(call: ApplicationCall, request: EntryRequest, body: EntryBody): RequestHead =
+        RequestHead(
+            number = 0,
+            stampMs = 0,
+            remainingMs = 0,
+            version = request.snapshot.version,
+            route = request.routeId,
+            tenant = request.tenant,
+            method = request.method,
+            pathAndQuery = request.pathAndQuery,
+            headers = call.request.headers.endToEnd(),
+            repeatable = request.repeatable,
+            keyHash = request.idempotencyKey?.takeUnless { request.repeatable }?.let { keyHashOf(request, it) },
+            hasBody = body.isPresent,
+        )
+
+    private fun levelOf(call: ApplicationCall): CallLevel {
+        val headers = call.request.headers
+        val fromFleetHost = surroundings.isFleetHost(call.request.origin.remoteAddress)
+        return callLevelOf(headers[DEPTH_HEADER], headers[ATTEMPT_HEADER], fromFleetHost)
+    }
+
+    private fun budgetOf(served: Served): RetryBudget = budgets.computeIfAbsent(served.request.routeId) {
+        retryBudget(clock)
+    }
+
+    private suspend fun refuse(call: ApplicationCall, refusal: EntryRefusal) {
+        val outcome = refusal.code.outcome ?: Outcome.UNKNOWN
+        val retryAfter = DEFAULT_RETRY_AFTER.takeIf { refusal.code.httpStatus == SERVICE_UNAVAILABLE }
+        counters.entryRefused(refusal.code)
+        metrics.refused(Side.ENTRY, refusal.code)
+        call.respondFailure(EntryFailure(refusal.code, outcome, retryAfter), refusal.homeRegions.map { it.value })
+    }
+
+    private suspend fun refuse(call: ApplicationCall, failure: EntryFailure) {
+        metrics.refused(Side.ENTRY, failure.code)
+        call.respondFailure(failure)
+    }
+
+    private class Served(
+        val request: EntryRequest,
+        val body: EntryBody,
+        val level: CallLevel,
+        val deadline: Duration,
+        val head: RequestHead,
+    ) {
+        val tried = ArrayList<HostId>(1)
+        var last: EntryFailure? = null
+
+        fun lastOr(failure: EntryFailure): EntryFailure = last ?: failure
+
+        fun choiceRequest(): ChoiceRequest =
+            ChoiceRequest(request.route.service, request.home, request.snapshot::isTakenOut, tried.toSet())
+
+        fun retryState(now: Duration): RetryState =
+            RetryState(
+                repeatable = request.repeatable,
+                level = level,
+                tried = tried.toList(),
+                maxRetries = request.route.maxRetries,
+                retryBudgetPercent = request.route.retryBudgetPercent,
+                remaining = deadline - now,
+            )
+    }
+
+    private companion object {
+        const val SERVICE_UNAVAILABLE = 503
+        val DEFAULT_RETRY_AFTER = 2.seconds
+    }
+}
+
+private fun AttemptResult.Failed.toFailedAttempt(host: HostId) =
+    kingcuptide.coordination.request.FailedAttempt(host, code, outcome, retryAfter)
--- /dev/null
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryRequest.kt
@@ -0,0 +1,110 @@
+package kingcuptide.daemon.request
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import io.ktor.http.HttpHeaders
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.contentLength
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.uri
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.process.RouteId
+import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.request.HomeRegionCheck
+import kingcuptide.coordination.request.HomeRegions
+import kingcuptide.coordination.request.checkHomeRegion
+import kingcuptide.coordination.request.homeRegionsOf
+import kingcuptide.coordination.version.RouteMatch
+import kingcuptide.coordination.version.RouteSpec
+import kingcuptide.coordination.version.Snapshot
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A caller's request as far as its head tells, under the one snapshot that it keeps to its end. */
+data class EntryRequest(
+    val snapshot: Snapshot,
+    val routeId: RouteId,
+    val route: RouteSpec,
+    val tenant: TenantId?,
+    val home: HomeRegions,
+    val method: String,
+    val pathAndQuery: String,
+    val repeatable: Boolean,
+    val idempotencyKey: String?,
+    val timeout: Duration,
+)
+
+/** Why a request is refused at the entry. [homeRegions] names where it may go instead. */
+data class EntryRefusal(
+    val code: ResultCode,
+    val homeRegions: List<RegionId> = emptyList(),
+)
+
+/** Reads the head of [call] under [snapshot], and refuses what must not be read any further. */
+internal fun readEntryRequest(
+    call: ApplicationCall,
+    snapshot: Snapshot,
+    region: RegionId,
+): Result<EntryRequest, EntryRefusal> {
+    val method = call.request.httpMethod.value
+    val found =
+        when (val match = snapshot.match(method, call.request.uri)) {
+            is RouteMatch.Found -> match
+            is RouteMatch.MethodNotAllowed -> return refused(ResultCode.METHOD_NOT_ALLOWED)
+            RouteMatch.UnknownRoute -> return refused(ResultCode.UNKNOWN_ROUTE)
+        }
+    val tenant = call.request.headers[KingcuptideHeaders.TENANT]?.let(::TenantId)
+    tenantFault(tenant, found.route, snapshot)?.let { return refused(it) }
+    val home = homeRegionsOf(found.route, tenant, snapshot.document)
+    val elsewhere = checkHomeRegion(region, home)
+    if (elsewhere is HomeRegionCheck.Elsewhere) return Err(EntryRefusal(ResultCode.WRONG_REGION, elsewhere.regions))
+    if (elsewhere is HomeRegionCheck.Nowhere) return refused(ResultCode.WRONG_REGION)
+    if ((call.request.contentLength() ?: 0) > found.route.maxBodyBytes) return refused(ResultCode.BODY_TOO_LARGE)
+    val key = readKey(call).getOrElse { return Err(it) }
+    val timeout = readTimeout(call, found.route).getOrElse { return Err(it) }
+    return Ok(
+        EntryRequest(
+            snapshot = snapshot,
+            routeId = found.routeId,
+            route = found.route,
+            tenant = tenant,
+            home = home,
+            method = method,
+            pathAndQuery = call.request.uri,
+            repeatable = found.repeatable,
+            idempotencyKey = key,
+            timeout = timeout,
+        ),
+    )
+}
+
+private fun tenantFault(tenant: TenantId?, route: RouteSpec, snapshot: Snapshot): ResultCode? =
+    when {
+        tenant == null -> ResultCode.TENANT_MISSING.takeIf { route.tenantRequired }
+        snapshot.tenant(tenant) == null -> ResultCode.UNKNOWN_TENANT
+        else -> null
+    }
+
+private fun readKey(call: ApplicationCall): Result<String?, EntryRefusal> {
+    val values = call.request.headers.getAll(KingcuptideHeaders.IDEMPOTENCY_KEY) ?: return Ok(null)
+    val key = values.singleOrNull()?.trim()
+    if (key.isNullOrEmpty() || key.length > MAX_KEY_LENGTH) return refused(ResultCode.BAD_IDEMPOTENCY_KEY)
+    return Ok(key)
+}
+
+private fun readTimeout(call: ApplicationCall, route: RouteSpec): Result<Duration, EntryRefusal> {
+    val limit = route.timeoutMs.milliseconds
+    val text = call.request.headers[KingcuptideHeaders.TIMEOUT_MS] ?: return Ok(limit)
+    val asked = text.trim().toLongOrNull()?.takeIf { it > 0 } ?: return refused(ResultCode.BAD_DEADLINE)
+    return Ok(minOf(limit, asked.milliseconds))
+}
+
+internal fun isChunked(call: ApplicationCall): Boolean =
+    call.request.headers[HttpHeaders.TransferEncoding]?.contains("chunked", ignoreCase = true) == true
+
+private fun refused(code: ResultCode): Result<Nothing, EntryRefusal> = Err(EntryRefusal(code))
+
+private const val MAX_KEY_LENGTH = 256
--- /dev/null
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/GateHandler.kt
@@ -0,0 +1,157 @@
+package kingcuptide.daemon.request
+
+import com.github.michaelbull.result.getOrElse
+import kingcuptide.coordination.connection.Header
+import kingcuptide.coordination.connection.RequestHead
+import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.request.Admission
+import kingcuptide.coordination.request.AdmissionGate
+import kingcuptide.coordination.request.AdmissionRequest
+import kingcuptide.coordination.request.AdmissionTicket
+import kingcuptide.coordination.request.HomeRegionCheck
+import kingcuptide.coordination.request.HomeRegions
+import kingcuptide.coordination.request.Outcome
+import kingcuptide.coordination.request.TargetResult
+import kingcuptide.coordination.request.checkHomeRegion
+import kingcuptide.coordination.request.fingerprintOf
+import kingcuptide.coordination.request.homeRegionsOf
+import kingcuptide.coordination.version.Snapshot
+import kingcuptide.daemon.connection.GateExchange
+import kingcuptide.daemon.process.DaemonMetrics
+import kingcuptide.daemon.process.Side
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.channels.produce
+import kotlinx.coroutines.coroutineScope
+import kotlin.time.Duration
+
+/** Admits requests to the target of this host, runs them there, and passes the answers back. */
+class GateHandler(
+    private val region: RegionId,
+    private val gate: AdmissionGate,
+    private val target: TargetClient,
+    private val keys: KeyGuard,
+    private val snapshot: () -> Snapshot?,
+    private val clock: Clock,
+    private val metrics: DaemonMetrics,
+) {
+    /** Handles one request from its head to the end of its answer or refusal. */
+    suspend fun handle(exchange: GateExchange) {
+        val document = snapshot()?.document ?: return refuse(exchange, ResultCode.NO_CONFIGURATION)
+        val route = document.routes[exchange.head.route] ?: return refuse(exchange, ResultCode.VERSION_BEHIND)
+        val home = homeRegionsOf(route, exchange.head.tenant, document)
+        if (checkHomeRegion(region, home) != HomeRegionCheck.Allowed) return refuse(exchange, ResultCode.WRONG_REGION)
+        val body = exchange.body?.let { StartedBody(it, exchange) }
+        val fingerprint = fingerprintOf(exchange.head, body?.first() ?: ByteArray(0), home)
+        val request = AdmissionRequest(exchange.head.route, home, exchange.deadline - clock.now(), fingerprint)
+        when (val admission = admit(request)) {
+            is Admission.Admitted -> runAdmitted(exchange, home, admission.ticket, body)
+            is Admission.Refused -> refuse(exchange, admission.code, admission.retryAfter)
+            is Admission.Queued -> error("a queued request was not settled")
+        }
+    }
+
+    private suspend fun admit(request: AdmissionRequest): Admission {
+        val decided = CompletableDeferred<Admission>()
+        val admission = gate.tryAdmit(request) { decided.complete(it) }
+        if (admission !is Admission.Queued) return admission
+        return try {
+            decided.await()
+        } catch (exception: kotlinx.coroutines.CancellationException) {
+            if (!admission.entry.cancel()) returnTicket(decided)
+            throw exception
+        }
+    }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private fun returnTicket(decided: CompletableDeferred<Admission>) {
+        decided.invokeOnCompletion {
+            val admission = decided.getCompleted()
+            if (admission is Admission.Admitted) admission.ticket.finish(TargetResult.Cancelled)
+        }
+    }
+
+    private suspend fun runAdmitted(exchange: GateExchange, home: HomeRegions, ticket: AdmissionTicket, body: StartedBody?) {
+        var result: TargetResult = TargetResult.Cancelled
+        try {
+            result = keys.guard(exchange.head, home, exchange.deadline) { runAtTarget(exchange, body) }
+                .getOrElse { refusal ->
+                    refuse(exchange, refusal.code, refusal.retryAfter)
+                    TargetResult.Cancelled
+                }
+        } finally {
+            ticket.finish(result)
+        }
+    }
+
+    private suspend fun runAtTarget(exchange: GateExchange, body: StartedBody?): TargetResult {
+        exchange.beginForward().getOrElse {
+            refuse(exchange, it)
+            return TargetResult.Cancelled
+        }
+        val sink = ExchangeSink(exchange)
+        val failure =
+            coroutineScope {
+                target.run(exchange.head, body?.pieces(this), exchange.deadline - clock.now(), sink)
+            }
+        if (failure == null) return TargetResult.Answered(sink.status)
+        if (failure.outcome == Outcome.NOT_RUN) exchange.forwardUnsent()
+        refuse(exchange, failure.code)
+        return when (failure.code) {
+            ResultCode.TARGET_DOWN -> TargetResult.ConnectRefused
+            else -> TargetResult.ConnectionLost
+        }
+    }
+
+    private fun refuse(exchange: GateExchange, code: ResultCode, retryAfter: Duration = Duration.ZERO) {
+        metrics.refused(Side.GATE, code)
+        exchange.refuse(code, retryAfter)
+    }
+}
+
+private fun fingerprintOf(head: RequestHead, bodyPrefix: ByteArray, home: HomeRegions) =
+    fingerprintOf(head.route, head.method, head.pathAndQuery, bodyPrefix, home)
+
+/** A body whose first piece has been looked at. */
+private class StartedBody(
+    private val input: ReceiveChannel<ByteArray>,
+    private val exchange: GateExchange,
+) {
+    private var first: ByteArray? = null
+
+    suspend fun first(): ByteArray? = input.receiveCatching().getOrNull().also { first = it }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    fun pieces(scope: CoroutineScope): ReceiveChannel<ByteArray> =
+        scope.produce {
+            first?.let { pass(it) }
+            for (piece in input) pass(piece)
+        }
+
+    private suspend fun kotlinx.coroutines.channels.ProducerScope<ByteArray>.pass(piece: ByteArray) {
+        send(piece)
+        exchange.consumed(piece.size)
+    }
+}
+
+private class ExchangeSink(
+    private val exchange: GateExchange,
+) : AnswerSink {
+    var status = 0
+        private set
+
+    override suspend fun head(status: Int, headers: List<Header>) {
+        this.status = status
+        exchange.answerHead(status, headers)
+    }
+
+    override suspend fun body(bytes: ByteArray) {
+        if (!exchange.answerPiece(bytes)) throw kotlinx.coroutines.CancellationException("nobody waits for the answer")
+    }
+
+    override suspend fun end() = exchange.answerEnd()
+}
