--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ProbePlan.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ProbePlan.kt
@@ -17,6 +17,7 @@
 ) {
     private var listGeneration = -1
     private var ring: List<Member> = emptyList()
+    private var ownPosition = 0
     private var near: List<Member> = emptyList()
     private var far: List<Member> = emptyList()
     private val nearOrder = ArrayDeque<Member>()
@@ -70,15 +71,15 @@
         near = table.others.filter { it.entry.region == region }
         far = table.others.filter { it.entry.region != region }
         ring = (near + table.me).sortedWith(compareBy({ rendezvousWeight(RING, it.host) }, { it.host }))
+        ownPosition = ring.indexOf(table.me)
         nearOrder.clear()
         farOrder.clear()
     }
 
     private fun successor(number: Int): Member? {
-        val start = ring.indexOfFirst { it === table.me }
         var found = 0
         for (step in 1 until ring.size) {
-            val member = ring[(start + step) % ring.size]
+            val member = ring[(ownPosition + step) % ring.size]
             if (!member.mayAnswer()) continue
             if (found == number) return member
             found++
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
@@ -78,6 +78,7 @@
     SOURCE_BUDGET_SPENT(504, 0),
     SOURCE_MALFORMED(505, 0),
     LATE_ANSWER_DROPPED(506, 0),
+    STATUS_QUERIES_FULL(507, 0),
 
     // 6xx: settings and command line
     SETTINGS_UNREADABLE(600, 0),
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/SwimMembership.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/SwimMembership.kt
@@ -38,6 +38,7 @@
     private var nextDeadProbe = startedAt + settings.deadProbeInterval * random.nextDouble()
     private var nextGossip = startedAt
     private var nextSync = startedAt + FIRST_SYNC * random.nextDouble()
+    private var nextForget = startedAt
     private var raisedAt: Duration? = null
     private var dirty = false
 
@@ -301,6 +302,8 @@
     }
 
     private fun forgetRemoved(now: Duration) {
+        if (now < nextForget) return
+        nextForget = now + FORGET_PAUSE
         for (member in table.forget(now - settings.forgetAfter)) {
             suspicions.stop(member)
             queue.remove(member)
@@ -321,6 +324,7 @@
         const val YOUNG_INTERVALS = 3
         const val IGNORANT_SHARE = 10
         val FIRST_SYNC = 1.seconds
+        val FORGET_PAUSE = 5.seconds
         val CORRECT_AFTER = 2.seconds
     }
 }
--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/HostGroup.kt
@@ -0,0 +1,50 @@
+package kingcuptide.coordination.version
+
+import kingcuptide.coordination.process.HostEntry
+import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.process.Liveness
+import kotlin.random.Random
+
+/** Hosts of which [leader] is asked to ask the [others]; without others it is asked for itself alone. */
+internal data class HostGroup(
+    val leader: HostEntry,
+    val others: List<HostEntry>,
+)
+
+/** Divides hosts into groups: by failure domain first, so that few messages cross a region, then into equal parts. */
+internal class HostDivision(
+    private val settings: ConvergenceSettings,
+    private val liveness: (HostId) -> Liveness,
+    private val random: Random,
+) {
+    /** Returns groups that have each of [hosts] exactly once. */
+    fun divide(hosts: List<HostEntry>): List<HostGroup> {
+        if (hosts.size <= settings.leafGroup) return singles(hosts)
+        val byFailureDomain = hosts.groupBy { it.failureDomain }.values
+        val parts = if (byFailureDomain.size > 1) byFailureDomain.flatMap(::bounded) else equalParts(hosts)
+        return parts.flatMap(::grouped)
+    }
+
+    /** Returns a group of its own for each of [hosts]. */
+    fun singles(hosts: List<HostEntry>): List<HostGroup> = hosts.map { HostGroup(it, emptyList()) }
+
+    private fun equalParts(hosts: List<HostEntry>): List<List<HostEntry>> {
+        val size = (hosts.size + settings.fanOut - 1) / settings.fanOut
+        return hosts.chunked(size).flatMap(::bounded)
+    }
+
+    private fun bounded(hosts: List<HostEntry>): List<List<HostEntry>> = hosts.chunked(MAX_GROUP)
+
+    private fun grouped(hosts: List<HostEntry>): List<HostGroup> {
+        val leaders = hosts.filter { liveness(it.host) == Liveness.ALIVE }
+            .ifEmpty { hosts.filter { liveness(it.host) != Liveness.DEAD } }
+        if (leaders.isEmpty()) return singles(hosts)
+        val leader = leaders.random(random)
+        return listOf(HostGroup(leader, hosts - leader))
+    }
+
+    private companion object {
+        /** So many short hashes fit a datagram. */
+        const val MAX_GROUP = 200
+    }
+}
