--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
@@ -81,6 +81,7 @@
     SOURCE_MALFORMED(505, 0),
     LATE_ANSWER_DROPPED(506, 0),
     DUPLICATE_FRAME_DROPPED(507, 0),
+    STATUS_QUERIES_FULL(508, 0),
 
     // 6xx: settings and command line
     SETTINGS_UNREADABLE(600, 0),
