--- /dev/null
+++ b/bench/src/main/kotlin/kingcuptide/bench/requests/LoadRun.kt
@@ -0,0 +1,126 @@
+package kingcuptide.bench.requests
+
+import kingcuptide.coordination.process.ResultCode
+import kotlin.math.ln
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * A load of independent callers at random entries.
+ *
+ * @property repeatablePercent share of the requests that may be repeated
+ */
+data class Load(
+    val perSecond: Double,
+    val until: Duration,
+    val repeatablePercent: Int = 80,
+    val timeout: Duration = 2.seconds,
+)
+
+/** What callers saw of the requests that began in one second. */
+class Second {
+    private val latencies = ArrayList<Duration>()
+    private val failures = HashMap<Pair<ResultCode, Boolean>, Int>()
+
+    /** Requests begun. */
+    var sent: Int = 0
+        private set
+
+    /** Attempts of the requests that have ended. */
+    var attempts: Int = 0
+        private set
+
+    /** Requests answered. */
+    val answered: Int get() = latencies.size
+
+    /** Share of the requests that were answered. */
+    val successRatio: Double get() = if (sent == 0) 1.0 else answered.toDouble() / sent
+
+    /** Latency that 99 in 100 answered requests kept within. */
+    val p99: Duration
+        get() = if (latencies.isEmpty()) Duration.ZERO else latencies.sorted()[(latencies.size - 1) * 99 / 100]
+
+    /** Counts a request. */
+    fun begin() {
+        sent++
+    }
+
+    /** Counts the end of a request that began in this second. */
+    fun end(end: CallEnd, latency: Duration) {
+        attempts += end.attempts
+        val code = end.code
+        if (code == null) latencies += latency else failures.merge(code to end.call.repeatable, 1, Int::plus)
+    }
+
+    /** Returns the number of failed requests that could be repeated, or that could not. */
+    fun failed(repeatable: Boolean): Int = failures.filterKeys { it.second == repeatable }.values.sum()
+
+    /** Returns the number of failures by code. */
+    fun failuresByCode(): Map<ResultCode, Int> =
+        failures.entries.groupBy({ it.key.first }, { it.value }).mapValues { it.value.sum() }
+}
+
+/** Drives [policy] with a load and keeps what callers saw. */
+class LoadRun(
+    private val fleet: FakeFleet,
+    private val policy: Policy,
+    private val random: Random,
+) {
+    /** What callers saw, by the second in which their request began. */
+    val seconds: MutableList<Second> = ArrayList()
+
+    /** Ends of all calls that could not be repeated, by id. */
+    val ends: HashMap<Long, CallEnd> = HashMap()
+
+    private val entries = fleet.hosts.values.toList()
+    private var nextId = 1L
+
+    /** Starts the load; calls come at random until its end. */
+    fun start(load: Load) {
+        val gap = (-ln(1 - random.nextDouble()) / load.perSecond).seconds
+        fleet.time.after(gap) {
+            if (fleet.time.now() >= load.until) return@after
+            begin(load)
+            start(load)
+        }
+    }
+
+    /** Returns the greatest number of starts of a request that must not be repeated. */
+    fun worstRunsOfNonRepeatable(): Int {
+        val runs = HashMap<Long, Int>()
+        for (host in fleet.targets()) host.target!!.runs.forEach { (id, count) -> runs.merge(id, count, Int::plus) }
+        return runs.filterKeys { ends[it]?.call?.repeatable == false }.values.maxOrNull() ?: 0
+    }
+
+    /** Returns the number of refused requests that had run although the refusal says that they did not. */
+    fun untrueRefusals(): Int {
+        val ran = fleet.targets().flatMapTo(HashSet()) { it.target!!.runs.keys }
+        return ends.values.count { it.outcome == kingcuptide.coordination.request.Outcome.NOT_RUN && it.call.id in ran }
+    }
+
+    private fun begin(load: Load) {
+        val entry = entries.filter { it.isUp && it.leavingSince == null && it.frozenEvents == null }.random(random)
+        val now = fleet.time.now()
+        val second = secondAt(now)
+        val repeatable = random.nextInt(100) < load.repeatablePercent
+        val call = Call(nextId++, entry, deadline = now + load.timeout, repeatable = repeatable)
+        second.begin()
+        policy.start(call) { end ->
+            ends[call.id] = end
+            second.end(end, fleet.time.now() - now)
+        }
+    }
+
+    private fun secondAt(now: Duration): Second {
+        val index = now.inWholeSeconds.toInt()
+        while (seconds.size <= index) seconds += Second()
+        return seconds[index]
+    }
+
+    companion object {
+        /** Time after the end of a load in which all its calls end. */
+        val SETTLING: Duration = 3_000.milliseconds
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/kingcuptide/bench/requests/RoutedCall.kt
@@ -0,0 +1,205 @@
+package kingcuptide.bench.requests
+
+import kingcuptide.coordination.connection.GateLoad
+import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.request.Admission
+import kingcuptide.coordination.request.AdmissionRequest
+import kingcuptide.coordination.request.AdmissionTicket
+import kingcuptide.coordination.request.AttemptOutcome
+import kingcuptide.coordination.request.ChoiceRequest
+import kingcuptide.coordination.request.FailedAttempt
+import kingcuptide.coordination.request.HomeRegionCheck
+import kingcuptide.coordination.request.Outcome
+import kingcuptide.coordination.request.RetryDecision
+import kingcuptide.coordination.request.RetryState
+import kingcuptide.coordination.request.TargetChoice
+import kingcuptide.coordination.request.TargetResult
+import kingcuptide.coordination.request.attemptOutcomeOf
+import kingcuptide.coordination.request.checkHomeRegion
+import kingcuptide.coordination.request.decideRetry
+import kotlin.time.Duration
+
+/** One call under the real decisions: the part of the entry daemon, and for each attempt that of the gate's daemon. */
+internal class RoutedCall(
+    private val policy: RoutedPolicy,
+    private val call: Call,
+    private val onEnd: (CallEnd) -> Unit,
+) {
+    private val fleet = policy.fleet
+    private val entry = policy.daemon(call.entry)
+    private val tried = ArrayList<HostId>()
+    private var suspect = false
+    private var ended = false
+    private var current: Attempt? = null
+
+    fun start() {
+        if (checkHomeRegion(call.entry.entry.region, call.homeRegions) != HomeRegionCheck.Allowed) {
+            return end(ResultCode.WRONG_REGION, Outcome.NOT_RUN, null)
+        }
+        entry.budget.recordFirstAttempt()
+        fleet.onDaemon(call.entry, call.deadline - fleet.time.now()) { stop(ResultCode.DEADLINE_PASSED_RUNNING) }
+        attempt()
+    }
+
+    fun callerGone() = stop(ResultCode.CANCELLED)
+
+    private fun attempt() {
+        val request = ChoiceRequest(
+            service = FleetShape.SERVICE,
+            homeRegions = call.homeRegions,
+            isTakenOut = { fleet.isTakenOut(call.entry.entry.host, it) },
+            tried = tried.toSet(),
+        )
+        when (val choice = entry.chooser.choose(request)) {
+            is TargetChoice.None -> end(choice.code, Outcome.NOT_RUN, choice.retryAfter)
+            is TargetChoice.Chosen -> Attempt(fleet.hosts.getValue(choice.entry.host)).also { current = it }.start()
+        }
+    }
+
+    private fun failed(host: HostId, code: ResultCode, outcome: Outcome, retryAfter: Duration?) {
+        if (code == ResultCode.TARGET_DIED) suspect = true
+        val state = RetryState(
+            repeatable = call.repeatable,
+            level = call.level,
+            tried = tried,
+            maxRetries = policy.route.maxRetries,
+            retryBudgetPercent = policy.route.retryBudgetPercent,
+            remaining = call.deadline - fleet.time.now(),
+        )
+        val failed = FailedAttempt(host, code, outcome, retryAfter)
+        when (val decision = decideRetry(failed, state, entry.budget, policy.random, policy.counters)) {
+            is RetryDecision.Retry -> attempt()
+            is RetryDecision.GiveUp -> end(decision.code, decision.outcome, decision.retryAfter)
+        }
+    }
+
+    private fun stop(code: ResultCode) {
+        if (ended) return
+        current?.cancel()
+        end(code, Outcome.UNKNOWN, null)
+    }
+
+    private fun end(code: ResultCode?, outcome: Outcome?, retryAfter: Duration?) {
+        if (ended) return
+        ended = true
+        onEnd(CallEnd(call, code, outcome, retryAfter, maxOf(1, tried.size)))
+    }
+
+    private inner class Attempt(private val host: FakeHost) {
+        private var over = false
+        private var arrived: () -> Unit = {}
+        private val gateSide = GateSide(host)
+
+        fun start() {
+            tried += host.entry.host
+            entry.chooser.begin(host.entry.host)
+            arrived = fleet.call(
+                from = call.entry,
+                to = host,
+                onUnreachable = { over(ResultCode.PEER_UNREACHABLE) },
+                onLost = {
+                    gateSide.connectionBroke()
+                    over(ResultCode.ANSWER_LOST)
+                },
+                onDelivered = { gateSide.receive(::answer) },
+            )
+        }
+
+        fun cancel() {
+            if (over) return
+            over = true
+            arrived()
+            entry.chooser.finish(host.entry.host, AttemptOutcome.ABANDONED)
+            fleet.send(call.entry, host) { gateSide.cancel() }
+        }
+
+        private fun answer(code: ResultCode?, retryAfter: Duration?, load: GateLoad) {
+            fleet.send(host, call.entry) {
+                if (code != null) return@send over(code, retryAfter, load)
+                if (over) return@send
+                over = true
+                arrived()
+                entry.chooser.finish(host.entry.host, AttemptOutcome.ANSWERED, load)
+                end(null, null, null)
+            }
+        }
+
+        private fun over(code: ResultCode, retryAfter: Duration? = null, load: GateLoad? = null) {
+            if (over) return
+            over = true
+            arrived()
+            entry.chooser.finish(host.entry.host, attemptOutcomeOf(code), load)
+            if (!ended) failed(host.entry.host, code, code.outcome ?: Outcome.UNKNOWN, retryAfter)
+        }
+    }
+
+    /** The part of the daemon beside the target, for one attempt. */
+    private inner class GateSide(private val host: FakeHost) {
+        private val daemon = policy.daemon(host)
+        private var ticket: AdmissionTicket? = null
+        private var cancelled = false
+        private var stopTarget: () -> Unit = {}
+
+        fun receive(answer: (ResultCode?, Duration?, GateLoad) -> Unit) {
+            if (cancelled) return
+            val request = AdmissionRequest(
+                route = RoutedPolicy.ROUTE,
+                homeRegions = call.homeRegions,
+                remaining = call.deadline - fleet.time.now(),
+                fingerprint = call.fingerprint,
+                suspect = suspect,
+            )
+            decided(daemon.gate.tryAdmit(request) { decided(it, answer) }, answer)
+        }
+
+        fun cancel() {
+            cancelled = true
+            stopTarget()
+            ticket?.finish(TargetResult.Cancelled)
+        }
+
+        /** The daemon itself saw the connection to the entry break, or it is gone and its sockets are closed. */
+        fun connectionBroke() {
+            if (!host.isUp || host.frozenEvents == null) cancel() else cancelled = true
+        }
+
+        private fun decided(admission: Admission, answer: (ResultCode?, Duration?, GateLoad) -> Unit) {
+            when (admission) {
+                is Admission.Queued -> Unit
+                is Admission.Refused -> answer(admission.code, admission.retryAfter, daemon.gate.load())
+                is Admission.Admitted -> forward(admission.ticket, answer)
+            }
+        }
+
+        private fun forward(granted: AdmissionTicket, answer: (ResultCode?, Duration?, GateLoad) -> Unit) {
+            ticket = granted
+            if (cancelled) return granted.finish(TargetResult.Cancelled)
+            stopTarget = host.target!!.submit(call.id) { end ->
+                fleet.onDaemon(host, Duration.ZERO) { ended(granted, end, answer) }
+            }
+        }
+
+        private fun ended(
+            granted: AdmissionTicket,
+            end: TargetEnd,
+            answer: (ResultCode?, Duration?, GateLoad) -> Unit,
+        ) {
+            granted.finish(resultOf(end))
+            val code = when (end) {
+                TargetEnd.ANSWERED -> null
+                TargetEnd.OVERLOADED -> ResultCode.TARGET_OVERLOADED
+                TargetEnd.CONNECT_REFUSED -> ResultCode.TARGET_DOWN
+                TargetEnd.CONNECTION_LOST -> ResultCode.TARGET_DIED
+            }
+            answer(code, null, daemon.gate.load())
+        }
+
+        private fun resultOf(end: TargetEnd): TargetResult = when (end) {
+            TargetEnd.ANSWERED -> TargetResult.Answered(status = 200)
+            TargetEnd.OVERLOADED -> TargetResult.Answered(status = 503)
+            TargetEnd.CONNECT_REFUSED -> TargetResult.ConnectRefused
+            TargetEnd.CONNECTION_LOST -> TargetResult.ConnectionLost
+        }
+    }
+}
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
@@ -56,6 +56,7 @@
     DEADLINE_PASSED_RUNNING(302, 504, Outcome.UNKNOWN),
     KEY_ALREADY_USED(303, 409, Outcome.UNKNOWN),
     TARGET_DIED(304, 502, Outcome.UNKNOWN),
+    TARGET_OVERLOADED(305, 503, Outcome.UNKNOWN),
 
     // 4xx: documents and versions
     DOCUMENT_UNREADABLE(400, 0),
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/RetryDecision.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/RetryDecision.kt
@@ -120,6 +120,7 @@
 }
 
 /** Codes of attempts that may have run and would end otherwise at another target. */
-private val REPEATABLE_AFTER_UNKNOWN = setOf(ResultCode.ANSWER_LOST, ResultCode.TARGET_DIED)
+private val REPEATABLE_AFTER_UNKNOWN =
+    setOf(ResultCode.ANSWER_LOST, ResultCode.TARGET_DIED, ResultCode.TARGET_OVERLOADED)
 private val MIN_TIME_FOR_ATTEMPT = 5.milliseconds
 private val DEFAULT_RETRY_AFTER = 2.seconds
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetChoice.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetChoice.kt
@@ -60,7 +60,8 @@
 /** Returns what a refusal or fault with [code] says of the host that it came from. */
 public fun attemptOutcomeOf(code: ResultCode): AttemptOutcome =
     when (code) {
-        ResultCode.TARGET_FULL, ResultCode.TARGET_COLD, ResultCode.SUSPECT_BUSY -> AttemptOutcome.REFUSED_BUSY
+        ResultCode.TARGET_FULL, ResultCode.TARGET_COLD, ResultCode.SUSPECT_BUSY, ResultCode.TARGET_OVERLOADED,
+        -> AttemptOutcome.REFUSED_BUSY
 
         ResultCode.DRAINING, ResultCode.FAILURE_DOMAIN_TAKEN_OUT, ResultCode.STALE_FRAME, ResultCode.AWAKENING,
         ResultCode.TARGET_DOWN, ResultCode.PEER_UNREACHABLE, ResultCode.VERSION_BEHIND, ResultCode.ANSWER_LOST,
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetChooser.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetChooser.kt
@@ -125,7 +125,11 @@
         return pickOfTwo(inLocality, now) { candidate -> weightOf(candidate, locality, shares, byDomain) }
     }
 
-    private fun shares(byDomain: Map<FailureDomainId, List<Candidate>>, request: ChoiceRequest, now: Duration): LocalityShares {
+    private fun shares(
+        byDomain: Map<FailureDomainId, List<Candidate>>,
+        request: ChoiceRequest,
+        now: Duration,
+    ): LocalityShares {
         val entries = currentIndex()
             .entriesByDomain(now) { view.liveness(it) != Liveness.DEAD }
             .filterValues { it.region in request.homeRegions }
@@ -166,7 +170,11 @@
         else -> Locality.OTHER_REGIONS
     }
 
-    private inline fun pickOfTwo(candidates: List<Candidate>, now: Duration, weightOf: (Candidate) -> Double): Candidate {
+    private inline fun pickOfTwo(
+        candidates: List<Candidate>,
+        now: Duration,
+        weightOf: (Candidate) -> Double,
+    ): Candidate {
         if (candidates.size == 1) return candidates.single()
         val weights = candidates.map(weightOf)
         val first = drawIndex(weights, without = -1)
