--- a/bench/src/main/kotlin/kingcuptide/bench/Bench.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/Bench.kt
@@ -1,14 +1,15 @@
 package kingcuptide.bench
 
-import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.NoOpCliktCommand
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
 
-/** Runs one of the measurements. */
-class Bench : CliktCommand(name = "bench") {
-    override fun run() = Unit
-}
-
+/** Runs one of the measurements; each prints key=value lines with the unit in the key. */
 fun main(args: Array<String>) {
-    Bench().subcommands(MembershipCommand()).main(args)
+    NoOpCliktCommand("bench")
+        .subcommands(
+            MembershipCommand(),
+            FailureDomainCommand(),
+            OverloadCommand(),
+        ).main(args)
 }
