--- a/coordination/src/test/kotlin/kingcuptide/coordination/connection/FrameSamples.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/connection/FrameSamples.kt
@@ -27,6 +27,7 @@
 internal val sampleFrames: List<RequestFrame> = listOf(
     Hello(PROTOCOL_VERSION, HostId("host-1"), Incarnation(17)),
     Stamp(42),
+    StampRequest,
     sampleHead,
     sampleHead.copy(tenant = null, keyHash = null, headers = emptyList()),
     BodyChunk(4_711, ByteArray(300) { it.toByte() }, last = true),
