Join the whole path: platform, daemons and targets as separate processes

A request enters at a daemon with no target for it and is answered by a target in another failure domain, under the version that came from the platform stand-in (WholePathTest, three hosts in three failure domains).

--- /dev/null
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/AdminHandler.kt
@@ -0,0 +1,46 @@
+package kingcuptide.daemon.process
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.path
+import io.ktor.server.response.respondText
+import kingcuptide.coordination.request.TargetChooser
+import kingcuptide.coordination.version.ConvergenceSummary
+import kotlinx.serialization.json.Json
+
+/** Answers operators and the host's supervisor. It only reads. */
+class AdminHandler(
+    private val settings: DaemonSettings,
+    private val decisions: ControlDecisions,
+    private val loop: ControlLoop,
+    private val chooser: TargetChooser,
+    private val metrics: DaemonMetrics,
+    private val isReady: () -> Boolean,
+) {
+    suspend fun handle(call: ApplicationCall) {
+        when (call.request.path()) {
+            "/health" -> call.respondText("ok\n")
+            "/ready" -> respondReady(call)
+            "/metrics" -> call.respondText(metrics.scrape(), ContentType.Text.Plain)
+            "/v1/status" -> respondStatus(call)
+            else -> call.respondText("unknown path\n", status = HttpStatusCode.NotFound)
+        }
+    }
+
+    private suspend fun respondReady(call: ApplicationCall) {
+        val version = decisions.versions.document.current?.version?.number
+        val status = if (isReady()) HttpStatusCode.OK else HttpStatusCode.ServiceUnavailable
+        call.respondText("ready=${isReady()} version=$version host=${settings.host}\n", status = status)
+    }
+
+    private suspend fun respondStatus(call: ApplicationCall) {
+        val summary =
+            loop.summary() ?: return call.respondText("too many queries\n", status = HttpStatusCode.ServiceUnavailable)
+        call.respondText(json.encodeToString(ConvergenceSummary.serializer(), summary), ContentType.Application.Json)
+    }
+
+    private companion object {
+        val json = Json { encodeDefaults = true }
+    }
+}
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/DaemonMetrics.kt
@@ -31,6 +31,21 @@
     /** Counts a fault that no caller sees, such as a malformed frame or a refused document. */
     fun fault(code: ResultCode) = increment("kingcuptide_faults", codeLabel(code))
 
+    /** Counts a request that is not tried again, by the reason and the code of the last attempt. */
+    fun gaveUp(
+        reason: String,
+        code: ResultCode,
+    ) = increment("kingcuptide_give_ups", Label("reason", reason), codeLabel(code))
+
+    /** Counts a cut of the gate's limit. */
+    fun limitCut(reason: String) = increment("kingcuptide_limit_cuts", Label("reason", reason))
+
+    /** Counts a host that the entry set aside for a while. */
+    fun hostSetAside() = increment("kingcuptide_hosts_set_aside", Label("side", Side.ENTRY.label))
+
+    /** Counts a change of what is held against a fingerprint. */
+    fun verdict(verdict: String) = increment("kingcuptide_verdict_changes", Label("verdict", verdict))
+
     /** Counts an answer by its HTTP status class. */
     fun answered(status: Int) = increment("kingcuptide_answers", Label("status_class", "${status / 100}xx"))
 
--- /dev/null
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/HttpServers.kt
@@ -0,0 +1,48 @@
+package kingcuptide.daemon.process
+
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.ApplicationCallPipeline
+import io.ktor.server.application.call
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import kingcuptide.daemon.request.EntryHandler
+
+/** The two HTTP ports of the daemon: callers' requests on one, operators' on the other. */
+class HttpServers(
+    private val settings: DaemonSettings,
+    private val entry: EntryHandler,
+    private val admin: AdminHandler,
+) {
+    private val server: EmbeddedServer<*, *> =
+        embeddedServer(
+            CIO,
+            configure = {
+                connector {
+                    host = settings.ip
+                    port = settings.httpPort
+                }
+                connector {
+                    host = settings.ip
+                    port = settings.adminPort
+                }
+            },
+        ) {
+            intercept(ApplicationCallPipeline.Call) { handle(call) }
+        }
+
+    fun start() {
+        server.start(wait = false)
+    }
+
+    fun stop() = server.stop(gracePeriodMillis = 0, timeoutMillis = STOP_TIMEOUT_MS)
+
+    private suspend fun handle(call: ApplicationCall) {
+        if (call.request.local.localPort == settings.adminPort) admin.handle(call) else entry.handle(call)
+    }
+
+    private companion object {
+        const val STOP_TIMEOUT_MS = 500L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/MeteredRequestCounters.kt
@@ -0,0 +1,20 @@
+package kingcuptide.daemon.process
+
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.request.GiveUpReason
+import kingcuptide.coordination.request.LimitCutReason
+import kingcuptide.coordination.request.RequestCounters
+import kingcuptide.coordination.request.Verdict
+
+/** Turns what the request decisions count into metrics. Refusals and retries are counted where they are answered. */
+class MeteredRequestCounters(
+    private val metrics: DaemonMetrics,
+) : RequestCounters {
+    override fun gaveUp(reason: GiveUpReason, code: ResultCode) = metrics.gaveUp(reason.name.lowercase(), code)
+
+    override fun limitCut(reason: LimitCutReason) = metrics.limitCut(reason.name.lowercase())
+
+    override fun hostSetAside() = metrics.hostSetAside()
+
+    override fun verdictChanged(verdict: Verdict) = metrics.verdict(verdict.name.lowercase())
+}
--- /dev/null
+++ b/system-tests/src/test/kotlin/kingcuptide/systemtests/SmallFleet.kt
@@ -0,0 +1,65 @@
+package kingcuptide.systemtests
+
+import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.process.HostEntry
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.RouteId
+import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.version.ConfigDocument
+import kingcuptide.coordination.version.RouteSpec
+import kingcuptide.coordination.version.ServiceSpec
+import kingcuptide.coordination.version.TenantSpec
+import kingcuptide.standins.fleet.DomainShape
+import kingcuptide.standins.fleet.FleetShape
+import kingcuptide.standins.fleet.LocalFleet
+import kingcuptide.standins.fleet.LocalFleetOptions
+import kingcuptide.standins.fleet.fleetShape
+import java.nio.file.Path
+
+internal val PARCELS = ServiceId("parcels")
+internal val DISPATCH = ServiceId("dispatch")
+internal val NORTH = RegionId("north")
+internal val SOUTH = RegionId("south")
+
+/** A document with two services, one of which has a route whose POST must not repeat. */
+internal fun smallDocument(version: Long = 1): ConfigDocument =
+    ConfigDocument(
+        version = version,
+        services =
+            mapOf(
+                PARCELS to ServiceSpec(slots = 10, maxConnections = 100, coldSlots = 2, coldStartMs = 500),
+                DISPATCH to ServiceSpec(slots = 10, maxConnections = 100, coldSlots = 2, coldStartMs = 500),
+            ),
+        routes =
+            mapOf(
+                RouteId("parcels") to RouteSpec(PARCELS, "/parcels"),
+                RouteId("dispatch") to RouteSpec(DISPATCH, "/dispatch"),
+            ),
+        tenants = mapOf(TenantId("southern") to TenantSpec(setOf(SOUTH))),
+    )
+
+/** Three failure domains in two regions: parcels in the first and third, dispatch in the second. */
+internal fun threeHosts(network: Int): FleetShape =
+    fleetShape(
+        network,
+        listOf(
+            DomainShape(FailureDomainId("north-1"), NORTH, listOf(PARCELS)),
+            DomainShape(FailureDomainId("north-2"), NORTH, listOf(DISPATCH)),
+            DomainShape(FailureDomainId("south-1"), SOUTH, listOf(PARCELS)),
+        ),
+        smallDocument(),
+    )
+
+/** Starts [shape]; the logs of its processes stay under `target/fleets`. */
+internal fun startFleet(shape: FleetShape, name: String, options: LocalFleetOptions = LocalFleetOptions()): LocalFleet =
+    LocalFleet(shape, Path.of("target", "fleets", name).toAbsolutePath(), options).also { fleet ->
+        try {
+            fleet.startAll()
+        } catch (failure: Throwable) {
+            fleet.close()
+            throw failure
+        }
+    }
+
+internal fun FleetShape.hostOf(service: ServiceId): HostEntry = hosts.first { it.service == service }
