--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/AdminHandler.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/AdminHandler.kt
@@ -7,6 +7,7 @@
 import io.ktor.server.response.respondText
 import kingcuptide.coordination.request.TargetChooser
 import kingcuptide.coordination.version.ConvergenceSummary
+import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
 
 /** Answers operators and the host's supervisor. It only reads. */
@@ -24,6 +25,7 @@
             "/ready" -> respondReady(call)
             "/metrics" -> call.respondText(metrics.scrape(), ContentType.Text.Plain)
             "/v1/status" -> respondStatus(call)
+            "/v1/rejected" -> respondRejected(call)
             else -> call.respondText("unknown path\n", status = HttpStatusCode.NotFound)
         }
     }
@@ -40,6 +42,14 @@
         call.respondText(json.encodeToString(ConvergenceSummary.serializer(), summary), ContentType.Application.Json)
     }
 
+    private suspend fun respondRejected(call: ApplicationCall) {
+        val reports = decisions.versions.document.rejected.map { it.toReport() }
+        call.respondText(
+            json.encodeToString(ListSerializer(RejectedReport.serializer()), reports),
+            ContentType.Application.Json,
+        )
+    }
+
     private companion object {
         val json = Json { encodeDefaults = true }
     }
--- /dev/null
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/RejectedReport.kt
@@ -0,0 +1,24 @@
+package kingcuptide.daemon.process
+
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.version.RejectedVersion
+import kotlinx.serialization.Serializable
+
+/** A document that this daemon refused, for the operator. */
+@Serializable
+data class RejectedReport(
+    val number: Long,
+    val digest: String,
+    val faults: List<RejectedFault>,
+)
+
+/** One reason why a document was refused. */
+@Serializable
+data class RejectedFault(
+    val code: ResultCode,
+    val number: Int,
+    val detail: String,
+)
+
+internal fun RejectedVersion.toReport(): RejectedReport =
+    RejectedReport(version.number, version.digest.hex, faults.map { RejectedFault(it.code, it.code.number, it.detail) })
--- a/standins/src/main/kotlin/kingcuptide/standins/StandIns.kt
+++ b/standins/src/main/kotlin/kingcuptide/standins/StandIns.kt
@@ -3,6 +3,7 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
+import kingcuptide.standins.demo.DemoCommand
 
 /** Small stand-ins for what kingcuptide meets outside itself. */
 class StandIns : CliktCommand(name = "standins") {
@@ -10,5 +11,5 @@
 }
 
 fun main(args: Array<String>) {
-    StandIns().subcommands(PlatformCommand(), TargetCommand()).main(args)
+    StandIns().subcommands(PlatformCommand(), TargetCommand(), DemoCommand()).main(args)
 }
