--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ResourceSpread.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ResourceSpread.kt
@@ -80,7 +80,7 @@
 
     /** Takes [content] that the source gave; [confirmedAt] is when it was the newest there. */
     fun fromSource(content: ResourceContent, confirmedAt: Duration): Result<List<Outbound>, ResultCode> =
-        accept(content, clock.now(), emptyList()).onAccepted { confirm(content.version, confirmedAt) }
+        accept(content, clock.now(), isOrigin = true).onAccepted { confirm(content.version, confirmedAt) }
 
     /** Notes that the source has nothing newer than [version] at [confirmedAt]. */
     fun confirm(version: ResourceVersion, confirmedAt: Duration) = confirmations.note(version, confirmedAt)
@@ -162,7 +162,8 @@
             clock.now() +
                 COLLECT_DELAY * (1 + random.nextDouble())
         }
-        return accept(content, collectAt, item.holders).fold(success = { it }, failure = { emptyList() }) + askNext()
+        return accept(content, collectAt, isOrigin = false).fold(success = { it }, failure = { emptyList() }) +
+            askNext()
     }
 
     private fun refusePayload(from: HostId, code: ResultCode): List<Outbound> {
@@ -185,12 +186,11 @@
         staged.firstOrNull { it.checked.version == version }?.checked?.content
             ?: holder.current?.content?.takeIf { it.version == version }
 
-    private fun accept(content: ResourceContent, collectAt: Duration, holders: List<HostId>): Result<List<Outbound>, ResultCode> {
-        holders.forEach { ledger.note(it, content.version) }
+    private fun accept(content: ResourceContent, collectAt: Duration, isOrigin: Boolean): Result<List<Outbound>, ResultCode> {
         stagedRefusal(content.version)?.let { return refused(it) }
         if (content.version == newest?.version) return Ok(emptyList())
         return holder.check(content).fold(
-            success = { Ok(stage(it, collectAt)) },
+            success = { Ok(stage(it, collectAt, isOrigin)) },
             failure = { refused(it) },
         )
     }
@@ -216,9 +216,9 @@
         return Err(code)
     }
 
-    private fun stage(checked: InForce<T>, collectAt: Duration): List<Outbound> {
+    private fun stage(checked: InForce<T>, collectAt: Duration, isOrigin: Boolean): List<Outbound> {
         newest?.let { history.add(it.deltaTo(checked.content)) }
-        staged.addLast(Staged(checked, clock.now(), collectAt))
+        staged.addLast(Staged(checked, clock.now(), collectAt, isOrigin))
         if (staged.size > MAX_STAGED) staged.removeAt(1)
         pruneOffers()
         val held = acknowledgeTo.map { Outbound(it, Held(kind, checked.version)) }
@@ -255,22 +255,22 @@
             success = {
                 counters.count(VersionEvent.IN_FORCE)
                 if (!isWitnessed) counters.count(VersionEvent.UNDER_WITNESSED)
-                relay(it.version) + advance()
+                relay(it.version, candidate.isOrigin) + advance()
             },
             failure = { emptyList() },
         )
     }
 
-    private fun relay(version: ResourceVersion): List<Outbound> {
+    private fun relay(version: ResourceVersion, isOrigin: Boolean): List<Outbound> {
         val offer = Offer(listOf(describe(version)))
-        return relayTargets(version).map { Outbound(it, offer) }
+        return relayTargets(version, isOrigin).map { Outbound(it, offer) }
     }
 
-    private fun relayTargets(version: ResourceVersion): Set<HostId> {
+    private fun relayTargets(version: ResourceVersion, isOrigin: Boolean): Set<HostId> {
         val self = fleet.self
         val tree = roles.tree(self.failureDomain, version)
         val targets = LinkedHashSet(childrenIn(tree, tree.indexOf(self.host)))
-        if (roles.isAnchor()) targets += tree.take(HEADS_PER_DOMAIN)
+        if (isOrigin) targets += tree.take(HEADS_PER_DOMAIN) + roles.roots(self.region)
         if (self.host in roles.roots(self.region)) {
             roles.domainsOfRegion().forEach { targets += roles.tree(it, version).take(HEADS_PER_DOMAIN) }
             if (self.region == settings.platformRegion) roles.otherRegions().forEach { targets += roles.roots(it) }
@@ -353,6 +353,7 @@
         val checked: InForce<T>,
         val since: Duration,
         val collectAt: Duration,
+        val isOrigin: Boolean,
     )
 
     private data class WantInFlight(
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/SpreadRoles.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/SpreadRoles.kt
@@ -51,9 +51,6 @@
             .any { it.host == fleet.self.host }
     }
 
-    /** Whether this daemon is among the usable anchors of its failure domain. */
-    fun isAnchor(): Boolean = fleet.self.host in usableAnchors(fleet.self.failureDomain)
-
     /**
      * The witnesses that guard this daemon's restarts, this daemon excepted: the anchors of its region's failure
      * domains, or of the whole fleet if the region has fewer than [MIN_WITNESS_DOMAINS] failure domains.
@@ -119,12 +116,6 @@
         return order
     }
 
-    private fun usableAnchors(domain: FailureDomainId): List<HostId> {
-        refresh()
-        val usable = byDomain[domain].orEmpty().asSequence().filter { isUsable(it) }
-        return withSelf(usable, domain == fleet.self.failureDomain).take(settings.anchorsPerFailureDomain)
-    }
-
     private fun withSelf(usable: Sequence<HostEntry>, includeSelf: Boolean): List<HostId> {
         val first = usable.take(MAX_ANCHORS).map { it.host }.toList()
         if (!includeSelf || fleet.self.state != HostState.LIVE) return first
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/VersionCoordinator.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/VersionCoordinator.kt
@@ -51,7 +51,8 @@
     private val roles = SpreadRoles(fleet, settings)
     private val sendBudget =
         TokenBucket(clock, settings.payloadBytesPerSecond.toDouble(), settings.payloadBytesPerSecond / 2.0)
-    private val sourceBudget = TokenBucket(clock, sourceRate(), sourceBurst())
+    private val sourceBudget =
+        TokenBucket(clock, sourceRate(settings.expectedHosts), sourceBurst(settings.expectedHosts))
     private val documents = spread(ResourceKind.DOCUMENT, true, document, codec)
     private val hostLists = spread(ResourceKind.HOST_LIST, false, hostList, codec)
     private val spreads = listOf<ResourceSpread<*>>(hostLists, documents)
@@ -173,7 +174,8 @@
     }
 
     private fun callSource() {
-        sourceBudget.resize(sourceRate(), sourceBurst())
+        val hosts = maxOf(fleet.hostList.hosts.size, settings.expectedHosts)
+        sourceBudget.resize(sourceRate(hosts), sourceBurst(hosts))
         for (spread in spreads) {
             if (spread === documents && document.current == null && clock.now() < documentReadAt) continue
             val age = spread.confirmedAge() ?: (clock.now() - startedAt)
@@ -310,12 +312,9 @@
 
     private fun reader(kind: ResourceKind) = SourceReader(kind, clock, random, settings, sourceBudget, counters)
 
-    private fun share(): Double =
-        settings.sourceCallsPerSecond.toDouble() / maxOf(fleet.hostList.hosts.size, settings.expectedHosts)
+    private fun sourceRate(hosts: Int): Double = settings.sourceCallsPerSecond * BUDGET_SHARE / hosts
 
-    private fun sourceRate(): Double = share() * BUDGET_RATE_SHARE
-
-    private fun sourceBurst(): Double = (share() * BUDGET_BURST_SHARE).coerceAtLeast(1.0)
+    private fun sourceBurst(hosts: Int): Double = sourceRate(hosts).coerceAtLeast(1.0)
 
     private companion object {
         val FIRST_QUERY_INTERVAL = 200.milliseconds
@@ -325,8 +324,7 @@
         const val QUERIED_STRANGERS = 2
         const val MAX_OFFERED = 4
         const val NEAR_OF = 4
-        const val BUDGET_RATE_SHARE = 0.4
-        const val BUDGET_BURST_SHARE = 0.4
+        const val BUDGET_SHARE = 0.4
     }
 }
 
