--- a/bench/src/main/kotlin/kingcuptide/bench/fleet/Contents.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/fleet/Contents.kt
@@ -36,6 +36,13 @@
         return ResourceContent.of(ResourceKind.DOCUMENT, number, entries + ("route:bad" to "missing;"))
     }
 
+    /** Returns a version that is larger than the platform allows. */
+    fun nextHuge(): ResourceContent {
+        number++
+        val filler = "x".repeat(FakePlatform.MAX_VALUE_BYTES)
+        return ResourceContent.of(ResourceKind.DOCUMENT, number, entries + ("route:huge" to "s1;$filler"))
+    }
+
     private fun route(): String = "s${1 + random.nextInt(SERVICES)};" + filler()
 
     private fun filler(): String {
--- a/bench/src/main/kotlin/kingcuptide/bench/fleet/FakePlatform.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/fleet/FakePlatform.kt
@@ -5,6 +5,7 @@
 import kingcuptide.coordination.version.ResourceKind
 import kingcuptide.coordination.version.SourceEffect
 import kingcuptide.coordination.version.SourceOutcome
+import java.util.WeakHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
@@ -38,6 +39,7 @@
     private val published = ResourceKind.entries.associateWith { mutableListOf<ResourceContent>() }
     private val shown = mutableMapOf<ResourceKind, ResourceContent>()
     private val watches = mutableListOf<Watch>()
+    private val sizes = WeakHashMap<ResourceContent, Int>()
     private var freeAt = Duration.ZERO
     private var stale: Map<ResourceKind, ResourceContent> = emptyMap()
 
@@ -68,6 +70,9 @@
     private fun answer(effect: SourceEffect, reply: (SourceOutcome) -> Unit) {
         if (mode == PlatformMode.DOWN) return reply(SourceOutcome.Failed(ResultCode.SOURCE_UNAVAILABLE))
         val content = shown[effect.kind]
+        if (content != null && sizeOf(content) > MAX_VALUE_BYTES) {
+            return reply(SourceOutcome.Failed(ResultCode.DOCUMENT_TOO_LARGE))
+        }
         when (effect) {
             is SourceEffect.ReadNow ->
                 reply(content?.let { SourceOutcome.Changed(it) } ?: SourceOutcome.Failed(ResultCode.SOURCE_UNAVAILABLE))
@@ -105,9 +110,19 @@
         shown[content.kind] = content
         val ready = watches.filter { it.effect.kind == content.kind && it.effect.afterNumber < content.version.number }
         watches -= ready.toSet()
-        ready.forEach { it.reply(SourceOutcome.Changed(content)) }
+        val outcome =
+            if (sizeOf(content) > MAX_VALUE_BYTES) {
+                SourceOutcome.Failed(ResultCode.DOCUMENT_TOO_LARGE)
+            } else {
+                SourceOutcome.Changed(content)
+            }
+        ready.forEach { it.reply(outcome) }
     }
 
+    /** Returns the size of [content] as the platform sends it. */
+    fun sizeOf(content: ResourceContent): Int =
+        sizes.getOrPut(content) { content.entries.entries.sumOf { it.key.length + it.value.length + JSON_ENTRY_BYTES } }
+
     private fun dropWatches() {
         val dropped = watches.toList()
         watches.clear()
@@ -120,10 +135,14 @@
     )
 
     companion object {
+        /** The greatest value that the platform holds. */
+        const val MAX_VALUE_BYTES: Int = 1_048_576
+
         /** What the platform bears from all readers together. */
         const val CALLS_PER_SECOND: Int = 2_000
         private val SERVICE_TIME = 500.0.milliseconds / 1_000
         private val SLOW_BY = 1_500.milliseconds
         private const val MAX_KEPT = 4
+        private const val JSON_ENTRY_BYTES = 6
     }
 }
--- a/bench/src/main/kotlin/kingcuptide/bench/fleet/InMemoryFleet.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/fleet/InMemoryFleet.kt
@@ -6,7 +6,6 @@
 import kingcuptide.coordination.process.HostEntry
 import kingcuptide.coordination.process.HostId
 import kingcuptide.coordination.process.HostList
-import kingcuptide.coordination.version.ResourceContent
 import kingcuptide.coordination.version.SourceEffect
 import kingcuptide.coordination.version.SourceOutcome
 import kotlinx.serialization.cbor.Cbor
@@ -52,6 +51,9 @@
     /** Called at each document that goes in force. */
     var onInForce: (FleetHost, Long) -> Unit = { _, _ -> }
 
+    /** Called with each message that reaches a running daemon, before the daemon handles it. */
+    var onDelivered: (FleetHost, ControlMessage) -> Unit = { _, _ -> }
+
     /** Starts the daemons of [started]. */
     fun start(started: Collection<FleetHost> = hosts) = started.forEach(::start)
 
@@ -152,6 +154,7 @@
             delays.forEach { delay ->
                 events.after(delay) {
                     target.receivedBytes += size
+                    if (target.run == run) onDelivered(target, message)
                     arrive(target, run) { it.receive(from.entry.host, message) }
                 }
             }
@@ -183,22 +186,12 @@
     private fun platformLatency(host: FleetHost): Duration = if (host.entry.region == PLATFORM_REGION) NEAR else FAR
 
     private fun sourceBytes(host: FleetHost, outcome: SourceOutcome): Int {
-        val size = CALL_BYTES + ((outcome as? SourceOutcome.Changed)?.content?.sizeBytes() ?: 0)
+        val size = CALL_BYTES + ((outcome as? SourceOutcome.Changed)?.content?.let { platform.sizeOf(it) } ?: 0)
         host.sourceBytes += size
         if (host.entry.region != PLATFORM_REGION) bytes.crossRegion += size
         return size
     }
 
-    private var sizedContent: ResourceContent? = null
-    private var sizedBytes = 0
-
-    private fun ResourceContent.sizeBytes(): Int {
-        if (this === sizedContent) return sizedBytes
-        sizedContent = this
-        sizedBytes = entries.entries.sumOf { it.key.length + it.value.length + JSON_ENTRY_BYTES }
-        return sizedBytes
-    }
-
     companion object {
         /** The platform's own place, for cuts between hosts and the platform. */
         val PLATFORM: HostEntry =
@@ -215,6 +208,5 @@
         private const val PACKET_OVERHEAD_BYTES = 28
         private const val PACKET_BYTES = 1_400
         private const val CALL_BYTES = 300
-        private const val JSON_ENTRY_BYTES = 6
     }
 }
--- a/bench/src/main/kotlin/kingcuptide/bench/fleet/SharedContents.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/fleet/SharedContents.kt
@@ -22,6 +22,9 @@
     private val documents = HashMap<ResourceVersion, Result<Int, List<ResourceFault>>>()
     private val hostLists = HashMap<ResourceVersion, HostList>()
 
+    /** Called when a document is validated for the first time. */
+    var onValidated: (ResourceContent) -> Unit = { }
+
     override fun encodeWhole(content: ResourceContent): ByteArray =
         whole.bounded().getOrPut(content.version) { codec.encodeWhole(content) }
 
@@ -36,7 +39,10 @@
 
     /** Validates a document, once for each version. */
     fun document(content: ResourceContent): Result<Int, List<ResourceFault>> =
-        documents.bounded().getOrPut(content.version) { validateDocument(content) }
+        documents.bounded().getOrPut(content.version) {
+            onValidated(content)
+            validateDocument(content)
+        }
 
     /** Reads a host list, once for each version. */
     fun hostList(content: ResourceContent): Result<HostList, List<ResourceFault>> =
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/SourceReader.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/SourceReader.kt
@@ -24,6 +24,7 @@
     private var call: CallInFlight? = null
     private var notBefore: Duration = clock.now()
     private var failures = 0
+    private var maxBackOff = MAX_FALLBACK_BACK_OFF
     private var fallbackAfter = nextFallbackAfter()
 
     /**
@@ -37,6 +38,8 @@
     fun tick(isReader: Boolean, afterNumber: Long?, confirmedAge: Duration, nextCall: () -> Long): SourceEffect? {
         val now = clock.now()
         expireCall(now)
+        maxBackOff = if (isReader || afterNumber == null) MAX_READER_BACK_OFF else MAX_FALLBACK_BACK_OFF
+        if (isReader) notBefore = minOf(notBefore, now + MAX_READER_BACK_OFF)
         if (call != null || now < notBefore) return null
         val isFallback = !isReader && afterNumber != null
         if (isFallback && confirmedAge < fallbackAfter) return null
@@ -90,7 +93,7 @@
 
     private fun failed(now: Duration) {
         counters.count(VersionEvent.SOURCE_FAILED)
-        val ceiling = (FIRST_BACK_OFF * (1 shl failures.coerceAtMost(MAX_DOUBLINGS))).coerceAtMost(MAX_BACK_OFF)
+        val ceiling = (FIRST_BACK_OFF * (1 shl failures.coerceAtMost(MAX_DOUBLINGS))).coerceAtMost(maxBackOff)
         failures++
         notBefore = now + FIRST_BACK_OFF / 2 + ceiling * random.nextDouble()
     }
@@ -105,8 +108,9 @@
 
     private companion object {
         val FIRST_BACK_OFF = 500.milliseconds
-        val MAX_BACK_OFF = 8.seconds
+        val MAX_READER_BACK_OFF = 2.seconds
+        val MAX_FALLBACK_BACK_OFF = 30.seconds
         val BUDGET_RETRY = 100.milliseconds
-        const val MAX_DOUBLINGS = 5
+        const val MAX_DOUBLINGS = 6
     }
 }
