--- a/bench/src/main/kotlin/kingcuptide/bench/fleet/Links.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/fleet/Links.kt
@@ -39,6 +39,9 @@
         cuts -= cut
     }
 
+    /** Ends all cuts. */
+    fun mendAll() = cuts.clear()
+
     /** Returns since when nothing comes from [from] to [to], or null if the link is whole. */
     fun cutSince(from: HostEntry, to: HostEntry): Duration? = cuts.filter { it.cuts(from, to) }.minOfOrNull { it.since }
 
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/JoinQuorum.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/JoinQuorum.kt
@@ -59,7 +59,7 @@
         val now = clock.now()
         if (isHostListNewest && askedSince == null) askedSince = now
         if (heldNumber == null) return false
-        if (now - startedAt >= settings.joinGiveUp) return joined(isWitnessed = false)
+        if (now - (askedSince ?: startedAt) >= settings.joinGiveUp) return joined(isWitnessed = false)
         if (heldNumber < (seenNumber ?: heldNumber)) return false
         val asked = askedSince ?: return false
         if (isHostListNewest && hasQuorum()) return joined(isWitnessed = true)
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/VersionCoordinator.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/VersionCoordinator.kt
@@ -93,6 +93,9 @@
     public val isWitness: Boolean
         get() = roles.isWitness()
 
+    /** Number of the newest version of [kind] whose bytes are held, in force or not; null if there is none. */
+    public fun heldNumber(kind: ResourceKind): Long? = spreadOf(kind).newest?.version?.number
+
     /** Time since the source confirmed that nothing is newer than the version in force; null if it never did. */
     public fun confirmedAge(kind: ResourceKind): Duration? = spreadOf(kind).confirmedAge()
 
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/WitnessLedger.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/WitnessLedger.kt
@@ -50,8 +50,9 @@
     fun verdict(version: ResourceVersion): WitnessVerdict {
         val witnesses = roles.witnesses()
         val holding = holding(version)
-        val isSpread = holding.domains() >= minOf(MIN_DOMAINS, witnesses.domains())
-        if (holding.size >= requiredOf(witnesses.size, settings) && isSpread) return WitnessVerdict.ENOUGH
+        val required = requiredOf(witnesses.size, settings)
+        val isSpread = holding.domains() >= minOf(MIN_DOMAINS, witnesses.domains(), required)
+        if (holding.size >= required && isSpread) return WitnessVerdict.ENOUGH
         return if (missing(version).isEmpty()) WitnessVerdict.ALL_REACHABLE else WitnessVerdict.NOT_YET
     }
 
@@ -73,4 +74,7 @@
 
 /** How many of [witnesses] must answer a restarting daemon, so that one of them holds whatever was in force. */
 internal fun joinQuorumOf(witnesses: Int, settings: VersionSettings): Int =
-    if (witnesses == 0) 0 else witnesses - requiredOf(witnesses, settings) + 1
+    when (val required = requiredOf(witnesses, settings)) {
+        0 -> 0
+        else -> witnesses - required + 1
+    }
