--- /dev/null
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/WitnessRuleTest.kt
@@ -0,0 +1,130 @@
+package kingcuptide.coordination.version
+
+import kingcuptide.coordination.process.HostId
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isTrue
+
+internal class WitnessRuleTest {
+    private val version = document(2).version
+
+    @Test
+    fun `Given any number of witnesses, when required and answering ones are counted, then they always overlap`() {
+        for (witnesses in 1..20) {
+            val required = requiredOf(witnesses, TEST_SETTINGS)
+            expectThat(
+                required + joinQuorumOf(witnesses, TEST_SETTINGS),
+            ).describedAs("$witnesses").isGreaterThan(witnesses)
+        }
+        expectThat(requiredOf(0, TEST_SETTINGS) to joinQuorumOf(0, TEST_SETTINGS)).isEqualTo(0 to 0)
+    }
+
+    @Nested
+    inner class `Given three failure domains of three hosts` {
+        private val fleet = ListedFleet(domains = 3, hostsPerDomain = 3)
+        private val roles = SpreadRoles(fleet, TEST_SETTINGS)
+        private val ledger = WitnessLedger(fleet, roles, TEST_SETTINGS)
+        private val witnesses = roles.witnesses().map { it.host }
+
+        @Test
+        fun `when witnesses are chosen, then they are two of each failure domain and never the daemon itself`() {
+            for (name in fleet.hostList.hosts.map { it.host.value }) {
+                val own = SpreadRoles(ListedFleet(3, 3, selfName = name), TEST_SETTINGS)
+                expectThat(own.witnesses().map { it.host.value }.contains(name)).isFalse()
+                val others = own.witnesses().groupBy { it.failureDomain }.filterKeys {
+                    it !=
+                        fleet.entry(HostId(name))?.failureDomain
+                }
+                expectThat(others.values).hasSize(2).all { hasSize(2) }
+            }
+        }
+
+        @Test
+        fun `when two hold a version, then it is too few, and with a third it is enough`() {
+            witnesses.take(2).forEach { ledger.note(it, version) }
+            expectThat(ledger.verdict(version)).isEqualTo(WitnessVerdict.NOT_YET)
+            ledger.note(witnesses[2], version)
+            expectThat(ledger.verdict(version)).isEqualTo(WitnessVerdict.ENOUGH)
+        }
+
+        @Test
+        fun `when one holds another content under the same number, then it does not count`() {
+            witnesses.take(2).forEach { ledger.note(it, version) }
+            ledger.note(witnesses[2], document(2, "route" to "other").version)
+            expectThat(ledger.verdict(version)).isEqualTo(WitnessVerdict.NOT_YET)
+        }
+
+        @Test
+        fun `when hosts that are no witnesses hold a version, then they do not count`() {
+            val others = fleet.hostList.hosts.map { it.host } - witnesses.toSet()
+            others.forEach { ledger.note(it, version) }
+            expectThat(ledger.holding(version)).hasSize(0)
+        }
+
+        @Test
+        fun `when all but one are dead, then that one is all that is reachable`() {
+            fleet.dead += witnesses.drop(1)
+            ledger.note(witnesses[0], version)
+            expectThat(ledger.verdict(version)).isEqualTo(WitnessVerdict.ALL_REACHABLE)
+        }
+    }
+
+    @Nested
+    inner class `Given a restarted daemon with four of six witnesses needed` {
+        private val clock = SteppedClock()
+        private val fleet = ListedFleet(domains = 3, hostsPerDomain = 4, selfName = nonWitness())
+        private val roles = SpreadRoles(fleet, TEST_SETTINGS)
+        private val join = JoinQuorum(clock, roles, TEST_SETTINGS, VersionCounters())
+        private val witnesses = roles.witnesses().map { it.host }
+
+        private fun nonWitness(): String {
+            val names = ListedFleet(3, 4).hostList.hosts.map { it.host.value }
+            return names.first { !SpreadRoles(ListedFleet(3, 4, selfName = it), TEST_SETTINGS).isWitness() }
+        }
+
+        @Test
+        fun `when three answer, then it waits, and with the fourth it has joined`() {
+            witnesses.take(3).forEach { join.noteAnswer(it) }
+            expectThat(join.advance(heldNumber = 5, isHostListNewest = true)).isFalse()
+            join.noteAnswer(witnesses[3])
+            expectThat(join.advance(heldNumber = 5, isHostListNewest = true)).isTrue()
+            expectThat(join.isUnwitnessed).isFalse()
+        }
+
+        @Test
+        fun `when four answer and one knows version 6, then it waits until it holds version 6`() {
+            witnesses.take(4).forEach { join.noteAnswer(it) }
+            join.noteSeen(6)
+            expectThat(join.advance(heldNumber = 5, isHostListNewest = true)).isFalse()
+            expectThat(join.advance(heldNumber = 6, isHostListNewest = true)).isTrue()
+        }
+
+        @Test
+        fun `when too few answer, then it joins after the wait and says so`() {
+            expectThat(join.advance(heldNumber = 5, isHostListNewest = true)).isFalse()
+            clock.time += TEST_SETTINGS.joinWait
+            expectThat(join.advance(heldNumber = 5, isHostListNewest = true)).isTrue()
+            expectThat(join.isUnwitnessed).isTrue()
+        }
+
+        @Test
+        fun `when nothing is held, then it never joins`() {
+            clock.time += TEST_SETTINGS.joinGiveUp * 10
+            expectThat(join.advance(heldNumber = null, isHostListNewest = true)).isFalse()
+        }
+
+        @Test
+        fun `when it was paused before anyone could answer, then the wait starts anew`() {
+            join.advance(heldNumber = 5, isHostListNewest = true)
+            clock.time += TEST_SETTINGS.joinWait * 2
+            join.restart()
+            expectThat(join.advance(heldNumber = 5, isHostListNewest = true)).isFalse()
+        }
+    }
+}
