--- a/bench/src/main/kotlin/kingcuptide/bench/Bench.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/Bench.kt
@@ -6,5 +6,12 @@
 
 /** Runs one of the measurements; each prints key=value lines with the unit in the key. */
 fun main(args: Array<String>) {
-    NoOpCliktCommand("bench").subcommands(ConvergenceCommand(), ControlCommand()).main(args)
+    NoOpCliktCommand("bench")
+        .subcommands(
+            ConvergenceCommand(),
+            ControlCommand(),
+            MembershipCommand(),
+            FailureDomainCommand(),
+            OverloadCommand(),
+        ).main(args)
 }
