--- a/bench/src/main/kotlin/kingcuptide/bench/Bench.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/Bench.kt
@@ -8,6 +8,8 @@
 fun main(args: Array<String>) {
     NoOpCliktCommand("bench")
         .subcommands(
+            ConvergenceCommand(),
+            ControlCommand(),
             MembershipCommand(),
             FailureDomainCommand(),
             OverloadCommand(),
