--- a/bench/src/main/kotlin/kingcuptide/bench/MembershipCommand.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/MembershipCommand.kt
@@ -2,17 +2,22 @@
 
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.long
 import kingcuptide.bench.membership.MembershipBench
+import kingcuptide.bench.membership.StatusBench
 
-/** Measures membership on a virtual clock: bytes, detection, spread and processor time, against their targets. */
+/** Measures membership and status queries on a virtual clock: bytes, detection, spread and processor time, against their targets. */
 class MembershipCommand : CliktCommand(name = "membership") {
     private val seed by option("--seed", help = "Seed of every random choice").long().default(1)
     private val hosts by option("--hosts", help = "Size of the fleet").int().default(1_100)
 
+    private val statusOnly by option("--status-only", help = "Measure status queries alone").flag()
+
     override fun run() {
-        MembershipBench(hosts, seed) { echo(it) }.run()
+        if (!statusOnly) MembershipBench(hosts, seed) { echo(it) }.run()
+        StatusBench(hosts, seed) { echo(it) }.run()
     }
 }
--- a/bench/src/main/kotlin/kingcuptide/bench/membership/MembershipFleet.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/membership/MembershipFleet.kt
@@ -12,7 +12,6 @@
 import kingcuptide.coordination.process.membership
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.encodeToByteArray
-import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -31,11 +30,9 @@
     private val countBytes: Boolean = false,
 ) {
     private val random = Random(seed)
-    private val events = PriorityQueue<FleetEvent>()
-    private var sequence = 0L
     private val list = HostList(FIRST_REVISION, shape.entries())
 
-    val clock = VirtualClock()
+    val clock = VirtualTime()
     val network = Network(random)
     val nodes: List<FleetNode> = list.hosts.map { FleetNode(it, startMembership(it, Incarnation(FIRST_INCARNATION))) }
     private val byHost = nodes.associateBy { it.host }
@@ -61,7 +58,7 @@
 
     /** Runs the fleet for [duration]. */
     fun run(duration: Duration) {
-        runUntil(clock.now() + duration) { false }
+        clock.run(duration)
     }
 
     /** Runs until [condition] holds, looked at every [tickInterval], and returns how long it took, or null at [limit]. */
@@ -126,25 +123,15 @@
         membership(settings, entry, incarnation, clock, Random(random.nextLong()))
             .also { it.updateHostList(list) }
 
-    private fun runUntil(end: Duration, stop: () -> Boolean) {
-        while (events.isNotEmpty() && !stop()) {
-            if (events.peek().at > end) break
-            val event = events.poll()
-            clock.advanceTo(event.at)
-            event.action()
-        }
-        clock.advanceTo(end)
-    }
-
     private fun scheduleTicks(node: FleetNode) {
         val process = node.process
-        schedule(tickInterval * random.nextDouble()) { tickAndRepeat(node, process) }
+        clock.schedule(tickInterval * random.nextDouble()) { tickAndRepeat(node, process) }
     }
 
     private fun tickAndRepeat(node: FleetNode, process: Int) {
         if (node.process != process || !node.running) return
         if (!node.frozen) tick(node)
-        schedule(tickInterval) { tickAndRepeat(node, process) }
+        clock.schedule(tickInterval) { tickAndRepeat(node, process) }
     }
 
     private fun tick(node: FleetNode) {
@@ -158,7 +145,7 @@
             val message = outbound.message as MembershipMessage
             val bytes = if (countBytes) encodedBytes(message) else 0
             for (delay in network.delays(from.entry, to.entry)) {
-                schedule(delay) { arrive(from, to, message, bytes) }
+                clock.schedule(delay) { arrive(from, to, message, bytes) }
             }
         }
     }
@@ -189,10 +176,6 @@
         return bytes + DATAGRAM_HEADER_BYTES
     }
 
-    private fun schedule(after: Duration, action: () -> Unit) {
-        events += FleetEvent(clock.now() + after, sequence++, action)
-    }
-
     companion object {
         /** Incarnation of every process at the start of a run. */
         const val FIRST_INCARNATION = 1_700_000_000_000L
@@ -203,11 +186,3 @@
         private val AWAIT_STEP = 100.milliseconds
     }
 }
-
-private class FleetEvent(
-    val at: Duration,
-    val sequence: Long,
-    val action: () -> Unit,
-) : Comparable<FleetEvent> {
-    override fun compareTo(other: FleetEvent): Int = compareValuesBy(this, other, { it.at }, { it.sequence })
-}
