--- a/bench/src/main/kotlin/kingcuptide/bench/requests/FakeTarget.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/requests/FakeTarget.kt
@@ -24,8 +24,9 @@
 /**
  * A target as a set of requests that share its speed.
  *
- * Up to what it bears, each request runs at full speed. Beyond, it collapses: the speed of each falls with the square of
- * the excess, and a cold target stops warming up. It counts every run by request id.
+ * Up to what it bears, each request runs at full speed. Beyond, a warm target shares its speed among all, and a cold one
+ * collapses: the speed of each falls with the square of the excess, and it stops warming up. It counts every run by
+ * request id.
  */
 class FakeTarget(
     private val time: VirtualTime,
@@ -149,7 +150,8 @@
     private fun speed(): Double {
         val bears = floor(shape.coldSlots + (shape.slots - shape.coldSlots) * warmth + ROUNDING)
         if (running.size <= bears) return 1.0
-        return (bears / running.size) * (bears / running.size)
+        val share = bears / running.size
+        return if (warmth < 1.0) share * share else share
     }
 
     private fun reschedule() {
--- a/bench/src/main/kotlin/kingcuptide/bench/requests/RoutedCall.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/requests/RoutedCall.kt
@@ -47,6 +47,7 @@
     private fun attempt() {
         val request = ChoiceRequest(
             service = FleetShape.SERVICE,
+            slots = policy.service.slots,
             homeRegions = call.homeRegions,
             isTakenOut = { fleet.isTakenOut(call.entry.entry.host, it) },
             tried = tried.toSet(),
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/HostRecord.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/HostRecord.kt
@@ -96,10 +96,10 @@
         return true
     }
 
-    /** Returns the share of a full host's requests that this host should get. */
+    /** Returns the share of a full host's requests, of [slots] at a time, that this host should get. */
     @Synchronized
-    fun weight(now: Duration): Double {
-        val started = ((now - seenSince) / settings.slowStart).coerceIn(MIN_WEIGHT, 1.0)
+    fun weight(now: Duration, slots: Int): Double {
+        val started = minOf((now - seenSince) / settings.slowStart, limitShare(now, slots)).coerceIn(MIN_WEIGHT, 1.0)
         val failing = if (failuresInRow > 0) FAILING_WEIGHT else 1.0
         return maxOf(MIN_WEIGHT, started * failing * (1 - busyNow(now)))
     }
@@ -114,6 +114,13 @@
         return share.coerceIn(0.0, MAX_UTILIZATION) * exp(-((now - loadAt) / settings.loadMemory))
     }
 
+    /** The gate's own word can lower a host's share for a while, and never raises it. */
+    private fun limitShare(now: Duration, slots: Int): Double {
+        val word = load ?: return 1.0
+        val missing = 1 - word.limit.toDouble() / maxOf(1, slots)
+        return 1 - missing.coerceIn(0.0, 1.0) * exp(-((now - loadAt) / settings.limitMemory))
+    }
+
     private fun succeeded() {
         failuresInRow = 0
         asideCount = 0
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetChoice.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetChoice.kt
@@ -12,11 +12,13 @@
 /**
  * What an entry asks of the chooser, all under one version of the configuration.
  *
+ * @property slots requests that one warm target of the service bears
  * @property isTakenOut whether a failure domain is taken out
  * @property tried hosts that this request has been to already
  */
 public data class ChoiceRequest(
     val service: ServiceId,
+    val slots: Int,
     val homeRegions: HomeRegions,
     val isTakenOut: (FailureDomainId) -> Boolean,
     val tried: Set<HostId> = emptySet(),
@@ -80,6 +82,9 @@
  * @property maxAsidePercent greatest share of the usable hosts of a service that are set aside at once
  * @property panicPercent below this share of usable hosts among those listed, hosts believed dead are tried now and then
  * @property probeInterval least time between two such trials of one host
+ * @property loadMemory time constant with which a gate's word on its load is forgotten
+ * @property limitMemory time constant with which a gate's word on its limit is forgotten
+ * @property startUp time after the start of this daemon in which hosts that it sees first count as no newcomers
  */
 public data class ChooserSettings(
     val slowStart: Duration = 20.seconds,
@@ -90,4 +95,6 @@
     val panicPercent: Int = 40,
     val probeInterval: Duration = 2.seconds,
     val loadMemory: Duration = 500.milliseconds,
+    val limitMemory: Duration = 3.seconds,
+    val startUp: Duration = 5.seconds,
 )
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetChooser.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetChooser.kt
@@ -48,6 +48,7 @@
     private val settings: ChooserSettings,
     private val counters: RequestCounters,
 ) : TargetChooser {
+    private val startedAt = clock.now()
     private val records = ConcurrentHashMap<HostId, HostRecord>()
 
     @Volatile
@@ -80,7 +81,7 @@
         currentIndex().hostsOf(request.service).map { entry ->
             val record = record(entry.host, now)
             val code = refusalOf(entry, request, record, now)
-            Candidate(entry, record, code, if (code == null) record.weight(now) else 0.0)
+            Candidate(entry, record, code, if (code == null) record.weight(now, request.slots) else 0.0)
         }
 
     private fun refusalOf(entry: HostEntry, request: ChoiceRequest, record: HostRecord, now: Duration): ResultCode? {
@@ -211,7 +212,13 @@
     }
 
     private fun record(host: HostId, now: Duration): HostRecord =
-        records.computeIfAbsent(host) { HostRecord(settings, now, view.incarnation(host)) }
+        records.computeIfAbsent(host) { HostRecord(settings, firstSight(host, now), view.incarnation(host)) }
+
+    /** What was there before this daemon is no newcomer; what is on its own host is as new as itself. */
+    private fun firstSight(host: HostId, now: Duration): Duration {
+        val wasThereBefore = now - startedAt < settings.startUp && host != view.self.host
+        return if (wasThereBefore) now - settings.slowStart else now
+    }
 
     private fun draw(bound: Int): Int = synchronized(random) { random.nextInt(bound) }
 
