--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/KeyClaimerCounters.kt
@@ -0,0 +1,16 @@
+package kingcuptide.coordination.request
+
+import kingcuptide.coordination.connection.KeyRefusalReason
+
+/** What a [KeyClaimer] counted since it was made, and how many claims it has open. */
+public data class KeyClaimerCounters(
+    val started: Long = 0,
+    val granted: Long = 0,
+    val alreadyUsed: Long = 0,
+    val notGranted: Long = 0,
+    val resent: Long = 0,
+    val begunTooLate: Long = 0,
+    val released: Long = 0,
+    val open: Int = 0,
+    val refusals: Map<KeyRefusalReason, Long> = emptyMap(),
+)
--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/KeySettings.kt
@@ -0,0 +1,38 @@
+package kingcuptide.coordination.request
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Times and bounds of idempotency keys, alike on all daemons.
+ *
+ * @property resendWindow how long after a run could have ended the key still stops another
+ * @property maxDeadline greatest time that a keyed request may have left when it is claimed
+ * @property startWithin how long after the gate sent its claim the request may start
+ * @property viewFreshness how long a witness grants after its view of the fleet was last confirmed
+ * @property margin allowance for clock drift and for the time in which a confirmation is under way
+ * @property resendAfter when a claim without an answer is sent again, once
+ * @property giveUpAfter when a claim without enough answers is given up
+ * @property maxRecords claims that a witness remembers
+ * @property maxClaims claims that a gate has open
+ */
+public data class KeySettings(
+    val resendWindow: Duration = 120.seconds,
+    val maxDeadline: Duration = 30.seconds,
+    val startWithin: Duration = 2.seconds,
+    val viewFreshness: Duration = 10.seconds,
+    val margin: Duration = 3.seconds,
+    val resendAfter: Duration = 50.milliseconds,
+    val giveUpAfter: Duration = 300.milliseconds,
+    val maxRecords: Int = 16_384,
+    val maxClaims: Int = 1_024,
+) {
+    /** Longest time for which a witness must remember a claim. */
+    val maxRetention: Duration
+        get() = resendWindow + maxDeadline + startWithin
+
+    /** How long a witness must have been responsible for a key before it knows all earlier claims that matter. */
+    val holdOff: Duration
+        get() = maxRetention + viewFreshness + margin
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/KeyWitness.kt
@@ -0,0 +1,186 @@
+package kingcuptide.coordination.request
+
+import kingcuptide.coordination.connection.ClaimId
+import kingcuptide.coordination.connection.KeyClaim
+import kingcuptide.coordination.connection.KeyCompleted
+import kingcuptide.coordination.connection.KeyGrant
+import kingcuptide.coordination.connection.KeyMessage
+import kingcuptide.coordination.connection.KeyRefusal
+import kingcuptide.coordination.connection.KeyRefusalReason
+import kingcuptide.coordination.connection.KeyRelease
+import kingcuptide.coordination.connection.Outbound
+import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.process.HostId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Remembers which claim may run a key, for those keys of which this daemon is a witness. Thread-safe.
+ *
+ * Its memory is soft: it is lost with the process. That is safe because a witness that could have forgotten a claim
+ * grants nothing until every such claim has run out.
+ */
+public class KeyWitness internal constructor(
+    self: HostId,
+    private val clock: Clock,
+    private val settings: KeySettings,
+) {
+    // In order of insertion, which is nearly the order of expiry.
+    private val records = LinkedHashMap<String, Record>()
+    private val history = ViewHistory(self, settings.holdOff)
+    private var confirmedAt: Duration? = null
+    private var granted = 0L
+    private var completed = 0L
+    private var released = 0L
+    private val refused = LongArray(KeyRefusalReason.entries.size)
+
+    /**
+     * Notes the newest [view]. Call it when the host list or the document changes, and whenever the view was confirmed:
+     * compared with the platform or with peers of other failure domains, and found the newest.
+     */
+    @Synchronized
+    public fun confirm(view: WitnessView) {
+        val now = clock.now()
+        history.update(view, now)
+        confirmedAt = now
+    }
+
+    /** Decides on a message from [from]'s gate and returns the answer, if it has one. */
+    @Synchronized
+    public fun receive(
+        from: HostId,
+        message: KeyMessage,
+    ): List<Outbound> = when (message) {
+        is KeyClaim -> listOf(Outbound(from, claim(message)))
+        is KeyCompleted -> complete(message)
+        is KeyRelease -> release(message)
+        is KeyGrant, is KeyRefusal -> emptyList()
+    }
+
+    /** Forgets the claims that have run out. */
+    @Synchronized
+    public fun tick() {
+        val now = clock.now()
+        val oldest = records.values.iterator()
+        while (oldest.hasNext() && oldest.next().expiry <= now) {
+            oldest.remove()
+        }
+    }
+
+    /** Returns what was counted so far. */
+    @Synchronized
+    public fun counters(): KeyWitnessCounters = KeyWitnessCounters(
+        granted = granted,
+        refused = KeyRefusalReason.entries.associateWith { refused[it.ordinal] },
+        completed = completed,
+        released = released,
+        records = records.size,
+    )
+
+    private fun claim(message: KeyClaim): KeyMessage {
+        val now = clock.now()
+        val record = records[message.keyHash]?.takeIf { it.expiry > now }
+        return when {
+            record == null || record.isFreeFor(message.claim) -> claimUnheld(message, now)
+            record.claim != message.claim -> refuse(message, KeyRefusalReason.HELD, status = record.status)
+            record.state == RecordState.RELEASED -> refuse(message, KeyRefusalReason.INVALID)
+            else -> grant(message)
+        }
+    }
+
+    private fun claimUnheld(
+        message: KeyClaim,
+        now: Duration,
+    ): KeyMessage {
+        val remaining = message.remainingMs.milliseconds
+        if (remaining <= Duration.ZERO || remaining > settings.maxDeadline) {
+            return refuse(message, KeyRefusalReason.INVALID)
+        }
+        val confirmed = confirmedAt
+        if (confirmed == null || now - confirmed > settings.viewFreshness) {
+            return refuse(message, KeyRefusalReason.VIEW_UNCONFIRMED)
+        }
+        if (history.current?.witnesses(message.keyHash, message.homeRegions) != message.witnesses) {
+            return refuse(message, KeyRefusalReason.VIEW_DIFFERS)
+        }
+        val since = history.responsibleSince(message.keyHash, message.homeRegions)
+            ?: return refuse(message, KeyRefusalReason.VIEW_DIFFERS)
+        val missing = settings.holdOff - (now - since)
+        if (missing > Duration.ZERO) {
+            return refuse(message, KeyRefusalReason.TOO_YOUNG, missing)
+        }
+        if (!makeRoom(message.keyHash)) {
+            return refuse(message, KeyRefusalReason.FULL)
+        }
+        val expiry = now + settings.startWithin + remaining + settings.resendWindow
+        records[message.keyHash] = Record(message.claim, expiry)
+        return grant(message)
+    }
+
+    private fun makeRoom(keyHash: String): Boolean {
+        // Removed first, so that a record made again moves to the end.
+        records.remove(keyHash)
+        if (records.size < settings.maxRecords) {
+            return true
+        }
+        tick()
+        return records.size < settings.maxRecords
+    }
+
+    private fun complete(message: KeyCompleted): List<Outbound> {
+        val record = records[message.keyHash]
+        if (record?.claim == message.claim) {
+            record.state = RecordState.COMPLETED
+            record.status = message.status
+            completed++
+        }
+        return emptyList()
+    }
+
+    private fun release(message: KeyRelease): List<Outbound> {
+        val record = records[message.keyHash]
+        if (record?.claim == message.claim && record.state == RecordState.CLAIMED) {
+            record.state = RecordState.RELEASED
+            released++
+        }
+        return emptyList()
+    }
+
+    private fun grant(message: KeyClaim): KeyMessage {
+        granted++
+        return KeyGrant(message.keyHash, message.claim)
+    }
+
+    private fun refuse(
+        message: KeyClaim,
+        reason: KeyRefusalReason,
+        retryAfter: Duration = Duration.ZERO,
+        status: Int? = null,
+    ): KeyMessage {
+        refused[reason.ordinal]++
+        return KeyRefusal(message.keyHash, message.claim, reason, retryAfter.inWholeMilliseconds, status)
+    }
+
+    private enum class RecordState {
+        CLAIMED,
+        COMPLETED,
+        RELEASED,
+    }
+
+    private class Record(
+        val claim: ClaimId,
+        val expiry: Duration,
+    ) {
+        var state = RecordState.CLAIMED
+        var status: Int? = null
+
+        fun isFreeFor(other: ClaimId): Boolean = state == RecordState.RELEASED && claim != other
+    }
+}
+
+/** Returns the witness of [self], which knows nothing yet. */
+public fun keyWitness(
+    self: HostId,
+    clock: Clock,
+    settings: KeySettings = KeySettings(),
+): KeyWitness = KeyWitness(self, clock, settings)
