--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/KeyClaimer.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/KeyClaimer.kt
@@ -63,8 +63,13 @@
         }
         val id = ClaimId(self, incarnation, nextSequence++)
         val message = KeyClaim(request.keyHash, id, witnesses, request.homeRegions, remaining.inWholeMilliseconds)
-        claims[id] =
-            OpenClaim(message, sentAt = now, lastStart = now + minOf(settings.startWithin, remaining), onDecision)
+        claims[id] = OpenClaim(
+            message,
+            sentAt = now,
+            lastStart = now + minOf(settings.startWithin, remaining),
+            forgetAt = request.deadline + settings.startWithin,
+            onDecision,
+        )
         return slots.map { Outbound(it, message) }
     }
 
