--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/KeyClaimer.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/KeyClaimer.kt
@@ -29,6 +29,7 @@
     private val incarnation: Incarnation,
     private val clock: Clock,
     private val settings: KeySettings,
+    private val rules: KeyRules = keyRules(settings),
 ) {
     private val claims = HashMap<ClaimId, OpenClaim>()
     private val refusals = LongArray(KeyRefusalReason.entries.size)
@@ -56,7 +57,7 @@
         val now = clock.now()
         val remaining = minOf(request.deadline - now, settings.maxDeadline)
         val slots = witnesses.filterNotNull()
-        if (slots.size < WITNESS_QUORUM || remaining <= Duration.ZERO || claims.size >= settings.maxClaims) {
+        if (slots.size < rules.quorum || remaining <= Duration.ZERO || claims.size >= settings.maxClaims) {
             counters = counters.copy(notGranted = counters.notGranted + 1)
             onDecision(KeyDecision.Refused(ResultCode.KEY_NOT_GRANTED, DEFAULT_RETRY_AFTER_MS))
             return emptyList()
@@ -95,7 +96,7 @@
     @Synchronized
     public fun begin(id: ClaimId): Result<Unit, ResultCode> {
         val claim = claims[id]?.takeIf { it.granted && !it.begun } ?: return Err(ResultCode.KEY_NOT_GRANTED)
-        if (clock.now() > claim.lastStart) {
+        if (rules.limitsStart && clock.now() > claim.lastStart) {
             counters = counters.copy(begunTooLate = counters.begunTooLate + 1)
             return Err(ResultCode.KEY_NOT_GRANTED)
         }
@@ -159,7 +160,7 @@
     }
 
     private fun decide(claim: OpenClaim): List<Outbound> {
-        if (claim.grants.size >= WITNESS_QUORUM) {
+        if (claim.grants.size >= rules.quorum) {
             claim.decided = true
             claim.granted = true
             counters = counters.copy(granted = counters.granted + 1)
@@ -167,7 +168,7 @@
             return emptyList()
         }
         val unanswered = claim.slots.count { it !in claim.grants && it !in claim.refusals }
-        return if (claim.grants.size + unanswered < WITNESS_QUORUM) giveUp(claim) else emptyList()
+        return if (claim.grants.size + unanswered < rules.quorum) giveUp(claim) else emptyList()
     }
 
     private fun giveUp(claim: OpenClaim): List<Outbound> {
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/KeyWitness.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/KeyWitness.kt
@@ -24,10 +24,11 @@
     self: HostId,
     private val clock: Clock,
     private val settings: KeySettings,
+    private val rules: KeyRules = keyRules(settings),
 ) {
     // In order of insertion, which is nearly the order of expiry.
     private val records = LinkedHashMap<String, Record>()
-    private val history = ViewHistory(self, settings.holdOff)
+    private val history = ViewHistory(self, rules.holdOff)
     private var confirmedAt: Duration? = null
     private var granted = 0L
     private var completed = 0L
@@ -96,16 +97,15 @@
         if (remaining <= Duration.ZERO || remaining > settings.maxDeadline) {
             return refuse(message, KeyRefusalReason.INVALID)
         }
-        val confirmed = confirmedAt
-        if (confirmed == null || now - confirmed > settings.viewFreshness) {
+        if (!isConfirmed(now)) {
             return refuse(message, KeyRefusalReason.VIEW_UNCONFIRMED)
         }
-        if (history.current?.witnesses(message.keyHash, message.homeRegions) != message.witnesses) {
+        if (rules.checksView && !agrees(message)) {
             return refuse(message, KeyRefusalReason.VIEW_DIFFERS)
         }
-        val since = history.responsibleSince(message.keyHash, message.homeRegions)
+        val since = responsibleSince(message)
             ?: return refuse(message, KeyRefusalReason.VIEW_DIFFERS)
-        val missing = settings.holdOff - (now - since)
+        val missing = rules.holdOff - (now - since)
         if (missing > Duration.ZERO) {
             return refuse(message, KeyRefusalReason.TOO_YOUNG, missing)
         }
@@ -117,6 +117,19 @@
         return grant(message)
     }
 
+    private fun isConfirmed(now: Duration): Boolean {
+        val confirmed = confirmedAt ?: return false
+        return !rules.checksFreshness || now - confirmed <= settings.viewFreshness
+    }
+
+    private fun responsibleSince(message: KeyClaim): Duration? {
+        val since = history.responsibleSince(message.keyHash, message.homeRegions)
+        return if (rules.checksView) since else history.start
+    }
+
+    private fun agrees(message: KeyClaim): Boolean =
+        history.current?.witnesses(message.keyHash, message.homeRegions) == message.witnesses
+
     private fun makeRoom(keyHash: String): Boolean {
         // Removed first, so that a record made again moves to the end.
         records.remove(keyHash)
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/ViewHistory.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/ViewHistory.kt
@@ -15,6 +15,10 @@
     val current: WitnessView?
         get() = held.lastOrNull()?.view
 
+    /** When the oldest view that is remembered was first held, or null before the first. */
+    val start: Duration?
+        get() = held.firstOrNull()?.since
+
     /** Notes that [view] is held from [now] on. */
     fun update(
         view: WitnessView,
--- a/coordination/src/test/kotlin/kingcuptide/coordination/connection/FrameCodecTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/connection/FrameCodecTest.kt
@@ -33,6 +33,15 @@
             }
         }
 
+        @Test
+        fun `Given control messages, when encoded and decoded, then they are the same with their sender`() {
+            for (message in sampleControl) {
+                val envelope = ControlEnvelope(HostId("sender"), message)
+
+                expectThat(codec.decodeControl(codec.encode(envelope).unwrap())).isEqualTo(Ok(envelope))
+            }
+        }
+
         @Test
         fun `Given a frame, when encoded, then its prefix is the length of the rest`() {
             val bytes = codec.encode(sampleHead).unwrap()
--- a/coordination/src/test/kotlin/kingcuptide/coordination/connection/FrameSamples.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/connection/FrameSamples.kt
@@ -2,6 +2,7 @@
 
 import kingcuptide.coordination.process.HostId
 import kingcuptide.coordination.process.Incarnation
+import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.process.TenantId
@@ -38,3 +39,13 @@
     AnswerAbort(4_711, ResultCode.ANSWER_TRUNCATED.number),
     Cancel(4_711),
 )
+
+private val sampleClaim = ClaimId(HostId("host-1"), Incarnation(17), 9)
+
+internal val sampleControl: List<ControlMessage> = listOf(
+    KeyClaim("00112233", sampleClaim, listOf(HostId("a"), null, HostId("c")), setOf(RegionId("north")), 4_000),
+    KeyGrant("00112233", sampleClaim),
+    KeyRefusal("00112233", sampleClaim, KeyRefusalReason.HELD, retryAfterMs = 5, status = 201),
+    KeyCompleted("00112233", sampleClaim, status = 201),
+    KeyRelease("00112233", sampleClaim),
+)
--- /dev/null
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/KeyClaimerTest.kt
@@ -0,0 +1,171 @@
+package kingcuptide.coordination.request
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import kingcuptide.coordination.connection.ClaimId
+import kingcuptide.coordination.connection.FakeClock
+import kingcuptide.coordination.connection.KeyClaim
+import kingcuptide.coordination.connection.KeyGrant
+import kingcuptide.coordination.connection.KeyRefusal
+import kingcuptide.coordination.connection.KeyRefusalReason
+import kingcuptide.coordination.connection.KeyRelease
+import kingcuptide.coordination.connection.Outbound
+import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.process.Incarnation
+import kingcuptide.coordination.process.ResultCode
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.map
+import strikt.assertions.single
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal class KeyClaimerTest {
+    private val clock = FakeClock()
+    private val settings = testKeySettings
+    private val self = HostId("gate")
+    private val view = viewOf(listOf(hostEntry("a1", "d1"), hostEntry("b1", "d2"), hostEntry("c1", "d3")))
+    private val witnesses = view.witnesses("k", emptySet()).filterNotNull()
+    private val claimer = keyClaimer(self, Incarnation(1), clock, settings).also { it.confirm(view) }
+    private val decisions = mutableListOf<KeyDecision>()
+    private val claim = ClaimId(self, Incarnation(1), 1)
+
+    private fun start(): List<Outbound> =
+        claimer.start(KeyRequest("k", emptySet(), clock.now() + 2.seconds)) { decisions += it }
+
+    private fun grant(slot: Int) = claimer.receive(witnesses[slot], KeyGrant("k", claim))
+
+    private fun refuse(
+        slot: Int,
+        reason: KeyRefusalReason,
+        retryAfterMs: Long = 0,
+        status: Int? = null,
+    ) = claimer.receive(witnesses[slot], KeyRefusal("k", claim, reason, retryAfterMs, status))
+
+    @Nested
+    inner class Deciding {
+        @Test
+        fun `Given two grants, when the second arrives, then it is decided, and a third changes nothing`() {
+            expectThat(start()).map { it.to }.isEqualTo(witnesses)
+            grant(0)
+            grant(2)
+            grant(1)
+
+            expectThat(decisions).containsExactly(KeyDecision.Granted(claim))
+        }
+
+        @Test
+        fun `Given one grant that is repeated, when it arrives twice, then it counts once`() {
+            start()
+            grant(0)
+            grant(0)
+
+            expectThat(decisions).isEmpty()
+        }
+
+        @Test
+        fun `Given a grant from a host that is no witness, when it arrives, then it does not count`() {
+            start()
+            grant(0)
+            claimer.receive(HostId("stranger"), KeyGrant("k", claim))
+
+            expectThat(decisions).isEmpty()
+        }
+
+        @Test
+        fun `Given two witnesses that hold the key, when they answer, then it is already used and the claim released`() {
+            start()
+            refuse(0, KeyRefusalReason.HELD, status = 201)
+            val released = refuse(1, KeyRefusalReason.HELD)
+
+            expectThat(
+                decisions,
+            ).containsExactly(KeyDecision.Refused(ResultCode.KEY_ALREADY_USED, 0, firstStatus = 201))
+            expectThat(released).hasSize(3).all { get { message }.isA<KeyRelease>() }
+        }
+
+        @Test
+        fun `Given young witnesses, when they answer, then the caller may return when the second is old`() {
+            start()
+            refuse(0, KeyRefusalReason.TOO_YOUNG, retryAfterMs = 9_000)
+            refuse(1, KeyRefusalReason.TOO_YOUNG, retryAfterMs = 5_000)
+
+            expectThat(decisions).containsExactly(KeyDecision.Refused(ResultCode.KEY_NOT_GRANTED, 5_000))
+        }
+
+        @Test
+        fun `Given silence, when ticked, then the claim is sent once more and then given up`() {
+            start()
+            grant(0)
+            clock.time += settings.resendAfter
+            expectThat(claimer.tick()).hasSize(2).all { get { message }.isA<KeyClaim>() }
+            expectThat(claimer.tick()).isEmpty()
+
+            clock.time += settings.giveUpAfter
+            expectThat(claimer.tick()).hasSize(3).all { get { message }.isA<KeyRelease>() }
+            expectThat(decisions).single().isA<KeyDecision.Refused>()
+        }
+
+        @Test
+        fun `Given no view of the fleet, when started, then it is refused at once`() {
+            val blind = keyClaimer(self, Incarnation(1), clock, settings)
+
+            expectThat(blind.start(KeyRequest("k", emptySet(), clock.now() + 1.seconds)) { decisions += it }).isEmpty()
+            expectThat(decisions).single().isA<KeyDecision.Refused>()
+        }
+    }
+
+    @Nested
+    inner class Starting {
+        @Test
+        fun `Given a granted claim, when begun twice, then only the first succeeds`() {
+            start()
+            grant(0)
+            grant(1)
+
+            expectThat(claimer.begin(claim)).isEqualTo(Ok(Unit))
+            expectThat(claimer.begin(claim)).isEqualTo(Err(ResultCode.KEY_NOT_GRANTED))
+        }
+
+        @Test
+        fun `Given grants that waited in a frozen gate, when it wakes, then the request does not start`() {
+            start()
+            clock.time += settings.startWithin + 1.milliseconds
+            grant(0)
+            grant(1)
+
+            expectThat(claimer.begin(claim)).isEqualTo(Err(ResultCode.KEY_NOT_GRANTED))
+            expectThat(claimer.counters().begunTooLate).isEqualTo(1)
+        }
+
+        @Test
+        fun `Given a released claim, when begun, then it does not start`() {
+            start()
+            grant(0)
+            grant(1)
+            expectThat(claimer.release(claim)).hasSize(3)
+
+            expectThat(claimer.begin(claim)).isEqualTo(Err(ResultCode.KEY_NOT_GRANTED))
+            expectThat(claimer.release(claim)).isEmpty()
+        }
+
+        @Test
+        fun `Given a claim that nobody ends, when its deadline is long past, then it is forgotten`() {
+            start()
+            grant(0)
+            grant(1)
+            clock.time += 10.seconds
+            claimer.tick()
+
+            expectThat(claimer.counters().open).isEqualTo(0)
+            expectThat(claimer.begin(claim)).isEqualTo(Err(ResultCode.KEY_NOT_GRANTED))
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/KeyFault.kt
@@ -0,0 +1,44 @@
+package kingcuptide.coordination.request
+
+/** How far the first claim of a key has come when the fault strikes. */
+internal enum class KeyStep {
+    CLAIM_SENT,
+    ONE_WITNESS_GRANTED,
+    GRANTED,
+    BEGUN,
+    COMPLETED,
+    RELEASED,
+}
+
+/** What strikes while a key is claimed. "First" is the host of the key's first slot. */
+internal enum class KeyFault {
+    NONE,
+    GATE_KILLED,
+    GATE_FROZEN_PAST_WINDOW,
+    FIRST_WITNESS_RESTARTED,
+    TWO_WITNESSES_RESTARTED,
+    ALL_RESTARTED,
+    FIRST_WITNESS_FROZEN,
+    FIRST_WITNESS_CUT,
+    TWO_WITNESSES_CUT,
+    ALL_MESSAGES_LOST,
+    ALL_MESSAGES_REPEATED,
+    ALL_MESSAGES_REVERSED,
+    FIRST_WITNESS_REPLACED,
+    FIRST_WITNESS_REPLACED_BUT_GATE_UNAWARE,
+}
+
+/** When the caller sends the key again, counted in resend windows since the first sending. */
+internal enum class Resend(
+    val windows: Double,
+) {
+    AT_ONCE(0.0),
+    HALFWAY(0.5),
+    AT_THE_END(0.999),
+}
+
+/** Which gate the second sending reaches. */
+internal enum class SecondGate {
+    SAME,
+    OTHER,
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/KeyWitnessTest.kt
@@ -0,0 +1,165 @@
+package kingcuptide.coordination.request
+
+import kingcuptide.coordination.connection.ClaimId
+import kingcuptide.coordination.connection.FakeClock
+import kingcuptide.coordination.connection.KeyClaim
+import kingcuptide.coordination.connection.KeyCompleted
+import kingcuptide.coordination.connection.KeyGrant
+import kingcuptide.coordination.connection.KeyMessage
+import kingcuptide.coordination.connection.KeyRefusal
+import kingcuptide.coordination.connection.KeyRefusalReason
+import kingcuptide.coordination.connection.KeyRelease
+import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.process.Incarnation
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.single
+import kotlin.time.Duration.Companion.milliseconds
+
+internal class KeyWitnessTest {
+    private val clock = FakeClock()
+    private val settings = testKeySettings.copy(maxRecords = 2)
+    private val gate = HostId("gate")
+    private val view = viewOf(listOf(hostEntry("a1", "d1"), hostEntry("b1", "d2"), hostEntry("c1", "d3")))
+    private val witness = keyWitness(HostId("a1"), clock, settings).also { it.confirm(view) }
+
+    private fun claimId(sequence: Long) = ClaimId(gate, Incarnation(1), sequence)
+
+    private fun claim(
+        sequence: Long,
+        key: String = "k",
+        remainingMs: Long = 1_000,
+    ): KeyMessage {
+        val message = KeyClaim(key, claimId(sequence), view.witnesses(key, emptySet()), emptySet(), remainingMs)
+        return witness.receive(gate, message).single().message as KeyMessage
+    }
+
+    private fun grow() {
+        clock.time += settings.holdOff
+        witness.confirm(view)
+    }
+
+    private fun expectRefused(
+        answer: KeyMessage,
+        reason: KeyRefusalReason,
+    ) = expectThat(answer).isA<KeyRefusal>().and { get { this.reason }.isEqualTo(reason) }
+
+    @Nested
+    inner class Granting {
+        @Test
+        fun `Given a young witness, when claimed, then it says how long it stays young and remembers nothing`() {
+            clock.time += settings.holdOff - 300.milliseconds
+            witness.confirm(view)
+
+            expectRefused(claim(1), KeyRefusalReason.TOO_YOUNG).and { get { retryAfterMs }.isEqualTo(300) }
+            expectThat(witness.counters().records).isEqualTo(0)
+        }
+
+        @Test
+        fun `Given a grant, when the claim is repeated, then it is granted again`() {
+            grow()
+
+            expectThat(claim(1)).isA<KeyGrant>()
+            expectThat(claim(1)).isA<KeyGrant>()
+        }
+
+        @Test
+        fun `Given a grant, when another claim comes within the window, then it is held, and afterwards it is granted`() {
+            grow()
+            claim(1)
+            clock.time += settings.startWithin + 1_000.milliseconds + settings.resendWindow - 1.milliseconds
+            expectRefused(claim(2), KeyRefusalReason.HELD)
+
+            clock.time += 1.milliseconds
+            witness.confirm(view)
+            expectThat(claim(2)).isA<KeyGrant>()
+        }
+
+        @Test
+        fun `Given a completed run, when claimed again, then its status is told`() {
+            grow()
+            claim(1)
+            witness.receive(gate, KeyCompleted("k", claimId(1), status = 201))
+
+            expectRefused(claim(2), KeyRefusalReason.HELD).and { get { status }.isEqualTo(201) }
+        }
+
+        @Test
+        fun `Given a deadline beyond the bound, when claimed, then it is invalid`() {
+            grow()
+
+            expectRefused(
+                claim(1, remainingMs = settings.maxDeadline.inWholeMilliseconds + 1),
+                KeyRefusalReason.INVALID,
+            )
+        }
+
+        @Test
+        fun `Given a view that was not confirmed lately, when claimed, then it is refused`() {
+            grow()
+            clock.time += settings.viewFreshness + 1.milliseconds
+
+            expectRefused(claim(1), KeyRefusalReason.VIEW_UNCONFIRMED)
+        }
+    }
+
+    @Nested
+    inner class Releasing {
+        @Test
+        fun `Given a released key, when another claims it, then it is granted, and the old release frees nothing`() {
+            grow()
+            claim(1)
+            witness.receive(gate, KeyRelease("k", claimId(1)))
+            expectThat(claim(2)).isA<KeyGrant>()
+
+            expectThat(witness.receive(gate, KeyRelease("k", claimId(1)))).isEmpty()
+            expectRefused(claim(3), KeyRefusalReason.HELD)
+        }
+
+        @Test
+        fun `Given a released claim, when it comes again late, then it is not granted`() {
+            grow()
+            claim(1)
+            witness.receive(gate, KeyRelease("k", claimId(1)))
+
+            expectRefused(claim(1), KeyRefusalReason.INVALID)
+        }
+
+        @Test
+        fun `Given a completed run, when a release comes, then the key stays used`() {
+            grow()
+            claim(1)
+            witness.receive(gate, KeyCompleted("k", claimId(1), status = 201))
+            witness.receive(gate, KeyRelease("k", claimId(1)))
+
+            expectRefused(claim(2), KeyRefusalReason.HELD)
+        }
+    }
+
+    @Nested
+    inner class Bound {
+        @Test
+        fun `Given as many records as allowed, when one more key comes, then it is refused and none is forgotten`() {
+            grow()
+            claim(1, "k1")
+            claim(2, "k2")
+
+            expectRefused(claim(3, "k3"), KeyRefusalReason.FULL)
+            expectRefused(claim(4, "k1"), KeyRefusalReason.HELD)
+        }
+
+        @Test
+        fun `Given records that ran out, when ticked, then they are forgotten`() {
+            grow()
+            claim(1, "k1")
+            clock.time += settings.maxRetention
+            witness.tick()
+
+            expectThat(witness.counters().records).isEqualTo(0)
+        }
+    }
+}
