Receive datagrams without looking up host names; run keys by claims; show the demo whole

Cause: the receive loop asked each sender's address for its host name, a reverse lookup that waits for the resolver; peers got 15 messages in 40 s, and version 2 never reached the second region. Ruled out: the distribution (deltas, roots), the datagram socket itself (ControlTransportTest passes both ways), a dead control loop (ticks and platform calls went on). Change: read the address bytes instead.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/connection/RequestFrame.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/connection/RequestFrame.kt
@@ -52,6 +52,7 @@
  * @property version number of the document under which the entry chose this target
  * @property keyHash digest of tenant, route and idempotency key, or null if the caller sent no key
  * @property hasBody whether [BodyChunk] frames follow
+ * @property suspect whether a target died with an earlier attempt of this request
  */
 @Serializable
 @SerialName("request")
@@ -68,6 +69,7 @@
     val repeatable: Boolean,
     val keyHash: String?,
     val hasBody: Boolean,
+    val suspect: Boolean = false,
 ) : RequestFrame
 
 /** A piece of the request's or the answer's body; the last one has [last] set and may be empty. */
--- a/daemon/src/main/kotlin/kingcuptide/daemon/connection/ControlTransport.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/connection/ControlTransport.kt
@@ -30,6 +30,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.Buffer
 import kotlinx.io.readByteArray
+import java.net.InetAddress
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.seconds
 
@@ -81,7 +82,9 @@
         for (datagram in socket.incoming) {
             val sender = datagram.address as? InetSocketAddress ?: continue
             val envelope = receive(datagram.packet.readByteArray()) ?: continue
-            peers.heardFrom(envelope.from, sender.hostname, sender.port)
+            // The host name would be looked up, which may take seconds; the bytes of the address are at hand.
+            val ip = sender.resolveAddress()?.let { InetAddress.getByAddress(it).hostAddress } ?: continue
+            peers.heardFrom(envelope.from, ip, sender.port)
         }
     }
 
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/ControlLoop.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/ControlLoop.kt
@@ -6,9 +6,11 @@
 import kingcuptide.coordination.connection.ConvergenceMessage
 import kingcuptide.coordination.connection.KeyMessage
 import kingcuptide.coordination.connection.MembershipMessage
+import kingcuptide.coordination.connection.Offer
 import kingcuptide.coordination.connection.Outbound
 import kingcuptide.coordination.connection.QuarantineMessage
 import kingcuptide.coordination.connection.VersionMessage
+import kingcuptide.coordination.process.HostId
 import kingcuptide.coordination.process.Membership
 import kingcuptide.coordination.request.AdmissionGate
 import kingcuptide.coordination.request.SuspectTracker
@@ -91,12 +93,17 @@
     private fun dispatch(envelope: ControlEnvelope): List<Outbound> =
         when (val message = envelope.message) {
             is MembershipMessage -> decisions.membership.receive(envelope.from, message)
-            is VersionMessage -> decisions.versions.receive(envelope.from, message)
+            is VersionMessage -> receiveVersion(envelope.from, message)
             is ConvergenceMessage -> decisions.convergence.receive(envelope.from, message)
             is QuarantineMessage -> decisions.suspects.receive(envelope.from, message)
             is KeyMessage -> decisions.keys.receive(envelope.from, message)
         }
 
+    private fun receiveVersion(from: HostId, message: VersionMessage): List<Outbound> {
+        if (message is Offer) decisions.keys.noteOffer(from, message)
+        return decisions.versions.receive(from, message)
+    }
+
     private companion object {
         const val MAX_QUEUED_EVENTS = 4_096
         val TICK_INTERVAL = 50.milliseconds
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/Daemon.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/Daemon.kt
@@ -18,8 +18,11 @@
 import kingcuptide.coordination.request.Fingerprint
 import kingcuptide.coordination.request.GateSurroundings
 import kingcuptide.coordination.request.HomeRegions
+import kingcuptide.coordination.request.KeySettings
 import kingcuptide.coordination.request.Verdict
 import kingcuptide.coordination.request.admissionGate
+import kingcuptide.coordination.request.keyClaimer
+import kingcuptide.coordination.request.keyWitness
 import kingcuptide.coordination.request.suspectTracker
 import kingcuptide.coordination.request.targetChooser
 import kingcuptide.coordination.version.ConvergenceSettings
@@ -39,8 +42,8 @@
 import kingcuptide.daemon.request.EntryHandler
 import kingcuptide.daemon.request.EntrySurroundings
 import kingcuptide.daemon.request.GateHandler
+import kingcuptide.daemon.request.KeyGuard
 import kingcuptide.daemon.request.TargetClient
-import kingcuptide.daemon.request.UnguardedKeys
 import kingcuptide.daemon.version.HttpPlatform
 import kingcuptide.daemon.version.SourceCaller
 import kingcuptide.daemon.version.validDocument
@@ -106,11 +109,23 @@
             random.split(),
             counters = counters,
         )
-    private val keys = NoKeyDecisions
+    private val keySettings =
+        KeySettings(
+            resendWindow = settings.resendWindowMs.milliseconds,
+            maxDeadline = settings.maxKeyedDeadlineMs.milliseconds,
+        )
+    private val keys =
+        KeyDecisions(
+            membership,
+            versions,
+            keyClaimer(settings.host, firstIncarnation, clock, keySettings),
+            keyWitness(settings.host, clock, keySettings),
+        )
     private val decisions = ControlDecisions(membership, versions, convergence, suspects, keys, gate)
 
     private val target = TargetClient(settings.target, maxConnections = MAX_TARGET_CONNECTIONS)
-    private val gateHandler = GateHandler(settings.region, gate, target, UnguardedKeys, ::snapshot, clock, metrics)
+    private val gateHandler =
+        GateHandler(settings.region, gate, target, KeyGuard(keys) { transport.send(it) }, ::snapshot, clock, metrics)
     private val transport =
         ControlTransport(scope, selector, codec, settings.host, settings.region, peers, metrics) { loop.receive(it) }
     private val loop: ControlLoop = ControlLoop(controlScope, decisions, { transport.send(it) }, ::afterStep)
@@ -157,6 +172,11 @@
     private var appliedSnapshot: Snapshot? = null
     private var appliedHosts: HostList? = null
 
+    init {
+        watchDecisions(metrics, decisions)
+        metrics.watchValue("kingcuptide_entry_requests_in_flight") { entry.requestsInFlight }
+    }
+
     /** Binds all ports and starts to work; requests are refused until a configuration is in force. */
     suspend fun start() {
         transport.start(settings.ip, settings.peerPort)
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/DaemonMetrics.kt
@@ -2,6 +2,8 @@
 
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.DistributionSummary
+import io.micrometer.core.instrument.FunctionCounter
+import io.micrometer.core.instrument.Gauge
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kingcuptide.coordination.process.ResultCode
@@ -66,9 +68,14 @@
     /** Records the time that a request spent in this entry daemon and beyond. */
     fun requestTook(duration: Duration) = addedLatency.record(duration.toDouble(DurationUnit.MILLISECONDS))
 
-    /** Counts [amount] under [name], for the counters that decisions keep themselves. */
-    fun gauge(name: String, value: () -> Number) {
-        registry.gauge(name, this) { value().toDouble() }
+    /** Shows a counter that a decision keeps itself, under [name] with the label [label]. */
+    fun watchCount(name: String, label: String, value: String, count: () -> Number) {
+        FunctionCounter.builder(name, this) { count().toDouble() }.tag(label, value).register(registry)
+    }
+
+    /** Shows a value that may rise and fall. */
+    fun watchValue(name: String, value: () -> Number) {
+        Gauge.builder(name, this) { value().toDouble() }.register(registry)
     }
 
     /** Returns all metrics in the Prometheus text format. */
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/DaemonSettings.kt
@@ -24,6 +24,8 @@
     val drainMs: Long = 10_000,
     val leaveNoticeMs: Long = 1_000,
     val maxEntryRequests: Int = 512,
+    val resendWindowMs: Long = 120_000,
+    val maxKeyedDeadlineMs: Long = 30_000,
 )
 
 /** Where the target of this host listens. */
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/KeyDecisions.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/KeyDecisions.kt
@@ -1,19 +1,102 @@
 package kingcuptide.daemon.process
 
+import kingcuptide.coordination.connection.KeyClaim
+import kingcuptide.coordination.connection.KeyCompleted
+import kingcuptide.coordination.connection.KeyGrant
 import kingcuptide.coordination.connection.KeyMessage
+import kingcuptide.coordination.connection.KeyRefusal
+import kingcuptide.coordination.connection.KeyRelease
+import kingcuptide.coordination.connection.Offer
 import kingcuptide.coordination.connection.Outbound
+import kingcuptide.coordination.process.FleetView
 import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.process.HostList
+import kingcuptide.coordination.request.KeyClaimer
+import kingcuptide.coordination.request.KeyWitness
+import kingcuptide.coordination.request.WitnessView
+import kingcuptide.coordination.request.witnessView
+import kingcuptide.coordination.version.ResourceKind
+import kingcuptide.coordination.version.ResourceVersion
+import kingcuptide.coordination.version.Snapshot
+import kingcuptide.coordination.version.VersionCoordinator
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
-/** The decisions on idempotency keys that the control coroutine drives. */
-interface KeyDecisions {
-    fun receive(from: HostId, message: KeyMessage): List<Outbound>
+/**
+ * The two sides of idempotency keys in this daemon: the claimer of its gate, and the witness for other gates.
+ *
+ * Messages to this host itself are handled at once. [receive] may be called from any thread; the rest belongs to the
+ * control coroutine.
+ */
+class KeyDecisions(
+    private val fleet: FleetView,
+    private val versions: VersionCoordinator<Snapshot>,
+    val claimer: KeyClaimer,
+    val witness: KeyWitness,
+) {
+    private var view: WitnessView? = null
+    private var viewOf: ViewSource? = null
 
-    fun tick(): List<Outbound>
-}
+    /** Handles a message of the daemon on [from] and returns what to send. */
+    fun receive(from: HostId, message: KeyMessage): List<Outbound> =
+        deliver(
+            when (message) {
+                is KeyClaim, is KeyCompleted, is KeyRelease -> witness.receive(from, message)
+                is KeyGrant, is KeyRefusal -> claimer.receive(from, message)
+            },
+        )
+
+    /** Handles what is meant for this host itself, and returns the rest. */
+    fun deliver(outbound: List<Outbound>): List<Outbound> {
+        val (own, others) = outbound.partition { it.to == fleet.self.host }
+        return others + own.flatMap { receive(fleet.self.host, it.message as KeyMessage) }
+    }
+
+    /** Does what is due; confirms the view while the platform has confirmed it lately. */
+    fun tick(): List<Outbound> {
+        witness.tick()
+        refreshView()
+        if (ResourceKind.entries.all { isConfirmedBySource(it) }) view?.let(::confirm)
+        return deliver(claimer.tick())
+    }
+
+    /** Notes that a peer of another failure domain has the same versions in force, which confirms the view. */
+    fun noteOffer(from: HostId, offer: Offer) {
+        val domain = fleet.entry(from)?.failureDomain ?: return
+        if (domain == fleet.self.failureDomain) return
+        val offered = offer.offered.associate { it.kind to it.version }
+        if (ResourceKind.entries.all { offered[it] != null && offered[it] == versionInForce(it) }) view?.let(::confirm)
+    }
+
+    private fun isConfirmedBySource(kind: ResourceKind): Boolean =
+        (versions.confirmedAge(kind) ?: Duration.INFINITE) <= RECENT_CONFIRMATION
+
+    private fun versionInForce(kind: ResourceKind): ResourceVersion? =
+        when (kind) {
+            ResourceKind.DOCUMENT -> versions.document.current?.version
+            ResourceKind.HOST_LIST -> versions.hostList.current?.version
+        }
+
+    private fun refreshView() {
+        val snapshot = versions.document.current?.value ?: return
+        val hosts = versions.hostList.current?.value ?: return
+        val source = viewOf
+        if (source != null && source.snapshot === snapshot && source.hosts === hosts) return
+        val fresh = witnessView(hosts, snapshot.document.failureDomains)
+        viewOf = ViewSource(snapshot, hosts)
+        view = fresh
+        claimer.confirm(fresh)
+        confirm(fresh)
+    }
+
+    private fun confirm(confirmed: WitnessView) = witness.confirm(confirmed)
 
-/** Decides nothing. */
-object NoKeyDecisions : KeyDecisions {
-    override fun receive(from: HostId, message: KeyMessage): List<Outbound> = emptyList()
+    private class ViewSource(
+        val snapshot: Snapshot,
+        val hosts: HostList,
+    )
 
-    override fun tick(): List<Outbound> = emptyList()
+    private companion object {
+        val RECENT_CONFIRMATION = 3.seconds
+    }
 }
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryHandler.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryHandler.kt
@@ -28,6 +28,7 @@
 import kingcuptide.coordination.request.attemptOutcomeOf
 import kingcuptide.coordination.request.callLevelOf
 import kingcuptide.coordination.request.decideRetry
+import kingcuptide.coordination.request.keyHash
 import kingcuptide.coordination.request.retryBudget
 import kingcuptide.coordination.version.Snapshot
 import kingcuptide.daemon.connection.Attempt
@@ -143,7 +144,11 @@
             chooser.begin(host.host)
             var outcome = AttemptOutcome.ABANDONED
             var load = null as kingcuptide.coordination.connection.GateLoad?
-            val attempt = links.attempt(host, HeadDraft(served.head, served.deadline), served.body.pieces(this))
+            val attempt = links.attempt(
+                host,
+                HeadDraft(served.headOfAttempt(), served.deadline),
+                served.body.pieces(this),
+            )
             try {
                 when (val result = awaitResult(attempt, served.deadline)) {
                     is AttemptResult.Answered -> {
@@ -186,7 +191,9 @@
             pathAndQuery = request.pathAndQuery,
             headers = call.request.headers.endToEnd(),
             repeatable = request.repeatable,
-            keyHash = request.idempotencyKey?.takeUnless { request.repeatable }?.let { keyHashOf(request, it) },
+            keyHash = request.idempotencyKey?.takeUnless {
+                request.repeatable
+            }?.let { keyHash(request.tenant, request.routeId, it) },
             hasBody = body.isPresent,
         )
 
@@ -223,10 +230,19 @@
         val tried = ArrayList<HostId>(1)
         var last: EntryFailure? = null
 
+        /** A request whose last target died with it is announced as a suspect. */
+        fun headOfAttempt(): RequestHead = if (last?.code == ResultCode.TARGET_DIED) head.copy(suspect = true) else head
+
         fun lastOr(failure: EntryFailure): EntryFailure = last ?: failure
 
         fun choiceRequest(): ChoiceRequest =
-            ChoiceRequest(request.route.service, request.home, request.snapshot::isTakenOut, tried.toSet())
+            ChoiceRequest(
+                request.route.service,
+                request.slots,
+                request.home,
+                request.snapshot::isTakenOut,
+                tried.toSet(),
+            )
 
         fun retryState(now: Duration): RetryState =
             RetryState(
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryRequest.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryRequest.kt
@@ -15,6 +15,7 @@
 import kingcuptide.coordination.process.TenantId
 import kingcuptide.coordination.request.HomeRegionCheck
 import kingcuptide.coordination.request.HomeRegions
+import kingcuptide.coordination.request.MAX_IDEMPOTENCY_KEY_CHARS
 import kingcuptide.coordination.request.checkHomeRegion
 import kingcuptide.coordination.request.homeRegionsOf
 import kingcuptide.coordination.version.RouteMatch
@@ -28,6 +29,7 @@
     val snapshot: Snapshot,
     val routeId: RouteId,
     val route: RouteSpec,
+    val slots: Int,
     val tenant: TenantId?,
     val home: HomeRegions,
     val method: String,
@@ -70,6 +72,7 @@
             snapshot = snapshot,
             routeId = found.routeId,
             route = found.route,
+            slots = found.service.slots,
             tenant = tenant,
             home = home,
             method = method,
@@ -91,7 +94,7 @@
 private fun readKey(call: ApplicationCall): Result<String?, EntryRefusal> {
     val values = call.request.headers.getAll(KingcuptideHeaders.IDEMPOTENCY_KEY) ?: return Ok(null)
     val key = values.singleOrNull()?.trim()
-    if (key.isNullOrEmpty() || key.length > MAX_KEY_LENGTH) return refused(ResultCode.BAD_IDEMPOTENCY_KEY)
+    if (key.isNullOrEmpty() || key.length > MAX_IDEMPOTENCY_KEY_CHARS) return refused(ResultCode.BAD_IDEMPOTENCY_KEY)
     return Ok(key)
 }
 
@@ -106,5 +109,3 @@
     call.request.headers[HttpHeaders.TransferEncoding]?.contains("chunked", ignoreCase = true) == true
 
 private fun refused(code: ResultCode): Result<Nothing, EntryRefusal> = Err(EntryRefusal(code))
-
-private const val MAX_KEY_LENGTH = 256
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/GateHandler.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/GateHandler.kt
@@ -47,7 +47,14 @@
         if (checkHomeRegion(region, home) != HomeRegionCheck.Allowed) return refuse(exchange, ResultCode.WRONG_REGION)
         val body = exchange.body?.let { StartedBody(it, exchange) }
         val fingerprint = fingerprintOf(exchange.head, body?.first() ?: ByteArray(0), home)
-        val request = AdmissionRequest(exchange.head.route, home, exchange.deadline - clock.now(), fingerprint)
+        val request =
+            AdmissionRequest(
+                exchange.head.route,
+                home,
+                exchange.deadline - clock.now(),
+                fingerprint,
+                exchange.head.suspect,
+            )
         when (val admission = admit(request)) {
             is Admission.Admitted -> runAdmitted(exchange, home, admission.ticket, body)
             is Admission.Refused -> refuse(exchange, admission.code, admission.retryAfter)
@@ -81,30 +88,34 @@
             result = keys.guard(exchange.head, home, exchange.deadline) { runAtTarget(exchange, body) }
                 .getOrElse { refusal ->
                     refuse(exchange, refusal.code, refusal.retryAfter)
-                    TargetResult.Cancelled
-                }
+                    TargetRun(TargetResult.Cancelled, mayHaveRun = false)
+                }.result
         } finally {
             ticket.finish(result)
         }
     }
 
-    private suspend fun runAtTarget(exchange: GateExchange, body: StartedBody?): TargetResult {
+    private suspend fun runAtTarget(exchange: GateExchange, body: StartedBody?): TargetRun {
         exchange.beginForward().getOrElse {
             refuse(exchange, it)
-            return TargetResult.Cancelled
+            return TargetRun(TargetResult.Cancelled, mayHaveRun = false)
         }
         val sink = ExchangeSink(exchange)
         val failure =
             coroutineScope {
                 target.run(exchange.head, body?.pieces(this), exchange.deadline - clock.now(), sink)
             }
-        if (failure == null) return TargetResult.Answered(sink.status)
+        if (failure == null) return TargetRun(TargetResult.Answered(sink.status), mayHaveRun = true)
         if (failure.outcome == Outcome.NOT_RUN) exchange.forwardUnsent()
         refuse(exchange, failure.code)
-        return when (failure.code) {
-            ResultCode.TARGET_DOWN -> TargetResult.ConnectRefused
-            else -> TargetResult.ConnectionLost
+        val result = if (failure.code ==
+            ResultCode.TARGET_DOWN
+        ) {
+            TargetResult.ConnectRefused
+        } else {
+            TargetResult.ConnectionLost
         }
+        return TargetRun(result, mayHaveRun = failure.outcome != Outcome.NOT_RUN)
     }
 
     private fun refuse(exchange: GateExchange, code: ResultCode, retryAfter: Duration = Duration.ZERO) {
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/KeyGuard.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/KeyGuard.kt
@@ -1,36 +1,87 @@
 package kingcuptide.daemon.request
 
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import kingcuptide.coordination.connection.ClaimId
+import kingcuptide.coordination.connection.Outbound
 import kingcuptide.coordination.connection.RequestHead
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.request.HomeRegions
+import kingcuptide.coordination.request.KeyDecision
+import kingcuptide.coordination.request.KeyRequest
 import kingcuptide.coordination.request.TargetResult
+import kingcuptide.daemon.process.KeyDecisions
+import kotlinx.coroutines.CompletableDeferred
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Lets a request with an idempotency key run only while its key is claimed for it. */
-interface KeyGuard {
+class KeyGuard(
+    private val keys: KeyDecisions,
+    private val send: (List<Outbound>) -> Unit,
+) {
     /** Runs [run] if the key of [head] is granted, or if it needs no grant; otherwise says why not. */
     suspend fun guard(
         head: RequestHead,
         home: HomeRegions,
         deadline: Duration,
-        run: suspend () -> TargetResult,
-    ): Result<TargetResult, KeyRefusal>
+        run: suspend () -> TargetRun,
+    ): Result<TargetRun, KeyRefused> {
+        val keyHash = head.keyHash?.takeUnless { head.repeatable } ?: return Ok(run())
+        return when (val decision = claim(KeyRequest(keyHash, home.toRegions(), deadline))) {
+            is KeyDecision.Granted -> runClaimed(decision.claim, run)
+            is KeyDecision.Refused -> Err(KeyRefused(decision.code, decision.retryAfterMs.milliseconds))
+        }
+    }
+
+    private suspend fun claim(request: KeyRequest): KeyDecision {
+        val decided = CompletableDeferred<KeyDecision>()
+        forward(keys.claimer.start(request) { decided.complete(it) })
+        return decided.await()
+    }
+
+    private suspend fun runClaimed(claim: ClaimId, run: suspend () -> TargetRun): Result<TargetRun, KeyRefused> {
+        keys.claimer.begin(claim).getOrElse {
+            forward(keys.claimer.release(claim))
+            return Err(KeyRefused(it, Duration.ZERO))
+        }
+        var ended: TargetRun? = null
+        try {
+            ended = run()
+            return Ok(ended)
+        } finally {
+            end(claim, ended)
+        }
+    }
+
+    private fun end(claim: ClaimId, ended: TargetRun?) {
+        val result = ended?.result
+        when {
+            result is TargetResult.Answered -> forward(keys.claimer.complete(claim, result.status))
+            ended != null && !ended.mayHaveRun -> forward(keys.claimer.release(claim))
+            else -> keys.claimer.abandon(claim)
+        }
+    }
+
+    private fun forward(outbound: List<Outbound>) = send(keys.deliver(outbound))
 }
 
+/** How a run at the target ended; [mayHaveRun] is false only if surely no byte reached the target. */
+data class TargetRun(
+    val result: TargetResult,
+    val mayHaveRun: Boolean,
+)
+
 /** Why a request with a key must not run. */
-data class KeyRefusal(
+data class KeyRefused(
     val code: ResultCode,
     val retryAfter: Duration,
 )
 
-/** Grants everything. */
-object UnguardedKeys : KeyGuard {
-    override suspend fun guard(
-        head: RequestHead,
-        home: HomeRegions,
-        deadline: Duration,
-        run: suspend () -> TargetResult,
-    ): Result<TargetResult, KeyRefusal> = Ok(run())
-}
+private fun HomeRegions.toRegions() =
+    when (this) {
+        HomeRegions.Anywhere -> emptySet()
+        is HomeRegions.Only -> regions
+    }
--- a/standins/src/main/kotlin/kingcuptide/standins/demo/DemoCommand.kt
+++ b/standins/src/main/kotlin/kingcuptide/standins/demo/DemoCommand.kt
@@ -13,7 +13,7 @@
 
     override fun run() {
         val failure =
-            LocalFleet(demoFleet(), directory).use { fleet ->
+            LocalFleet(demoFleet(), directory, DEMO_OPTIONS).use { fleet ->
                 runCatching { DemoSteps(fleet) { echo(it) }.runAll() }.exceptionOrNull()
             }
         if (failure == null) return echo("demo: ok")
--- a/standins/src/main/kotlin/kingcuptide/standins/demo/DemoFleet.kt
+++ b/standins/src/main/kotlin/kingcuptide/standins/demo/DemoFleet.kt
@@ -5,18 +5,18 @@
 import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.version.ConfigDocument
-import kingcuptide.coordination.version.FleetLimits
 import kingcuptide.coordination.version.RouteSpec
 import kingcuptide.coordination.version.ServiceSpec
 import kingcuptide.standins.fleet.DomainShape
 import kingcuptide.standins.fleet.FleetShape
+import kingcuptide.standins.fleet.LocalFleetOptions
 import kingcuptide.standins.fleet.fleetShape
 
 internal val DEMO_SERVICES = listOf(ServiceId("parcels"), ServiceId("rounds"))
 internal val DEMO_DOMAINS = listOf(FailureDomainId("north-1"), FailureDomainId("north-2"), FailureDomainId("south-1"))
 
-/** Time for which the demo's keys are remembered; short, since a fresh fleet grants keys only after it. */
-internal const val DEMO_RESEND_WINDOW_MS = 5_000L
+/** Keys of the demo are remembered for a short time, since a fresh fleet grants keys only after it. */
+internal val DEMO_OPTIONS = LocalFleetOptions(resendWindowMs = 1_000, maxKeyedDeadlineMs = 1_000)
 
 /** Six hosts in three failure domains of two regions. */
 internal fun demoFleet(): FleetShape =
@@ -36,8 +36,7 @@
     return ConfigDocument(
         version = 1,
         services = DEMO_SERVICES.associateWith { spec },
-        routes = DEMO_SERVICES.associate { RouteId(it.value) to RouteSpec(it, "/$it") },
-        limits = FleetLimits(resendWindowMs = DEMO_RESEND_WINDOW_MS),
+        routes = DEMO_SERVICES.associate { RouteId(it.value) to RouteSpec(it, "/$it", timeoutMs = 1_000) },
     )
 }
 
--- a/standins/src/main/kotlin/kingcuptide/standins/demo/DemoSteps.kt
+++ b/standins/src/main/kotlin/kingcuptide/standins/demo/DemoSteps.kt
@@ -96,7 +96,6 @@
 
     private fun runOnce() {
         val key = "demo-visit-1"
-        pause(DEMO_RESEND_WINDOW_MS.milliseconds)
         var first = postWithKey(hosts[0], key)
         fleet.await("a grant for the key") {
             if (first != OK) first = postWithKey(hosts[0], key)
--- a/standins/src/main/kotlin/kingcuptide/standins/fleet/LocalFleet.kt
+++ b/standins/src/main/kotlin/kingcuptide/standins/fleet/LocalFleet.kt
@@ -21,6 +21,8 @@
     val standInFlags: List<String> = listOf("-Xmx96m", "-XX:+UseSerialGC"),
     val drainMs: Long = 5_000,
     val seedCount: Int = 4,
+    val resendWindowMs: Long = 120_000,
+    val maxKeyedDeadlineMs: Long = 30_000,
 )
 
 /** Flags of a daemon in a slot of 64 MB. */
@@ -163,6 +165,7 @@
               "target": { "ip": "${host.ip}", "port": $TARGET_PORT },
               "platform": { "url": "http://${shape.platformIp}:$PLATFORM_PORT", "region": "${shape.platformRegion}" },
               "drainMs": ${options.drainMs},
+              "resendWindowMs": ${options.resendWindowMs}, "maxKeyedDeadlineMs": ${options.maxKeyedDeadlineMs},
               "seeds": [
                 $seeds
               ],
