Test documents, refuse deep nesting and repeated keys

Cause: half a megabyte of opening brackets made the JSON parser exhaust the stack, and of two entries with one key it kept the last without a word, so that a route could be lost. Both came from tests that were written first and failed: the first with StackOverflowError, the second with no fault found. A scan over the text before parsing now refuses both. Ruled out: a custom deserializer, since the generated ones of nested classes keep the last field as well.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ContentEntries.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ContentEntries.kt
@@ -46,7 +46,7 @@
         faults + unread.map { DocumentFault(ResultCode.DOCUMENT_UNKNOWN_FIELD, it, "unknown entry") }
 
     private fun <T> decode(key: String, text: String, serializer: KSerializer<T>): T? =
-        parseJson(text).flatMap { decodeStrictly(it, serializer, key) }.getOrElse {
+        parseJson(text, key).flatMap { decodeStrictly(it, serializer, key) }.getOrElse {
             faults += it
             null
         }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ReadDocument.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ReadDocument.kt
@@ -36,10 +36,18 @@
     return parseJson(text).flatMap { decodeStrictly(it, serializer) }
 }
 
-internal fun parseJson(text: String): Result<JsonElement, List<DocumentFault>> = try {
-    Ok(Json.parseToJsonElement(text))
-} catch (fault: SerializationException) {
-    refuse(ResultCode.DOCUMENT_UNREADABLE, firstLine(fault))
+/** Parses [text], which stands at [path]; nesting beyond [MAX_DEPTH] and keys that stand twice are refused. */
+internal fun parseJson(text: String, path: String = ""): Result<JsonElement, List<DocumentFault>> {
+    val scan = JsonScan(text, MAX_DEPTH).run()
+    if (scan.isTooDeep) return refuse(ResultCode.DOCUMENT_UNREADABLE, "nested more than $MAX_DEPTH deep", path)
+    val parsed =
+        try {
+            Json.parseToJsonElement(text)
+        } catch (fault: SerializationException) {
+            return refuse(ResultCode.DOCUMENT_UNREADABLE, firstLine(fault), path)
+        }
+    if (scan.repeatedKeys.isEmpty()) return Ok(parsed)
+    return Err(scan.repeatedKeys.map { DocumentFault(ResultCode.DOCUMENT_UNREADABLE, it, "stands twice") })
 }
 
 /** Decodes [element] if it has exactly the shape that [serializer] expects, else returns every difference. */
@@ -71,4 +79,6 @@
 internal fun refuse(code: ResultCode, reason: String, path: String = ""): Result<Nothing, List<DocumentFault>> =
     Err(listOf(DocumentFault(code, path, reason)))
 
+private const val MAX_DEPTH = 16
+
 private fun firstLine(fault: Exception): String = fault.message.orEmpty().lineSequence().first()
