Check settings whole: every fault with file, key or line, and code

Shape faults, ranges and combinations that can't hold together (ports that collide, seeds that contradict each other) are all named in one run. logLevel sets the least severe events that are logged.

--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/DaemonSettings.kt
@@ -4,6 +4,7 @@
 import kingcuptide.coordination.process.HostId
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.ServiceId
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** Everything that a daemon is told at its start. A restarted daemon knows nothing else. */
@@ -24,8 +25,22 @@
     val drainMs: Long = 10_000,
     val leaveNoticeMs: Long = 1_000,
     val maxEntryRequests: Int = 512,
+    val logLevel: LogLevel = LogLevel.INFO,
 )
 
+/** The least severe events that are logged. */
+@Serializable
+enum class LogLevel {
+    @SerialName("debug")
+    DEBUG,
+
+    @SerialName("info")
+    INFO,
+
+    @SerialName("warn")
+    WARN,
+}
+
 /** Where the target of this host listens. */
 @Serializable
 data class TargetSettings(
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/Main.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/Main.kt
@@ -37,6 +37,7 @@
     }
 
     private fun serve(settings: DaemonSettings) {
+        setLogLevel(settings.logLevel)
         val startedAt = Clock.systemUTC().millis()
         val daemon = Daemon(
             settings,
--- /dev/null
+++ b/daemon/src/test/kotlin/kingcuptide/daemon/process/SettingsReaderTest.kt
@@ -0,0 +1,139 @@
+package kingcuptide.daemon.process
+
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.unwrap
+import kingcuptide.coordination.process.ResultCode
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.isEqualTo
+
+class SettingsReaderTest {
+    @Nested
+    inner class `Given settings that fit` {
+        @Test
+        fun `when they are read with comments and closing commas, then every value arrives`() {
+            val settings = readSettings(VALID, "a.json").unwrap()
+            expectThat(settings.host.value).isEqualTo("a")
+            expectThat(settings.platform.maxCallsPerSecond).isEqualTo(1.5)
+            expectThat(settings.logLevel).isEqualTo(LogLevel.WARN)
+            expectThat(settings.seeds.map { it.host.value }).isEqualTo(listOf("b"))
+        }
+    }
+
+    @Nested
+    inner class `Given a text that is no settings` {
+        @Test
+        fun `when it can not be parsed, then the line is named`() {
+            val broken = VALID.replace("\"httpPort\": 8001", "\"httpPort\" 8001")
+            val fault = readSettings(broken, "a.json").getError().orEmpty().single()
+            expectThat(fault.code).isEqualTo(ResultCode.SETTINGS_UNREADABLE)
+            expectThat(fault.file).isEqualTo("a.json")
+            expectThat(fault.path).isEqualTo("line 3")
+        }
+
+        @Test
+        fun `when keys are unknown, missing or of another type, then each is named`() {
+            val broken =
+                VALID
+                    .replace("\"peerPort\": 7001, ", "")
+                    .replace("\"drainMs\": 5000", "\"drainSeconds\": 5")
+                    .replace("\"joinWaitMs\": 100", "\"joinWaitMs\": \"100ms\"")
+                    .replace("\"httpPort\": 8001", "\"httpPort\": 99999999999")
+                    .replace("\"logLevel\": \"warn\"", "\"logLevel\": \"loud\"")
+            expectThat(faultsOf(broken)).containsExactlyInAnyOrder(
+                ResultCode.SETTINGS_MISSING to "peerPort",
+                ResultCode.SETTINGS_UNKNOWN_KEY to "drainSeconds",
+                ResultCode.SETTINGS_UNREADABLE to "joinWaitMs",
+                ResultCode.SETTINGS_VALUE_OUT_OF_RANGE to "httpPort",
+                ResultCode.SETTINGS_UNREADABLE to "logLevel",
+            )
+        }
+
+        @Test
+        fun `when a time carries a unit, then the reason names the right one`() {
+            val broken = VALID.replace("\"drainMs\": 5000", "\"drainMs\": \"5s\"")
+            expectThat(readSettings(broken, "a.json").getError().orEmpty().single().reason)
+                .isEqualTo("expected a whole number, found \"5s\"; the unit is milliseconds")
+        }
+    }
+
+    @Nested
+    inner class `Given values out of range` {
+        @Test
+        fun `when they are read, then each is named`() {
+            val broken =
+                VALID
+                    .replace("\"ip\": \"10.0.0.1\", \"httpPort\": 8001", "\"ip\": \"0.0.0.0\", \"httpPort\": 0")
+                    .replace("\"port\": 9001", "\"port\": 65536")
+                    .replace("http://10.0.0.9:8500", "10.0.0.9:8500")
+                    .replace("1.5", "0")
+                    .replace("\"healthPath\": \"/health\"", "\"healthPath\": \"health\"")
+                    .replace("\"ip\": \"10.0.0.2\"", "\"ip\": \"b.example.org\"")
+                    .replace("\"drainMs\": 5000", "\"drainMs\": -1")
+            expectThat(faultsOf(broken)).containsExactlyInAnyOrder(
+                outOfRange("ip"),
+                outOfRange("httpPort"),
+                outOfRange("target.port"),
+                outOfRange("target.healthPath"),
+                outOfRange("platform.url"),
+                outOfRange("platform.maxCallsPerSecond"),
+                outOfRange("drainMs"),
+                outOfRange("seeds[0].ip"),
+            )
+        }
+
+        private fun outOfRange(path: String) = ResultCode.SETTINGS_VALUE_OUT_OF_RANGE to path
+    }
+
+    @Nested
+    inner class `Given values that can not hold together` {
+        @Test
+        fun `when ports collide, then each is named`() {
+            val broken =
+                VALID
+                    .replace("\"adminPort\": 9901", "\"adminPort\": 8001")
+                    .replace("\"port\": 9001", "\"port\": 7001")
+            expectThat(faultsOf(broken)).containsExactlyInAnyOrder(conflict("adminPort"), conflict("target.port"))
+        }
+
+        @Test
+        fun `when seeds contradict the daemon or each other, then each is named`() {
+            val seeds =
+                """
+                {"host": "a", "ip": "10.0.0.5", "peerPort": 1, "failureDomain": "f2", "region": "north"},
+                {"host": "c", "ip": "10.0.0.1", "peerPort": 7001, "failureDomain": "f2", "region": "north"},
+                {"host": "d", "ip": "10.0.0.6", "peerPort": 1, "failureDomain": "f1", "region": "south"},
+                """
+            expectThat(faultsOf(VALID.replace("\"seeds\": [", "\"seeds\": [$seeds"))).containsExactlyInAnyOrder(
+                conflict("seeds[0].host"),
+                conflict("seeds[1].ip"),
+                conflict("seeds[2].region"),
+            )
+        }
+
+        private fun conflict(path: String) = ResultCode.SETTINGS_CONFLICT to path
+    }
+
+    private fun faultsOf(text: String): List<Pair<ResultCode, String>> =
+        readSettings(text, "a.json").getError().orEmpty().map { it.code to it.path }
+
+    private companion object {
+        val VALID =
+            """
+            { // who this is
+              "host": "a", "peerPort": 7001, "adminPort": 9901,
+              "ip": "10.0.0.1", "httpPort": 8001,
+              "failureDomain": "f1", "region": "north", "service": "parcels",
+              /* the target beside it */
+              "target": {"ip": "10.0.0.1", "port": 9001, "healthPath": "/health"},
+              "platform": {"url": "http://10.0.0.9:8500", "region": "north", "maxCallsPerSecond": 1.5},
+              "joinWaitMs": 100, "drainMs": 5000, "logLevel": "warn",
+              "seeds": [
+                {"host": "b", "ip": "10.0.0.2", "peerPort": 7001, "failureDomain": "f2", "region": "north"},
+              ],
+            }
+            """.trimIndent()
+    }
+}
