--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/Snapshot.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/Snapshot.kt
@@ -4,7 +4,6 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import kingcuptide.coordination.process.FailureDomainId
-import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.process.TenantId
 
 /**
@@ -30,25 +29,8 @@
     /** Returns the tenant, or null if the document does not have it. */
     public fun tenant(id: TenantId): TenantSpec? = document.tenants[id]
 
-    /**
-     * Returns where a request of [tenant] on [route] may be: the regions that both allow.
-     *
-     * Either one alone restricts if the other does not. The result is nowhere if they exclude each other, and for a
-     * route or tenant that the document does not have.
-     */
-    public fun homeRegions(route: RouteId, tenant: TenantId?): HomeRegions {
-        val routeHome = document.routes[route]?.let { homeRegionsOf(it.homeRegions) } ?: return NOWHERE
-        if (tenant == null) return routeHome
-        val tenantHome = document.tenants[tenant]?.let { homeRegionsOf(it.homeRegions) } ?: return NOWHERE
-        return routeHome.intersect(tenantHome)
-    }
-
     /** Whether operators have taken out [failureDomain]. */
     public fun isTakenOut(failureDomain: FailureDomainId): Boolean = failureDomain in document.takenOutFailureDomains
-
-    private companion object {
-        val NOWHERE = HomeRegions.Only(emptySet())
-    }
 }
 
 /** Builds the snapshot of [document], or returns its faults: a snapshot with a broken reference does not exist. */
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ValidateHostList.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ValidateHostList.kt
@@ -2,6 +2,7 @@
 
 import kingcuptide.coordination.process.HostEntry
 import kingcuptide.coordination.process.HostList
+import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.isIpAddress
 
@@ -51,9 +52,9 @@
     }
 
 private fun tenantWarnings(document: ConfigDocument, targets: LiveTargets): List<DocumentFault> {
-    val unservedByHome = mutableMapOf<HomeRegions, List<String>>()
+    val unservedByHome = mutableMapOf<Set<RegionId>, List<String>>()
     return document.tenants.mapNotNull { (id, tenant) ->
-        val home = homeRegionsOf(tenant.homeRegions)
+        val home = tenant.homeRegions
         val unserved = unservedByHome.getOrPut(home) { unservedRoutes(document, home, targets) }
         if (unserved.isEmpty()) return@mapNotNull null
         noTarget("tenants.$id.homeRegions", "no live target in the home regions for routes ${unserved.joinToString()}")
@@ -61,12 +62,12 @@
 }
 
 /** Routes that a tenant with [home] could use if only there were a target in the regions that both allow. */
-private fun unservedRoutes(document: ConfigDocument, home: HomeRegions, targets: LiveTargets): List<String> {
-    if (home is HomeRegions.Anywhere) return emptyList()
+private fun unservedRoutes(document: ConfigDocument, home: Set<RegionId>, targets: LiveTargets): List<String> {
+    if (home.isEmpty()) return emptyList()
     return document.routes
         .filterValues { route ->
-            val allowed = home.intersect(homeRegionsOf(route.homeRegions))
-            !allowed.isNowhere && targets.regionsOf(route.service).none { allowed.allows(it) }
+            val allowed = if (route.homeRegions.isEmpty()) home else home intersect route.homeRegions
+            allowed.isNotEmpty() && targets.regionsOf(route.service).none { it in allowed }
         }.keys
         .map { it.value }
 }
--- /dev/null
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/HomeRegionsTest.kt
@@ -0,0 +1,68 @@
+package kingcuptide.coordination.request
+
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.version.ConfigDocument
+import kingcuptide.coordination.version.RouteSpec
+import kingcuptide.coordination.version.TenantSpec
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+
+internal class HomeRegionsTest {
+    private val north = RegionId("north")
+    private val south = RegionId("south")
+    private val anywhere = RouteSpec(ServiceId("parcels"), "/parcels")
+    private val northern = anywhere.copy(homeRegions = setOf(north))
+    private val document =
+        ConfigDocument(
+            version = 1,
+            tenants =
+                mapOf(
+                    TenantId("farm") to TenantSpec(),
+                    TenantId("both") to TenantSpec(setOf(north, south)),
+                    TenantId("southern") to TenantSpec(setOf(south)),
+                ),
+        )
+
+    @Nested
+    inner class `Given a route and a tenant` {
+        @Test
+        fun `when one of them is restricted, then it alone decides`() {
+            expectThat(home(northern, null)).isEqualTo(HomeRegions.Only(setOf(north)))
+            expectThat(home(northern, "farm")).isEqualTo(HomeRegions.Only(setOf(north)))
+            expectThat(home(anywhere, "southern")).isEqualTo(HomeRegions.Only(setOf(south)))
+        }
+
+        @Test
+        fun `when neither is restricted, then anywhere is allowed`() {
+            expectThat(home(anywhere, "farm")).isEqualTo(HomeRegions.Anywhere)
+            expectThat(south in home(anywhere, null)).isTrue()
+        }
+
+        @Test
+        fun `when both are restricted, then only what both allow is left`() {
+            expectThat(home(northern, "both")).isEqualTo(HomeRegions.Only(setOf(north)))
+            expectThat(checkHomeRegion(south, home(northern, "both")))
+                .isEqualTo(HomeRegionCheck.Elsewhere(listOf(north)))
+        }
+
+        @Test
+        fun `when they exclude each other, then nowhere is allowed`() {
+            expectThat(checkHomeRegion(north, home(northern, "southern"))).isEqualTo(HomeRegionCheck.Nowhere)
+            expectThat(south in home(northern, "southern")).isFalse()
+        }
+
+        @Test
+        fun `when the tenant is unknown, then nowhere is allowed`() {
+            expectThat(checkHomeRegion(north, home(anywhere, "nobody"))).isEqualTo(HomeRegionCheck.Nowhere)
+        }
+    }
+
+    private fun home(route: RouteSpec, tenant: String?): HomeRegions =
+        homeRegionsOf(route, tenant?.let(::TenantId), document)
+}
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/SnapshotTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/SnapshotTest.kt
@@ -107,38 +107,6 @@
         }
     }
 
-    @Nested
-    inner class `Given a route and a tenant` {
-        private val book = RouteId("book")
-        private val lookup = RouteId("lookup")
-
-        @Test
-        fun `when one of them is restricted, then it alone decides`() {
-            expectThat(snapshot.homeRegions(book, null)).isEqualTo(HomeRegions.Only(setOf(NORTH)))
-            expectThat(snapshot.homeRegions(book, TenantId("farm"))).isEqualTo(HomeRegions.Only(setOf(NORTH)))
-            expectThat(snapshot.homeRegions(lookup, TenantId("south-farm"))).isEqualTo(HomeRegions.Only(setOf(SOUTH)))
-        }
-
-        @Test
-        fun `when neither is restricted, then anywhere is allowed`() {
-            expectThat(snapshot.homeRegions(lookup, TenantId("farm"))).isEqualTo(HomeRegions.Anywhere)
-            expectThat(snapshot.homeRegions(lookup, null).allows(SOUTH)).isTrue()
-        }
-
-        @Test
-        fun `when they exclude each other, then nowhere is allowed`() {
-            val home = snapshot.homeRegions(book, TenantId("south-farm"))
-            expectThat(home.isNowhere).isTrue()
-            expectThat(home.allows(NORTH) || home.allows(SOUTH)).isFalse()
-        }
-
-        @Test
-        fun `when either is unknown, then nowhere is allowed`() {
-            expectThat(snapshot.homeRegions(lookup, TenantId("nobody")).isNowhere).isTrue()
-            expectThat(snapshot.homeRegions(RouteId("none"), null).isNowhere).isTrue()
-        }
-    }
-
     @Nested
     inner class `Given a document` {
         @Test
