Add the operator command: check, status, wait and explain

Every command has documented exit codes and a JSON form; a daemon that gives no usable answer is one coded line, no stack trace. Found while testing: the command-line library takes a path with a query for an option, so that explain treats unknown options as arguments; a mistyped one still fails as one argument too many.

--- /dev/null
+++ b/cli/src/main/kotlin/kingcuptide/cli/DaemonClient.kt
@@ -0,0 +1,89 @@
+package kingcuptide.cli
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.request.get
+import io.ktor.client.request.parameter
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpStatusCode
+import kingcuptide.coordination.process.ExplainReport
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.process.StatusReport
+import kotlinx.coroutines.CancellationException
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlin.time.Duration.Companion.seconds
+
+/** Why a daemon gave no usable answer. */
+internal data class DaemonFailure(
+    val code: ResultCode,
+    val reason: String,
+)
+
+/** Asks the admin endpoint of the daemon at [baseUrl]. */
+internal class DaemonClient(
+    private val baseUrl: String,
+) : AutoCloseable {
+    private val http =
+        HttpClient(CIO) {
+            expectSuccess = false
+            install(HttpTimeout) {
+                connectTimeoutMillis = CONNECT_TIMEOUT.inWholeMilliseconds
+                requestTimeoutMillis = REQUEST_TIMEOUT.inWholeMilliseconds
+            }
+        }
+
+    /** Asks which version is in force where. */
+    suspend fun status(): Result<StatusReport, DaemonFailure> =
+        ask("/v1/status", emptyMap()).flatMap { decode(it, StatusReport.serializer()) }
+
+    /** Asks where a request could go. */
+    suspend fun explain(method: String, path: String, tenant: String?): Result<ExplainReport, DaemonFailure> {
+        val parameters = mapOf("method" to method, "path" to path, "tenant" to tenant)
+        return ask("/v1/explain", parameters).flatMap { decode(it, ExplainReport.serializer()) }
+    }
+
+    override fun close() = http.close()
+
+    private suspend fun ask(path: String, parameters: Map<String, String?>): Result<String, DaemonFailure> =
+        try {
+            val response =
+                http.get(baseUrl.trimEnd('/') + path) {
+                    parameters.forEach { (name, value) -> value?.let { parameter(name, it) } }
+                }
+            val body = response.bodyAsText()
+            when (response.status) {
+                HttpStatusCode.OK -> Ok(body)
+                HttpStatusCode.ServiceUnavailable -> Err(DaemonFailure(ResultCode.STATUS_QUERIES_FULL, body.trim()))
+                else -> unreadable("it answered ${response.status.value}")
+            }
+        } catch (exception: CancellationException) {
+            throw exception
+        } catch (exception: Exception) {
+            Err(DaemonFailure(ResultCode.DAEMON_UNREACHABLE, exception.message ?: exception.javaClass.simpleName))
+        }
+
+    private fun <T> decode(text: String, serializer: KSerializer<T>): Result<T, DaemonFailure> =
+        try {
+            Ok(ANSWER_JSON.decodeFromString(serializer, text))
+        } catch (_: SerializationException) {
+            unreadable("its answer is no report that this command can read")
+        }
+
+    private fun unreadable(reason: String): Result<Nothing, DaemonFailure> =
+        Err(DaemonFailure(ResultCode.DAEMON_ANSWER_UNREADABLE, reason))
+
+    private companion object {
+        val CONNECT_TIMEOUT = 2.seconds
+        val REQUEST_TIMEOUT = 10.seconds
+
+        /** A daemon of a later release may report more. */
+        val ANSWER_JSON = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/kingcuptide/cli/KingcuptideCommand.kt
@@ -0,0 +1,30 @@
+package kingcuptide.cli
+
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.NoOpCliktCommand
+import com.github.ajalt.clikt.core.subcommands
+import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.process.systemClock
+import kotlinx.coroutines.delay
+import kotlin.time.Duration
+
+/** The command of operators. It only reads; the document of the console is what changes the fleet. */
+internal class KingcuptideCommand : NoOpCliktCommand(name = "kingcuptide") {
+    override fun help(context: Context): String = "Checks documents and shows what the fleet has in force."
+
+    override fun helpEpilog(context: Context): String =
+        "Exit codes: 0 as asked for; 1 wrong use; 2 document refused, or no host could take the request; " +
+            "3 no usable answer from the daemon; 4 waiting timed out."
+}
+
+/** Creates the command with its subcommands. [clock] and [pause] drive only `wait`. */
+internal fun kingcuptideCommand(
+    clock: Clock = systemClock(),
+    pause: suspend (Duration) -> Unit = { delay(it) },
+): KingcuptideCommand =
+    KingcuptideCommand().subcommands(
+        CheckCommand(),
+        StatusCommand(),
+        WaitCommand(clock, pause),
+        ExplainCommand(),
+    )
--- /dev/null
+++ b/cli/src/test/kotlin/kingcuptide/cli/CheckCommandTest.kt
@@ -0,0 +1,93 @@
+package kingcuptide.cli
+
+import com.github.ajalt.clikt.testing.CliktCommandTestResult
+import com.github.ajalt.clikt.testing.test
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import java.nio.file.Path
+import kotlin.io.path.writeText
+
+class CheckCommandTest {
+    @TempDir
+    lateinit var directory: Path
+
+    @Nested
+    inner class `Given a document without faults` {
+        @Test
+        fun `when it is checked, then the command ends with 0`() {
+            val result = check(DOCUMENT)
+            expectThat(result.output).isEqualTo("version 3 may come into force: 0 errors, 0 warnings\n")
+            expectThat(result.statusCode).isEqualTo(0)
+        }
+
+        @Test
+        fun `when the host list has no target for a home region, then that is a warning`() {
+            val result = check(DOCUMENT, "{\"revision\": 1, \"hosts\": []}")
+            expectThat(result.output).contains("warning").contains("409").contains("routes.book.homeRegions")
+            expectThat(result.statusCode).isEqualTo(0)
+        }
+    }
+
+    @Nested
+    inner class `Given a document with faults` {
+        private val broken = DOCUMENT.replace("\"slots\": 10", "\"slots\": 0").replace("[\"north\"]", "[\"west\"]")
+
+        @Test
+        fun `when it is checked, then all are named with code and path and it ends with 2`() {
+            val result = check(broken)
+            expectThat(result.output).contains("404").contains("services.parcels.slots")
+            expectThat(result.output).contains("403").contains("routes.book.homeRegions")
+            expectThat(result.output).contains("version 3 is refused: 2 errors, 0 warnings")
+            expectThat(result.statusCode).isEqualTo(2)
+        }
+
+        @Test
+        fun `when JSON is asked for, then it can be read back`() {
+            val result = check(broken, options = "--json")
+            val report = OUTPUT_JSON.decodeFromString(CheckReport.serializer(), result.stdout)
+            expectThat(report.findings.map { it.code to it.path }).isEqualTo(
+                listOf(404 to "services.parcels.slots", 403 to "routes.book.homeRegions"),
+            )
+            expectThat(result.statusCode).isEqualTo(2)
+        }
+
+        @Test
+        fun `when it is too large, then the command ends with 2`() {
+            val result = check(DOCUMENT.padEnd(1_100_000))
+            expectThat(result.output).contains("401")
+            expectThat(result.statusCode).isEqualTo(2)
+        }
+    }
+
+    @Nested
+    inner class `Given no document` {
+        @Test
+        fun `when a file that is not there is checked, then it ends with 1`() {
+            val result = kingcuptideCommand().test(listOf("check", directory.resolve("none.json").toString()))
+            expectThat(result.statusCode).isEqualTo(1)
+        }
+    }
+
+    private fun check(document: String, hosts: String? = null, options: String? = null): CliktCommandTestResult {
+        val file = directory.resolve("document.json").also { it.writeText(document) }
+        val hostsFile = hosts?.let { text -> directory.resolve("hosts.json").also { it.writeText(text) } }
+        val hostsOption = hostsFile?.let { listOf("--hosts", "$it") }.orEmpty()
+        return kingcuptideCommand().test(listOf("check", "$file") + hostsOption + listOfNotNull(options))
+    }
+
+    private companion object {
+        val DOCUMENT =
+            """
+            {
+              "version": 3,
+              "failureDomains": {"n1": {"region": "north"}},
+              "services": {"parcels": {"slots": 10, "maxConnections": 100}},
+              "routes": {"book": {"service": "parcels", "pathPrefix": "/book", "homeRegions": ["north"]}}
+            }
+            """.trimIndent()
+    }
+}
--- /dev/null
+++ b/cli/src/test/kotlin/kingcuptide/cli/DaemonCommandsTest.kt
@@ -0,0 +1,212 @@
+package kingcuptide.cli
+
+import com.github.ajalt.clikt.testing.CliktCommandTestResult
+import com.github.ajalt.clikt.testing.test
+import io.ktor.http.HttpStatusCode
+import kingcuptide.coordination.process.CandidateStateReport
+import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.process.ExplainReport
+import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.process.Liveness
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.process.RouteId
+import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.process.StatusReport
+import kingcuptide.coordination.process.toReportedCode
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import java.net.InetAddress
+import java.net.ServerSocket
+import kotlin.time.Duration
+
+class DaemonCommandsTest {
+    @Nested
+    inner class `Given a daemon that answers status` {
+        @Test
+        fun `when status is asked for, then counts and laggards are shown`() {
+            val result = run(listOf("status"), sampleStatus(newer = 1, unreachable = 1).toAnswer())
+            expectThat(result.statusCode).isEqualTo(0)
+            expectThat(result.stdout)
+                .contains("version 8 is in force on 1 of 3 hosts")
+                .contains("late-0  n1              7        1200 ms")
+                .contains("unreachable: 1, among them gone-0")
+        }
+
+        @Test
+        fun `when JSON is asked for, then it is the report`() {
+            val status = sampleStatus(newer = 2)
+            val result = run(listOf("status", "--json"), status.toAnswer())
+            expectThat(OUTPUT_JSON.decodeFromString(StatusReport.serializer(), result.stdout)).isEqualTo(status)
+        }
+
+        @Test
+        fun `when the report has fields of a later release, then it is still read`() {
+            val answer = Answer(sampleStatus(newer = 3).toAnswer().body.replaceFirst("{", "{\"later\": 1, "))
+            expectThat(run(listOf("status"), answer).statusCode).isEqualTo(0)
+        }
+    }
+
+    @Nested
+    inner class `Given a command that waits` {
+        @Test
+        fun `when the version arrives everywhere, then it ends with 0`() {
+            val answers = listOf(0, 1, 3).map { sampleStatus(it).toAnswer() }.toTypedArray()
+            val result = run(listOf("wait", "--version", "8"), *answers)
+            expectThat(result.stdout).contains("version 8 or later is in force on 3 of 3 hosts")
+            expectThat(result.statusCode).isEqualTo(0)
+        }
+
+        @Test
+        fun `when only later versions are in force, then it ends with 0`() {
+            expectThat(
+                run(listOf("wait", "--version", "7"), sampleStatus(newer = 1).toAnswer()).statusCode,
+            ).isEqualTo(0)
+        }
+
+        @Test
+        fun `when a host stays behind, then it times out with 4`() {
+            val result = run(listOf("wait", "--version", "8", "--timeout", "3s"), sampleStatus(newer = 2).toAnswer())
+            expectThat(result.stderr).contains("code=606")
+            expectThat(result.statusCode).isEqualTo(4)
+        }
+
+        @Test
+        fun `when a host is unreachable, then only the option lets it end`() {
+            val answer = sampleStatus(newer = 2, unreachable = 1).toAnswer()
+            val wait = listOf("wait", "--version", "8", "--timeout", "1s")
+            expectThat(run(wait, answer).statusCode).isEqualTo(4)
+            expectThat(run(wait + "--ignore-unreachable", answer).statusCode).isEqualTo(0)
+        }
+
+        @Test
+        fun `when nobody answered but the daemon, then the option does not end it`() {
+            val answer = sampleStatus(newer = 0, unreachable = 3).toAnswer()
+            val wait = listOf("wait", "--version", "8", "--timeout", "1s", "--ignore-unreachable")
+            expectThat(run(wait, answer).statusCode).isEqualTo(4)
+        }
+
+        @Test
+        fun `when the daemon fails for a while, then it goes on`() {
+            val failure = Answer("later\n", HttpStatusCode.ServiceUnavailable)
+            val result =
+                run(listOf("wait", "--version", "8"), sampleStatus(0).toAnswer(), failure, sampleStatus(3).toAnswer())
+            expectThat(result.statusCode).isEqualTo(0)
+        }
+
+        @Test
+        fun `when the duration is none, then it ends with 1`() {
+            val result = run(listOf("wait", "--version", "8", "--timeout", "soon"), sampleStatus(3).toAnswer())
+            expectThat(result.statusCode).isEqualTo(1)
+        }
+    }
+
+    @Nested
+    inner class `Given a daemon that explains` {
+        @Test
+        fun `when a host could take the request, then it ends with 0`() {
+            FakeDaemon(explanation(null).toAnswer()).use { daemon ->
+                val arguments = listOf("explain", "POST", "/book it?x=1&y", "--tenant", "farm", "--daemon", daemon.url)
+                val result = kingcuptideCommand().test(arguments)
+                expectThat(result.stdout)
+                    .contains("route book to service parcels")
+                    .contains("runs at most once: yes; home regions: north")
+                    .contains("a     n1              north   alive  yes")
+                    .contains("b     n1              north   alive  no: 204 DRAINING")
+                expectThat(result.statusCode).isEqualTo(0)
+                expectThat(daemon.requests.toList())
+                    .isEqualTo(listOf("/v1/explain?method=POST&path=%2Fbook+it%3Fx%3D1%26y&tenant=farm"))
+            }
+        }
+
+        @Test
+        fun `when none could, then it ends with 2`() {
+            val answer = explanation(ResultCode.FAILURE_DOMAIN_TAKEN_OUT).toAnswer()
+            expectThat(run(listOf("explain", "GET", "/book"), answer).statusCode).isEqualTo(2)
+        }
+
+        @Test
+        fun `when an option is mistyped, then it ends with 1`() {
+            val result = run(listOf("explain", "GET", "/book", "--jsn"), explanation(null).toAnswer())
+            expectThat(result.statusCode).isEqualTo(1)
+        }
+
+        private fun explanation(first: ResultCode?): ExplainReport = ExplainReport(
+            answeredBy = HostId("a"),
+            version = 8,
+            refusal = null,
+            route = RouteId("book"),
+            service = ServiceId("parcels"),
+            repeatable = false,
+            homeRegions = listOf(RegionId("north")),
+            candidates = listOf(candidate("a", first), candidate("b", ResultCode.DRAINING)),
+        )
+
+        private fun candidate(host: String, code: ResultCode?) = CandidateStateReport(
+            HostId(host),
+            FailureDomainId("n1"),
+            RegionId("north"),
+            Liveness.ALIVE,
+            code?.toReportedCode(),
+        )
+
+        private fun ExplainReport.toAnswer() = Answer(OUTPUT_JSON.encodeToString(ExplainReport.serializer(), this))
+    }
+
+    @Nested
+    inner class `Given a daemon that gives no usable answer` {
+        @Test
+        fun `when nothing listens, then the fault is coded and it ends with 3`() {
+            val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+            for (command in listOf(listOf("status"), listOf("wait", "--version", "1"), listOf("explain", "GET", "/"))) {
+                val result = kingcuptideCommand().test(command + listOf("--daemon", "http://127.0.0.1:$port"))
+                expectThat(result.stderr).contains("code=605 name=DAEMON_UNREACHABLE daemon=http://127.0.0.1:$port")
+                expectThat(result.stderr.lines().size).isEqualTo(2)
+                expectThat(result.statusCode).isEqualTo(3)
+            }
+        }
+
+        @Test
+        fun `when the address is none, then the fault is coded and it ends with 3`() {
+            for (address in listOf("127.0.0.1", "http://", "nonsense://x", "http://127.0.0.1:99999")) {
+                val result = kingcuptideCommand().test(listOf("status", "--daemon", address))
+                expectThat(result.stderr).contains("code=605")
+                expectThat(result.statusCode).isEqualTo(3)
+            }
+        }
+
+        @Test
+        fun `when the answer is no report, then the fault is coded and it ends with 3`() {
+            val answers = listOf(Answer("ok"), Answer("{}"), Answer("", HttpStatusCode.NotFound))
+            for (answer in answers) {
+                val result = run(listOf("status"), answer)
+                expectThat(result.stderr).contains("code=607")
+                expectThat(result.statusCode).isEqualTo(3)
+            }
+        }
+
+        @Test
+        fun `when it refuses for now, then the fault is coded and it ends with 3`() {
+            val result = run(listOf("status"), Answer("too many queries\n", HttpStatusCode.ServiceUnavailable))
+            expectThat(result.stderr).contains("code=508")
+            expectThat(result.statusCode).isEqualTo(3)
+        }
+    }
+
+    private fun run(command: List<String>, vararg answers: Answer): CliktCommandTestResult {
+        val clock = SteppingClock()
+        return FakeDaemon(*answers).use { daemon ->
+            kingcuptideCommand(clock) { clock.time += it }.test(command + listOf("--daemon", daemon.url))
+        }
+    }
+
+    private class SteppingClock : Clock {
+        var time: Duration = Duration.ZERO
+
+        override fun now(): Duration = time
+    }
+}
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
@@ -92,4 +92,5 @@
     SETTINGS_CONFLICT(604, 0),
     DAEMON_UNREACHABLE(605, 0),
     WAIT_TIMED_OUT(606, 0),
+    DAEMON_ANSWER_UNREADABLE(607, 0),
 }
