Answer a restarted daemon with what is held, not only what is in force

A witness that held version 4 without having it in force answered a restarted daemon with version 3, which then served version 3 after it had served 4. Splits the fetch, the sending and the relay plan out of ResourceSpread.

--- a/bench/src/main/kotlin/kingcuptide/bench/fleet/InMemoryFleet.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/fleet/InMemoryFleet.kt
@@ -54,6 +54,9 @@
     /** Called with each message that reaches a running daemon, before the daemon handles it. */
     var onDelivered: (FleetHost, ControlMessage) -> Unit = { _, _ -> }
 
+    /** Whether a message is lost on its way out of the host that sends it. */
+    var losesMessage: (from: FleetHost, message: ControlMessage) -> Boolean = { _, _ -> false }
+
     /** Starts the daemons of [started]. */
     fun start(started: Collection<FleetHost> = hosts) = started.forEach(::start)
 
@@ -147,6 +150,7 @@
     private fun send(from: FleetHost, messages: List<Outbound>) {
         for ((to, message) in messages) {
             val target = byId[to] ?: continue
+            if (losesMessage(from, message)) continue
             val size = sizeOf(message)
             val delays = links.delays(from.entry, target.entry, size)
             if (from.entry.region == target.entry.region) bytes.sameRegion += size else bytes.crossRegion += size
--- a/bench/src/test/kotlin/kingcuptide/bench/fleet/NeverOlderTest.kt
+++ b/bench/src/test/kotlin/kingcuptide/bench/fleet/NeverOlderTest.kt
@@ -1,5 +1,6 @@
 package kingcuptide.bench.fleet
 
+import kingcuptide.coordination.connection.Offer
 import kingcuptide.coordination.version.ResourceKind
 import kingcuptide.coordination.version.VersionEvent
 import kingcuptide.coordination.version.VersionSettings
@@ -11,6 +12,7 @@
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isTrue
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -137,7 +139,7 @@
         fun `when no witnesses are required and its failure domain is lost, then the same scene shows an older version`() {
             val unwitnessed = SETTINGS.copy(requiredWitnesses = 0)
             val found = SEEDS.sumOf { seed ->
-                lose(LARGE_SHAPE, seed, unwitnessed) { fleet, first -> fleet.domainOf(first) }.servedOlder()
+                lose(LARGE_SHAPE, seed, unwitnessed, 1.seconds) { fleet, first -> fleet.domainOf(first) }.servedOlder()
             }
             expectThat(found).isGreaterThan(0)
         }
@@ -148,10 +150,12 @@
             settings: VersionSettings,
             lost: (InMemoryFleet, FleetHost) -> List<FleetHost>,
         ) {
-            println("shape=$shape seed=$seed")
-            val fleet = lose(shape, seed, settings, lost)
-            expectThat(fleet.servedOlder()).describedAs("$shape seed $seed").isEqualTo(0)
-            expectThat(fleet.hosts.count { it.daemon?.mayTakeWork == true }).isEqualTo(fleet.hosts.size)
+            for (downTime in DOWN_TIMES) {
+                println("shape=$shape seed=$seed down_time=$downTime")
+                val fleet = lose(shape, seed, settings, downTime, lost)
+                expectThat(fleet.servedOlder()).describedAs("$shape seed $seed down $downTime").isEqualTo(0)
+                expectThat(fleet.hosts.count { it.daemon?.mayTakeWork == true }).isEqualTo(fleet.hosts.size)
+            }
         }
 
         /** Lets one reader alone hear of version 4, and loses hosts at the moment at which it is in force there. */
@@ -159,27 +163,31 @@
             shape: FleetShape,
             seed: Int,
             settings: VersionSettings,
+            downTime: Duration,
             lost: (InMemoryFleet, FleetHost) -> List<FleetHost>,
         ): InMemoryFleet {
             val (fleet, documents) = settled(shape, seed, settings)
             val told = fleet.hosts.first { it.coordinator.isReader(ResourceKind.DOCUMENT) }
             fleet.links.cut { from, to -> from == InMemoryFleet.PLATFORM && to != told.entry }
+            fleet.losesMessage = { from, message -> from == told && (message as? Offer)?.acknowledge == false }
             var isLost = false
             fleet.onInForce = { host, number ->
                 if (number == 4L && !isLost) {
                     isLost = true
                     expectThat(host).isEqualTo(told)
-                    fleet.links.cut { from, _ -> from == told.entry }
                     val victims = lost(fleet, host)
                     victims.forEach { fleet.kill(it) }
                     fleet.platform.mode = PlatformMode.GOING_BACK
-                    fleet.events.after(1.seconds) { fleet.start(victims) }
+                    fleet.events.after(downTime) {
+                        fleet.links.mendAll()
+                        fleet.losesMessage = { _, _ -> false }
+                        fleet.start(victims)
+                    }
                 }
             }
             fleet.platform.publish(documents.next())
             fleet.run(2.seconds)
             expectThat(isLost).describedAs("version 4 went in force").isTrue()
-            fleet.links.mendAll()
             fleet.run(20.seconds)
             return fleet
         }
@@ -256,6 +264,7 @@
         val ALL_SHAPES =
             WITNESSED_SHAPES + listOf(FleetShape(listOf(1), 3), FleetShape(listOf(2), 2), FleetShape(listOf(2), 1))
         val SEEDS = listOf(1, 2, 3)
+        val DOWN_TIMES = listOf(5.milliseconds, 1.seconds)
         const val DOCUMENT_BYTES = 20_000
     }
 }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/connection/VersionMessage.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/connection/VersionMessage.kt
@@ -95,7 +95,7 @@
  *
  * @property joined whether the sender has itself made sure of the newest version; if not, its word counts for nothing
  *   but as a hint
- * @property seenNumber the greatest document number that the sender has heard of, in force somewhere
+ * @property seenNumber the greatest document number that the sender holds, in force or not, or has heard to be in force
  */
 @Serializable
 @SerialName("va")
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ResourceSpread.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ResourceSpread.kt
@@ -33,22 +33,21 @@
     val holder: VersionHolder<T>,
     private val clock: Clock,
     private val random: Random,
-    private val fleet: FleetView,
-    private val roles: SpreadRoles,
+    fleet: FleetView,
+    roles: SpreadRoles,
     private val settings: VersionSettings,
     codec: PayloadCodec,
-    private val sendBudget: TokenBucket,
+    sendBudget: TokenBucket,
     private val counters: VersionCounters,
 ) {
     private val staged = ArrayDeque<Staged<T>>()
-    private val offers = OfferBook(::distanceTo)
+    private val fetch = ContentFetch(kind, clock, fleet, settings, counters)
+    private val sender = PayloadSender(kind, codec, random, sendBudget, counters)
+    private val plan = RelayPlan(fleet, roles, settings.platformRegion, settings.treeFanOut)
     private val ledger = WitnessLedger(fleet, roles, settings)
-    private val history = DeltaHistory()
     private val confirmations = Confirmations()
-    private val payloads = EncodedPayloads(codec)
     private val decoder = codec
     private val acknowledgeTo = LinkedHashSet<HostId>()
-    private var want: WantInFlight? = null
     private var mayPutInForce = false
 
     /** The newest content that is held, in force or staged. */
@@ -61,7 +60,7 @@
 
     /** Whether a peer is known to hold a newer version. */
     val isBehind: Boolean
-        get() = offers.isNotEmpty()
+        get() = fetch.isBehind
 
     /** Time since the source confirmed that nothing is newer than the version in force; null if it never did. */
     fun confirmedAge(): Duration? = holder.current?.let { confirmations.of(it.version) }?.let { clock.now() - it }
@@ -69,6 +68,9 @@
     /** The version in force as it is named to peers, or null if there is none. */
     fun offered(): OfferedVersion? = holder.current?.let { describe(it.version) }
 
+    /** The newest version that is held, as it is named to peers, or null if there is none. */
+    fun held(): OfferedVersion? = newest?.let { describe(it.version) }
+
     /** Allows versions to go in force; until then they are only staged. */
     fun allowInForce(): List<Outbound> {
         if (mayPutInForce) return emptyList()
@@ -107,32 +109,18 @@
     }
 
     /** Sends the newest content to [from], which asks for it. */
-    fun receiveWant(from: HostId, message: Want): List<Outbound> {
-        val content = newest ?: return emptyList()
-        if (content.version.number < message.target.number) return emptyList()
-        val delta = message.base?.let { history.between(it, content.version) }
-        val bytes = payloads.encode(content, delta)
-        if (!sendBudget.tryTake(bytes.size.toDouble())) {
-            counters.count(VersionEvent.SENT_BUSY)
-            return listOf(Outbound(from, Busy(kind, BUSY_MIN_MS + random.nextLong(BUSY_SPREAD_MS))))
-        }
-        counters.count(if (delta == null) VersionEvent.SENT_WHOLE else VersionEvent.SENT_DELTA)
-        return listOf(Outbound(from, Payload(describe(content.version), delta?.base, bytes)))
-    }
+    fun receiveWant(from: HostId, message: Want): List<Outbound> =
+        newest?.let { sender.answer(from, message, it, ::describe) }.orEmpty()
 
     /** Asks another peer, or the same one later. */
     fun receiveBusy(from: HostId, message: Busy): List<Outbound> {
-        if (want?.host != from) return emptyList()
-        counters.count(VersionEvent.WANT_REFUSED)
-        want = null
-        offers.delay(from, clock.now() + message.retryAfterMs.coerceIn(0, MAX_RETRY_AFTER_MS).milliseconds)
+        fetch.refused(from, message.retryAfterMs)
         return askNext()
     }
 
     /** Takes a content that [from] sent, if it is what it claims to be. */
     fun receivePayload(from: HostId, message: Payload, trustAge: Boolean): List<Outbound> {
-        val pending = want
-        if (pending?.host == from) want = null
+        fetch.answered(from)
         val own = newest?.version?.number
         if (own != null && message.offered.version.number <= own) return askNext()
         return decode(message).fold(
@@ -143,12 +131,7 @@
 
     /** Repeats what was not answered, and puts in force what has waited long enough. */
     fun tick(): List<Outbound> {
-        val pending = want
-        if (pending != null && clock.now() - pending.since >= settings.wantTimeout) {
-            counters.count(VersionEvent.WANT_TIMED_OUT)
-            offers.remove(pending.host)
-            want = null
-        }
+        fetch.expire()
         return askNext() + advance()
     }
 
@@ -171,9 +154,9 @@
             counters.count(VersionEvent.BASE_UNKNOWN)
         } else {
             counters.count(VersionEvent.BAD_PAYLOAD)
-            offers.remove(from)
+            fetch.forget(from)
         }
-        return askNext(wholeOnly = true)
+        return fetch.askNext(base = null)
     }
 
     private fun decode(message: Payload): Result<ResourceContent, ResultCode> {
@@ -217,7 +200,7 @@
     }
 
     private fun stage(checked: InForce<T>, collectAt: Duration, isOrigin: Boolean): List<Outbound> {
-        newest?.let { history.add(it.deltaTo(checked.content)) }
+        newest?.let { sender.noteStep(it, checked.content) }
         staged.addLast(Staged(checked, clock.now(), collectAt, isOrigin))
         if (staged.size > MAX_STAGED) staged.removeAt(1)
         pruneOffers()
@@ -263,50 +246,20 @@
 
     private fun relay(version: ResourceVersion, isOrigin: Boolean): List<Outbound> {
         val offer = Offer(listOf(describe(version)))
-        return relayTargets(version, isOrigin).map { Outbound(it, offer) }
-    }
-
-    private fun relayTargets(version: ResourceVersion, isOrigin: Boolean): Set<HostId> {
-        val self = fleet.self
-        val tree = roles.tree(self.failureDomain, version)
-        val targets = LinkedHashSet(childrenIn(tree, tree.indexOf(self.host)))
-        if (isOrigin) targets += tree.take(HEADS_PER_DOMAIN) + roles.roots(self.region)
-        if (self.host in roles.roots(self.region)) {
-            roles.domainsOfRegion().forEach { targets += roles.tree(it, version).take(HEADS_PER_DOMAIN) }
-            if (self.region == settings.platformRegion) roles.otherRegions().forEach { targets += roles.roots(it) }
-        }
-        targets -= self.host
-        return targets
+        return plan.targets(version, isOrigin).map { Outbound(it, offer) }
     }
 
-    /** The second of [tree] offers to the children of the first as well, so that one failure cuts off no one. */
-    private fun childrenIn(tree: List<HostId>, index: Int): List<HostId> {
-        if (index < 0) return emptyList()
-        val own = childIndices(index)
-        val indices = if (index == 1) childIndices(0) + own else own.toList()
-        return indices.mapNotNull { tree.getOrNull(it) }
-    }
-
-    private fun childIndices(index: Int): IntRange =
-        index * settings.treeFanOut + 1..index * settings.treeFanOut + settings.treeFanOut
-
     private fun noteNewer(from: HostId, version: ResourceVersion, acknowledge: Boolean): List<Outbound> {
-        offers.note(from, version)
+        fetch.note(from, version)
         if (acknowledge && acknowledgeTo.size < MAX_ACKNOWLEDGE) acknowledgeTo += from
         return askNext()
     }
 
-    private fun askNext(wholeOnly: Boolean = false): List<Outbound> {
-        if (want != null) return emptyList()
-        val now = clock.now()
-        val (host, version) = offers.best(now) ?: return emptyList()
-        want = WantInFlight(host, now)
-        return listOf(Outbound(host, Want(kind, version, newest?.version.takeUnless { wholeOnly })))
-    }
+    private fun askNext(): List<Outbound> = fetch.askNext(newest?.version)
 
     private fun pruneOffers() {
         val number = newest?.version?.number
-        offers.retain { (number == null || it.number > number) && !holder.isRejected(it) }
+        fetch.retain { (number == null || it.number > number) && !holder.isRejected(it) }
     }
 
     private fun acknowledged(from: HostId, own: ResourceVersion, acknowledge: Boolean): List<Outbound> =
@@ -335,15 +288,6 @@
             holders = if (witnessed) ledger.holding(version).take(MAX_HOLDERS).map { it.host } else emptyList(),
         )
 
-    private fun distanceTo(host: HostId): Int {
-        val entry = fleet.entry(host) ?: return FAR
-        return when {
-            entry.failureDomain == fleet.self.failureDomain -> SAME_DOMAIN
-            entry.region == fleet.self.region -> SAME_REGION
-            else -> FAR
-        }
-    }
-
     private inline fun Result<List<Outbound>, ResultCode>.onAccepted(action: () -> Unit): Result<List<Outbound>, ResultCode> {
         fold(success = { action() }, failure = { })
         return this
@@ -356,23 +300,11 @@
         val isOrigin: Boolean,
     )
 
-    private data class WantInFlight(
-        val host: HostId,
-        val since: Duration,
-    )
-
     private companion object {
         val COLLECT_DELAY = 200.milliseconds
         val COLLECT_RETRY = 200.milliseconds
-        const val BUSY_MIN_MS = 50L
-        const val BUSY_SPREAD_MS = 250L
-        const val MAX_RETRY_AFTER_MS = 5_000L
         const val MAX_STAGED = 3
         const val MAX_ACKNOWLEDGE = 32
         const val MAX_HOLDERS = 4
-        const val HEADS_PER_DOMAIN = 2
-        const val SAME_DOMAIN = 0
-        const val SAME_REGION = 1
-        const val FAR = 2
     }
 }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/VersionCoordinator.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/VersionCoordinator.kt
@@ -227,8 +227,9 @@
     private fun answer(from: HostId, query: VersionQuery): List<Outbound> {
         join.noteSeen(query.seenNumber)
         val isSure = join.isJoined && awake.pausedSince == null
-        val offered = if (isSure) spreads.mapNotNull { it.offered() } else emptyList()
-        return listOf(Outbound(from, VersionAnswer(query.nonce, isSure, join.seenNumber, offered)))
+        val offered = if (isSure) spreads.mapNotNull { it.held() } else emptyList()
+        val seenNumber = listOfNotNull(join.seenNumber, heldNumber(ResourceKind.DOCUMENT)).maxOrNull()
+        return listOf(Outbound(from, VersionAnswer(query.nonce, isSure, seenNumber, offered)))
     }
 
     private fun receiveAnswer(from: HostId, answer: VersionAnswer): List<Outbound> {
