--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/Member.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/Member.kt
@@ -38,8 +38,14 @@
     /** When what is believed of the host changed. */
     var changedAt: Duration = Duration.ZERO
 
-    /** Whether the death was concluded while this daemon heard nobody. */
-    var diedWhileDeaf = false
+    /** Whether the death was concluded while nobody answered this daemon. */
+    var diedUnanswered = false
+
+    /** Whether the suspicion is this daemon's own doubt about an earlier verdict; an answer ends it, and nobody is told. */
+    var doubted = false
+
+    /** Whether the host should be told what is believed of it. */
+    val needsTelling: Boolean get() = health != Health.ALIVE && !doubted
 
     /** When the host went from the host list. */
     var removedAt: Duration? = null
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/MembershipSettings.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/MembershipSettings.kt
@@ -38,7 +38,7 @@
     val gossipFanOut: Int = 3,
     val crossRegionGossipEvery: Int = 12,
     val gossipBytesPerSecond: Int = 8_000,
-    val syncInterval: Duration = 10.seconds,
+    val syncInterval: Duration = 5.seconds,
     val deadProbeInterval: Duration = 5.seconds,
     val lateTick: Duration = 250.milliseconds,
     val forgetAfter: Duration = 10.minutes,
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/MembershipWriter.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/MembershipWriter.kt
@@ -33,7 +33,7 @@
     }
 
     fun probe(target: Member, sequence: Int): Outbound {
-        val claim = if (target.health == Health.ALIVE) emptyList() else listOf(updateOf(target))
+        val claim = if (target.needsTelling) listOf(updateOf(target)) else emptyList()
         return Outbound(target.host, Probe(sender(), sequence, claim + piggyback()))
     }
 
@@ -58,14 +58,15 @@
         }
     }
 
-    /** Tells [member] what is claimed of it, so that it can refute that. */
-    fun tell(member: Member, claim: MemberClaim, now: Duration, out: MutableList<Outbound>) {
+    /** Tells [member] what is claimed of it, so that it can refute that; returns false if it was told too recently. */
+    fun tell(member: Member, claim: MemberClaim, now: Duration, out: MutableList<Outbound>): Boolean {
         val told = member.lastToldAt
-        if (tells >= TELLS_PER_TICK || (told != null && now - told < TELL_INTERVAL)) return
+        if (tells >= TELLS_PER_TICK || (told != null && now - told < TELL_INTERVAL)) return false
         tells++
         member.lastToldAt = now
         val update = claim.toUpdate(member.key, table.me.incarnation)
         send(member.host, Gossip(sender(), listOf(update)), out)
+        return true
     }
 
     /** Sends [to] the newer states of [members]. */
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ProbePlan.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ProbePlan.kt
@@ -40,6 +40,10 @@
     /** Returns a random member that is taken for dead, or null. */
     fun deadMember(): Member? = table.others.filter { it.health == Health.DEAD }.randomOrNull(random)
 
+    /** Returns a random member of one of [failureDomains] that is not suspected, or null. */
+    fun memberOf(failureDomains: Set<FailureDomainId>): Member? =
+        table.others.filter { it.entry.failureDomain in failureDomains && it.mayAnswer() }.randomOrNull(random)
+
     /** Returns a peer for gossip or comparison, mostly of the own region. */
     fun peer(): Member? {
         refresh()
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/Prober.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/Prober.kt
@@ -38,11 +38,12 @@
         out += writer.probe(target, sequence)
     }
 
-    /** Ends the probe with [sequence], or passes the answer on to the daemon that asked for it. */
-    fun acknowledged(sequence: Int, out: MutableList<Outbound>) {
-        if (pending.answered(sequence) != null) return
-        val relay = pending.relayAnswered(sequence) ?: return
-        out += writer.indirectAck(relay)
+    /** Ends the probe with [sequence] and returns its target, or passes the answer on to the daemon that asked for it. */
+    fun acknowledged(sequence: Int, out: MutableList<Outbound>): Member? {
+        val answered = pending.answered(sequence)
+        if (answered != null) return answered.target
+        pending.relayAnswered(sequence)?.let { out += writer.indirectAck(it) }
+        return null
     }
 
     /** Asks others to probe the targets that did not answer, and returns the probes that failed for good. */
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/SwimMembership.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/SwimMembership.kt
@@ -20,7 +20,7 @@
     override val self: HostEntry,
     firstIncarnation: Incarnation,
     private val clock: Clock,
-    random: Random,
+    private val random: Random,
 ) : Membership {
     private val table = MemberTable(self, settings.seeds, firstIncarnation.value)
     private val selfState = SelfState(table.me)
@@ -30,7 +30,7 @@
     private val suspicions = Suspicions(settings, random)
     private val writer = MembershipWriter(settings, table, queue, plan, tally)
     private val prober = Prober(settings, table, plan, writer, tally)
-    private val hearing = Hearing(clock.now())
+    private val echo = Echo(clock.now())
     private val hints = ArrayBlockingQueue<HostId>(MAX_HINTS)
     private val startedAt = clock.now()
     private var lastTick: Duration? = null
@@ -69,6 +69,7 @@
     override fun receive(from: HostId, message: MembershipMessage): List<Outbound> {
         val now = clock.now()
         val out = mutableListOf<Outbound>()
+        noticeGap(now)
         takeSender(from, message, now, out)
         takeUpdates(from, message, now, out)
         answer(from, message, now, out)
@@ -79,7 +80,8 @@
     override fun tick(): List<Outbound> {
         val now = clock.now()
         val out = mutableListOf<Outbound>()
-        noticeLateTick(now)
+        noticeGap(now)
+        lastTick = now
         writer.startTick()
         followHints(now, out)
         prober.expire(now, out).forEach { probeFailed(it, now) }
@@ -113,7 +115,6 @@
     }
 
     private fun takeSender(from: HostId, message: MembershipMessage, now: Duration, out: MutableList<Outbound>) {
-        if (hearing.heard(now)) reviveDeadOfDeafness(now)
         val sender = table[from] ?: return
         if (sender === table.me) return
         sender.lastHeard = now
@@ -135,23 +136,29 @@
             }
             val claim = update.claim(message.sender.incarnation)
             if (member === table.me) {
-                answerForSelf(claim)
+                answerForSelf(claim, now)
                 continue
             }
             val outcome = take(member, claim, now, spread = message !is SyncReply)
-            if (outcome == MergeOutcome.DISPUTED) writer.tell(member, disputed(member, claim), now, out)
+            if (outcome == MergeOutcome.DISPUTED) settle(member, claim, now, out)
             if (outcome == MergeOutcome.STALE && isSettledSince(member, now)) corrections += member
         }
         if (corrections.isNotEmpty()) writer.correct(from, corrections, out)
     }
 
-    private fun disputed(member: Member, claim: MemberClaim): MemberClaim =
-        if (member.health == Health.DEAD) member.claim() else claim
+    /** Tells [member] that somebody takes it for dead, and finds out whether that is so. */
+    private fun settle(member: Member, claim: MemberClaim, now: Duration, out: MutableList<Outbound>) {
+        val isDeadHere = member.health == Health.DEAD
+        val told = writer.tell(member, if (isDeadHere) member.claim() else claim, now, out)
+        if (told && !isDeadHere) prober.start(member, now, out)
+    }
 
     private fun isSettledSince(member: Member, now: Duration): Boolean = now - member.changedAt >= CORRECT_AFTER
 
-    private fun answerForSelf(claim: MemberClaim) {
+    private fun answerForSelf(claim: MemberClaim, now: Duration) {
+        val returnsBefore = selfState.returns
         if (selfState.answer(claim)) spreadSelf()
+        if (selfState.returns > returnsBefore) doubtAfterReturn(now)
     }
 
     private fun take(member: Member, claim: MemberClaim, now: Duration, spread: Boolean): MergeOutcome {
@@ -175,7 +182,7 @@
 
     private fun changed(member: Member, now: Duration, spread: Boolean) {
         member.changedAt = now
-        member.diedWhileDeaf = false
+        member.diedUnanswered = false
         if (spread && member.listed) queue.add(member)
         dirty = true
     }
@@ -197,35 +204,66 @@
         spreadSelf()
     }
 
-    private fun reviveDeadOfDeafness(now: Duration) {
-        val revived = table.others.filter { it.diedWhileDeaf && it.health == Health.DEAD }
-        for (member in revived) {
-            member.diedWhileDeaf = false
-            suspicions.start(member, now)
-            dirty = true
-        }
+    /** Doubts the verdicts on the members that [isDoubtful] holds of: this daemon was itself cut off when it made them. */
+    private fun doubt(now: Duration, isDoubtful: (Member) -> Boolean) {
+        val doubted = table.others.filter { it.health != Health.ALIVE && isDoubtful(it) }
+        doubted.forEach { suspicions.doubt(it, now) }
+        if (doubted.isNotEmpty()) dirty = true
+    }
+
+    /**
+     * Whoever was taken for dead took others for dead. All of them are probed again if this daemon alone was cut off, and
+     * some of them if its region was: there, those that return spread the news.
+     */
+    private fun doubtAfterReturn(now: Duration) {
+        nextSync = now
+        val near = table.others.filter { it.entry.region == self.region }
+        val wasAlone = near.count { it.health == Health.DEAD } * 2 > near.size
+        val doubted = table.others.filter { it.health == Health.DEAD }.shuffled(random)
+        val limit = if (wasAlone) doubted.size else MAX_DOUBTS
+        val chosen = doubted.take(limit).toSet()
+        doubt(now) { it in chosen }
+    }
+
+    private fun endDoubt(member: Member) {
+        if (!member.doubted) return
+        suspicions.stop(member)
+        member.health = Health.ALIVE
+        dirty = true
     }
 
     private fun answer(from: HostId, message: MembershipMessage, now: Duration, out: MutableList<Outbound>) {
         when (message) {
             is Probe -> out += writer.ack(from, message.sequence)
-            is ProbeAck -> prober.acknowledged(message.sequence, out)
+            is ProbeAck -> acknowledged(message.sequence, now, out)?.let(::endDoubt)
             is IndirectProbe -> prober.relay(from, message, now, out)
-            is IndirectAck -> prober.acknowledged(message.sequence, out)
+            is IndirectAck -> {
+                acknowledged(message.sequence, now, out)
+            }
             is SyncRequest -> writer.answerSync(from, message, now, out)
             is Gossip, is SyncReply -> Unit
         }
     }
 
-    private fun noticeLateTick(now: Duration) {
+    private fun acknowledged(sequence: Int, now: Duration, out: MutableList<Outbound>): Member? {
+        if (echo.answered(now)) {
+            nextSync = now
+            doubt(now) { it.health == Health.SUSPECT || it.diedUnanswered }
+        }
+        return prober.acknowledged(sequence, out)
+    }
+
+    /** A process that did not run could hear no answers: it drops its open probes and puts off its verdicts. */
+    private fun noticeGap(now: Duration) {
         val gap = now - (lastTick ?: now)
-        lastTick = now
         if (gap < settings.lateTick) return
+        lastTick = now
         tally.lateTicks++
         tally.distrustedTimeouts += prober.forgetPending()
         suspicions.postpone(gap)
-        hearing.postpone(gap)
+        echo.postpone(gap)
         if (gap < settings.suspicionTimeout) return
+        nextSync = now
         selfState.returnFromDeath()
         spreadSelf()
     }
@@ -242,6 +280,7 @@
         if (now >= nextProbe) {
             nextProbe = later(nextProbe, settings.probeInterval / plan.slots, now)
             plan.next()?.let { prober.start(it, now, out) }
+            probeHerd(now, out)
         }
         if (now >= nextDeadProbe) {
             nextDeadProbe = later(nextDeadProbe, settings.deadProbeInterval, now)
@@ -249,6 +288,13 @@
         }
     }
 
+    /** Where several hosts of a failure domain are suspected, the others of it are probed sooner than in their turn. */
+    private fun probeHerd(now: Duration, out: MutableList<Outbound>) {
+        val herds = suspicions.herds()
+        if (herds.isEmpty()) return
+        repeat(HERD_PROBES) { plan.memberOf(herds)?.let { prober.start(it, now, out) } }
+    }
+
     private fun later(due: Duration, interval: Duration, now: Duration): Duration = maxOf(due + interval, now)
 
     private fun probeFailed(probe: PendingProbe, now: Duration) {
@@ -256,18 +302,19 @@
         val member = probe.target
         val heardSince = member.lastHeard?.let { it >= probe.sentAt } ?: false
         if (heardSince || !member.heard || member.health != Health.ALIVE) return
-        if (hearing.isDoubtful(probe.sentAt, now)) {
+        if (echo.isDoubtful(probe.sentAt, now)) {
             tally.distrustedTimeouts++
             return
         }
         tally.suspicions++
         suspicions.start(member, now)
-        changed(member, now, spread = !hearing.isDeaf(now))
+        changed(member, now, spread = !echo.isUnanswered(now))
     }
 
     private fun runSuspicions(now: Duration, out: MutableList<Outbound>) {
-        for (member in suspicions.dueForVerification(now).take(VERIFICATIONS_PER_TICK)) {
-            member.verifyAt = null
+        val due = suspicions.dueForVerification(now).filterNot(prober::awaits)
+        for (member in due.take(VERIFICATIONS_PER_TICK)) {
+            suspicions.verified(member, now)
             prober.start(member, now, out, mayAskOthers = false)
         }
         suspicions.dueForDeath(now).filterNot(prober::awaits).forEach { conclude(it, now) }
@@ -278,7 +325,7 @@
         suspicions.stop(member)
         member.health = Health.DEAD
         member.changedAt = now
-        member.diedWhileDeaf = hearing.isDeaf(now)
+        member.diedUnanswered = echo.isUnanswered(now)
         queue.remove(member)
         dirty = true
     }
@@ -320,6 +367,8 @@
         const val MAX_HINTS = 64
         const val VERIFICATIONS_PER_TICK = 8
         const val LEAVE_ROUNDS = 2
+        const val HERD_PROBES = 2
+        const val MAX_DOUBTS = 64
         const val MIN_DEAD_OF_CUT = 3
         const val YOUNG_INTERVALS = 3
         const val IGNORANT_SHARE = 10
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/UpdateQueue.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/UpdateQueue.kt
@@ -26,7 +26,7 @@
     }
 
     /**
-     * Takes updates for one message of at most [maxBytes], those sent least often first.
+     * Takes updates for one message of at most [maxBytes], suspicions and leavings first, then those sent least often.
      *
      * Each is dropped after a number of sends that grows with the logarithm of [members], and is half as great while
      * many wait: the comparison with peers repairs what is missed.
@@ -48,7 +48,7 @@
 
     private fun inOrder(): List<Member> {
         if (sends.size == 1) return sends.keys.toList()
-        return sends.entries.sortedWith(compareBy({ it.value }, { urgency(it.key) })).map { it.key }
+        return sends.entries.sortedWith(compareBy({ urgency(it.key) }, { it.value })).map { it.key }
     }
 
     private fun urgency(member: Member): Int = if (member.leaving || member.health != Health.ALIVE) 0 else 1
@@ -59,11 +59,12 @@
     }
 
     private fun sendLimit(members: Int): Int {
-        val whole = ceil(SENDS_PER_DOUBLING * log2(members + 2.0)).toInt()
+        val whole = LEAST_SENDS + ceil(SENDS_PER_DOUBLING * log2(members + 2.0)).toInt()
         return if (sends.size > BACKLOG) whole / 2 else whole
     }
 
     private companion object {
+        const val LEAST_SENDS = 4
         const val SENDS_PER_DOUBLING = 1.5
         const val BACKLOG = 64
     }
