--- a/bench/src/main/kotlin/kingcuptide/bench/requests/FakeFleet.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/requests/FakeFleet.kt
@@ -272,6 +272,7 @@
         override fun entry(host: HostId): HostEntry? = hosts[host]?.entry
 
         override fun liveness(host: HostId): Liveness {
+            if (host == self.host) return Liveness.ALIVE
             val seen = hosts.getValue(host)
             val known = time.now() - lags.getValue(observer.entry.host)
             val down = seen.downSince?.let { it <= known } ?: false
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/RetryBudget.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/RetryBudget.kt
@@ -42,7 +42,7 @@
     }
 
     private companion object {
-        const val FLOOR_RETRIES = 10.0
+        const val FLOOR_RETRIES = 20.0
         val MEMORY: Duration = 10.seconds
     }
 }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetChooser.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetChooser.kt
@@ -119,6 +119,7 @@
 
     private fun pick(usable: List<Candidate>, request: ChoiceRequest, now: Duration): Candidate {
         val near = usable.filter { view.liveness(it.entry.host) != Liveness.SUSPECT }.ifEmpty { usable }
+        if (request.tried.isNotEmpty()) return pickForRetry(near, request, now)
         val byDomain = near.groupBy { it.entry.failureDomain }
         val shares = shares(byDomain, request, now)
         val locality = drawLocality(shares)
@@ -126,13 +127,22 @@
         return pickOfTwo(inLocality, now) { candidate -> weightOf(candidate, locality, shares, byDomain) }
     }
 
+    /** What kept one target from taking a request may hold in all of its failure domain, so a retry goes elsewhere. */
+    private fun pickForRetry(usable: List<Candidate>, request: ChoiceRequest, now: Duration): Candidate {
+        val triedDomains = request.tried.mapNotNullTo(HashSet()) { view.entry(it)?.failureDomain }
+        val elsewhere = usable.filter { it.entry.failureDomain !in triedDomains }.ifEmpty { usable }
+        val isFirstRetry = request.tried.size == 1
+        val inRegion = elsewhere.filter { isFirstRetry && it.entry.region == view.self.region }
+        return pickOfTwo(inRegion.ifEmpty { elsewhere }, now) { it.weight }
+    }
+
     private fun shares(
         byDomain: Map<FailureDomainId, List<Candidate>>,
         request: ChoiceRequest,
         now: Duration,
     ): LocalityShares {
         val entries = currentIndex()
-            .entriesByDomain(now) { view.liveness(it) != Liveness.DEAD }
+            .entriesByDomain(now) { it == view.self.host || view.liveness(it) != Liveness.DEAD }
             .filterValues { it.region in request.homeRegions }
         val totalEntries = maxOf(1, entries.values.sumOf { it.count })
         val totalWeight = byDomain.values.sumOf { domain -> domain.sumOf { it.weight } }
