--- a/coordination/src/main/kotlin/kingcuptide/coordination/connection/FrameCodec.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/connection/FrameCodec.kt
@@ -6,7 +6,7 @@
 import com.github.michaelbull.result.andThen
 import kingcuptide.coordination.process.ResultCode
 import kotlinx.serialization.DeserializationStrategy
-import kotlinx.serialization.SerializationStrategy
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.cbor.Cbor
 
 /** Version of the protocol between daemons. Every frame starts with it. */
@@ -24,8 +24,9 @@
 /**
  * Turns frames and control messages into bytes and back. Thread-safe.
  *
- * A frame is one byte of protocol version and one CBOR item. Bytes from a peer are never trusted: whatever they hold,
- * decoding returns a frame or a code. Bytes behind the item are ignored.
+ * A request frame is a byte of protocol version, a byte of kind and a CBOR item; a control message is a byte of protocol
+ * version and a CBOR item that names its own kind. Bytes from a peer are never trusted: whatever they hold, decoding
+ * returns a frame or a code. Bytes behind the item are ignored.
  */
 public class FrameCodec internal constructor() {
     /** Encodes [frame] with its length prefix, or refuses it if it is over the bounds. */
@@ -33,16 +34,22 @@
         if (frame is BodyChunk && frame.bytes.size > MAX_CHUNK_BYTES) {
             return Err(ResultCode.PEER_FRAME_TOO_LARGE)
         }
-        return encodeItem(RequestFrame.serializer(), frame, prefixBytes = LENGTH_PREFIX_BYTES)
+        val kind = kindOf(frame)
+        val header = byteArrayOf(PROTOCOL_VERSION.toByte(), kind.ordinal.toByte())
+
+        @Suppress("UNCHECKED_CAST")
+        val item = cbor.encodeToByteArray(kind.serializer as KSerializer<RequestFrame>, frame)
+        return joined(LENGTH_PREFIX_BYTES, header, item)
     }
 
     /** Encodes [envelope] without a length prefix, as a datagram carries it, or refuses it if it is over the bound. */
-    public fun encode(envelope: ControlEnvelope): Result<ByteArray, ResultCode> =
-        encodeItem(ControlEnvelope.serializer(), envelope, prefixBytes = 0)
+    public fun encode(
+        envelope: ControlEnvelope,
+    ): Result<ByteArray, ResultCode> = encodeControl(envelope, prefixBytes = 0)
 
     /** Encodes [envelope] with its length prefix, as a connection carries it, or refuses it if it is over the bound. */
     public fun encodePrefixed(envelope: ControlEnvelope): Result<ByteArray, ResultCode> =
-        encodeItem(ControlEnvelope.serializer(), envelope, prefixBytes = LENGTH_PREFIX_BYTES)
+        encodeControl(envelope, LENGTH_PREFIX_BYTES)
 
     /** Returns [prefix] if a frame may have that length; checked before a buffer is allocated. */
     public fun checkLength(prefix: Int): Result<Int, ResultCode> = when {
@@ -53,19 +60,30 @@
 
     /** Decodes one request frame from [payload], which has no length prefix. */
     public fun decodeRequestFrame(payload: ByteArray): Result<RequestFrame, ResultCode> =
-        decodeItem(RequestFrame.serializer(), payload).andThen(::checkFrame)
+        checkHeader(payload).andThen {
+            val kind = FrameKind.entries.getOrNull(payload[VERSION_BYTES].toInt())
+                ?: return Err(ResultCode.PEER_FRAME_MALFORMED)
+            decodeItem(kind.serializer, payload, headerBytes = VERSION_BYTES + KIND_BYTES).andThen(::checkFrame)
+        }
 
     /** Decodes one control message from [payload], which has no length prefix. */
     public fun decodeControl(payload: ByteArray): Result<ControlEnvelope, ResultCode> =
-        decodeItem(ControlEnvelope.serializer(), payload)
+        checkHeader(payload).andThen { decodeItem(ControlEnvelope.serializer(), payload, headerBytes = VERSION_BYTES) }
 
-    private fun <T> encodeItem(
-        serializer: SerializationStrategy<T>,
-        value: T,
+    private fun encodeControl(
+        envelope: ControlEnvelope,
         prefixBytes: Int,
     ): Result<ByteArray, ResultCode> {
-        val item = cbor.encodeToByteArray(serializer, value)
-        val length = item.size + VERSION_BYTES
+        val item = cbor.encodeToByteArray(ControlEnvelope.serializer(), envelope)
+        return joined(prefixBytes, byteArrayOf(PROTOCOL_VERSION.toByte()), item)
+    }
+
+    private fun joined(
+        prefixBytes: Int,
+        header: ByteArray,
+        item: ByteArray,
+    ): Result<ByteArray, ResultCode> {
+        val length = header.size + item.size
         if (length > MAX_FRAME_BYTES) {
             return Err(ResultCode.PEER_FRAME_TOO_LARGE)
         }
@@ -73,27 +91,22 @@
         for (index in 0 until prefixBytes) {
             bytes[index] = (length ushr (Byte.SIZE_BITS * (prefixBytes - 1 - index))).toByte()
         }
-        bytes[prefixBytes] = PROTOCOL_VERSION.toByte()
-        item.copyInto(bytes, prefixBytes + VERSION_BYTES)
+        header.copyInto(bytes, prefixBytes)
+        item.copyInto(bytes, prefixBytes + header.size)
         return Ok(bytes)
     }
 
-    private fun <T> decodeItem(
-        serializer: DeserializationStrategy<T>,
-        payload: ByteArray,
-    ): Result<T, ResultCode> = checkLength(payload.size).andThen {
-        when {
-            payload[0] != PROTOCOL_VERSION.toByte() -> Err(ResultCode.PEER_PROTOCOL_VERSION)
-            else -> decodeChecked(serializer, payload.copyOfRange(VERSION_BYTES, payload.size))
-        }
+    private fun checkHeader(payload: ByteArray): Result<Int, ResultCode> = checkLength(payload.size).andThen { length ->
+        if (payload[0] == PROTOCOL_VERSION.toByte()) Ok(length) else Err(ResultCode.PEER_PROTOCOL_VERSION)
     }
 
     // The library reports malformed input by several unrelated exception types.
-    private fun <T> decodeChecked(
+    private fun <T> decodeItem(
         serializer: DeserializationStrategy<T>,
-        item: ByteArray,
+        payload: ByteArray,
+        headerBytes: Int,
     ): Result<T, ResultCode> = try {
-        Ok(cbor.decodeFromByteArray(serializer, item))
+        Ok(cbor.decodeFromByteArray(serializer, payload.copyOfRange(headerBytes, payload.size)))
     } catch (_: RuntimeException) {
         Err(ResultCode.PEER_FRAME_MALFORMED)
     }
@@ -106,6 +119,7 @@
 
     private companion object {
         const val VERSION_BYTES = 1
+        const val KIND_BYTES = 1
         const val MIN_FRAME_BYTES = 2
 
         val cbor = Cbor {
--- a/coordination/src/main/kotlin/kingcuptide/coordination/connection/RequestFrame.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/connection/RequestFrame.kt
@@ -37,8 +37,8 @@
 /** One HTTP header line. */
 @Serializable
 public data class Header(
-    val name: String,
-    val value: String,
+    @SerialName("n") val name: String,
+    @SerialName("v") val value: String,
 )
 
 /**
@@ -56,27 +56,27 @@
 @Serializable
 @SerialName("request")
 public data class RequestHead(
-    val number: Long,
-    val stampMs: Long,
-    val remainingMs: Long,
-    val version: Long,
-    val route: RouteId,
-    val tenant: TenantId?,
-    val method: String,
-    val pathAndQuery: String,
-    val headers: List<Header>,
-    val repeatable: Boolean,
-    val keyHash: String?,
-    val hasBody: Boolean,
+    @SerialName("n") val number: Long,
+    @SerialName("s") val stampMs: Long,
+    @SerialName("d") val remainingMs: Long,
+    @SerialName("v") val version: Long,
+    @SerialName("r") val route: RouteId,
+    @SerialName("t") val tenant: TenantId?,
+    @SerialName("m") val method: String,
+    @SerialName("p") val pathAndQuery: String,
+    @SerialName("h") val headers: List<Header>,
+    @SerialName("i") val repeatable: Boolean,
+    @SerialName("k") val keyHash: String?,
+    @SerialName("b") val hasBody: Boolean,
 ) : RequestFrame
 
 /** A piece of the request's or the answer's body; the last one has [last] set and may be empty. */
 @Serializable
 @SerialName("body")
 public data class BodyChunk(
-    val number: Long,
-    @ByteString val bytes: ByteArray,
-    val last: Boolean,
+    @SerialName("n") val number: Long,
+    @SerialName("b") @ByteString val bytes: ByteArray,
+    @SerialName("l") val last: Boolean,
 ) : RequestFrame {
     override fun equals(other: Any?): Boolean =
         other is BodyChunk && number == other.number && last == other.last && bytes.contentEquals(other.bytes)
@@ -88,37 +88,37 @@
 @Serializable
 @SerialName("window")
 public data class Window(
-    val number: Long,
-    val bytes: Int,
+    @SerialName("n") val number: Long,
+    @SerialName("b") val bytes: Int,
 ) : RequestFrame
 
 /** How much the gate has in hand, for the entry's next choices. */
 @Serializable
 public data class GateLoad(
-    val inFlight: Int,
-    val limit: Int,
-    val queued: Int,
+    @SerialName("f") val inFlight: Int,
+    @SerialName("l") val limit: Int,
+    @SerialName("q") val queued: Int,
 )
 
 /** The start of the target's answer. */
 @Serializable
 @SerialName("answer")
 public data class AnswerHead(
-    val number: Long,
-    val status: Int,
-    val headers: List<Header>,
-    val load: GateLoad,
+    @SerialName("n") val number: Long,
+    @SerialName("s") val status: Int,
+    @SerialName("h") val headers: List<Header>,
+    @SerialName("l") val load: GateLoad,
 ) : RequestFrame
 
 /** The gate's own final word instead of an answer. [code] is the number of a result code. */
 @Serializable
 @SerialName("refusal")
 public data class Refusal(
-    val number: Long,
-    val code: Int,
-    val outcome: Outcome,
-    val retryAfterMs: Long,
-    val load: GateLoad,
+    @SerialName("n") val number: Long,
+    @SerialName("c") val code: Int,
+    @SerialName("o") val outcome: Outcome,
+    @SerialName("a") val retryAfterMs: Long,
+    @SerialName("l") val load: GateLoad,
 ) : RequestFrame
 
 /** The answer broke off after its head was sent. */
--- a/coordination/src/test/kotlin/kingcuptide/coordination/connection/FrameCodecTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/connection/FrameCodecTest.kt
@@ -131,6 +131,16 @@
             expectThat(decoded).isLessThan(FUZZ_ROUNDS)
         }
 
+        @Test
+        fun `Given seeded mutations of control messages, when decoded, then nothing is thrown`() {
+            val random = Random(FUZZ_SEED)
+            repeat(FUZZ_ROUNDS) {
+                val envelope = ControlEnvelope(HostId("sender"), sampleControl.random(random))
+                val result = codec.decodeControl(mutate(codec.encode(envelope).unwrap(), random))
+                result.onFailure { code -> expectThat(faultCodes).contains(code) }
+            }
+        }
+
         @Test
         fun `Given a huge declared length at any position, when decoded, then nothing is thrown`() {
             for (frame in sampleFrames) {
@@ -150,8 +160,17 @@
         fun `Given nesting as deep as a frame allows, when decoded, then it is malformed`() {
             val deep = ByteArray(MAX_FRAME_BYTES - 100) { ARRAY_OF_ONE }
 
-            expectThat(codec.decodeRequestFrame(byteArrayOf(PROTOCOL_VERSION.toByte()) + deep))
+            expectThat(codec.decodeRequestFrame(payload(sampleHead).copyOf(2) + deep))
                 .isEqualTo(Err(ResultCode.PEER_FRAME_MALFORMED))
+            expectThat(codec.decodeControl(payload(sampleHead).copyOf(1) + deep))
+                .isEqualTo(Err(ResultCode.PEER_FRAME_MALFORMED))
+        }
+
+        @Test
+        fun `Given an unknown kind, when decoded, then it is malformed`() {
+            val bytes = payload(Stamp(1)).also { it[1] = 0x7f }
+
+            expectThat(codec.decodeRequestFrame(bytes)).isEqualTo(Err(ResultCode.PEER_FRAME_MALFORMED))
         }
 
         @Test
