--- a/bench/src/main/kotlin/kingcuptide/bench/Bench.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/Bench.kt
@@ -13,5 +13,6 @@
             MembershipCommand(),
             FailureDomainCommand(),
             OverloadCommand(),
+            KeysCommand(),
         ).main(args)
 }
--- /dev/null
+++ b/bench/src/main/kotlin/kingcuptide/bench/keys/KeyCluster.kt
@@ -0,0 +1,93 @@
+package kingcuptide.bench.keys
+
+import com.github.michaelbull.result.unwrap
+import kingcuptide.coordination.connection.ControlEnvelope
+import kingcuptide.coordination.connection.KeyMessage
+import kingcuptide.coordination.connection.Outbound
+import kingcuptide.coordination.connection.frameCodec
+import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.process.Incarnation
+import kingcuptide.coordination.request.KeyDecision
+import kingcuptide.coordination.request.KeyRequest
+import kingcuptide.coordination.request.KeySettings
+import kingcuptide.coordination.request.keyClaimer
+import kingcuptide.coordination.request.keyWitness
+import kotlin.time.Duration.Companion.seconds
+
+/** All claimers and witnesses of a fleet whose messages arrive at once and without loss. */
+class KeyCluster(
+    shape: KeyFleetShape,
+    settings: KeySettings,
+    private val clock: Clock,
+) {
+    private val view = shape.view()
+    private val hosts = shape.entries.map { it.host }
+    private val witnesses = hosts.associateWith { keyWitness(it, clock, settings) }
+    private val claimers = hosts.associateWith { keyClaimer(it, Incarnation(1), clock, settings) }
+    private val codec = frameCodec()
+    private var nextGate = 0
+
+    /** Messages that left a daemon since the counts were reset. */
+    var messages = 0L
+        private set
+
+    init {
+        confirmAll()
+    }
+
+    fun confirmAll() {
+        witnesses.values.forEach { it.confirm(view) }
+        claimers.values.forEach { it.confirm(view) }
+    }
+
+    fun resetCounts() {
+        messages = 0
+    }
+
+    /** Claims, begins and completes one key at the next gate in turn. */
+    fun claim(
+        hash: String,
+        onGranted: () -> Unit,
+    ): List<KeyEnvelope> {
+        val gate = hosts[nextGate++ % hosts.size]
+        val claimer = claimers.getValue(gate)
+        var granted: KeyDecision.Granted? = null
+        val sent = ArrayList<KeyEnvelope>()
+        val request = KeyRequest(hash, emptySet(), clock.now() + 5.seconds)
+        deliver(gate, claimer.start(request) { granted = it as? KeyDecision.Granted }, sent)
+        granted?.let {
+            claimer.begin(it.claim)
+            onGranted()
+            deliver(gate, claimer.complete(it.claim, status = 201), sent)
+        }
+        messages += sent.size
+        return sent
+    }
+
+    /** Returns the bytes of the datagrams of one claim. */
+    fun bytesOf(hash: String): Int = claim(hash) {}.sumOf {
+        codec.encode(ControlEnvelope(it.from, it.message)).unwrap().size
+    }
+
+    private fun deliver(
+        from: HostId,
+        outbound: List<Outbound>,
+        sent: MutableList<KeyEnvelope>,
+    ) {
+        for (out in outbound) {
+            val message = out.message as KeyMessage
+            if (out.to != from) {
+                sent += KeyEnvelope(from, message)
+            }
+            deliver(out.to, witnesses.getValue(out.to).receive(from, message), sent)
+            claimers.getValue(out.to).receive(from, message)
+        }
+    }
+}
+
+/** A message that left a daemon. */
+data class KeyEnvelope(
+    val from: HostId,
+    val message: KeyMessage,
+)
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/Rendezvous.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/Rendezvous.kt
@@ -10,6 +10,15 @@
 /** Returns the weight of [host] for [key], for callers that need only the greatest few. */
 public fun rendezvousWeight(key: String, host: HostId): ULong = mix(fnv1a(host.value, fnv1a(key, FNV_OFFSET)))
 
+/** Digests a name once, for [rendezvousWeight] over many pairs of names. */
+internal fun rendezvousSeed(name: String): ULong = mix(fnv1a(name, FNV_OFFSET))
+
+/** Returns the weight of a host for a key from the seeds of both; not the weight that the names themselves have. */
+internal fun rendezvousWeight(
+    keySeed: ULong,
+    hostSeed: ULong,
+): ULong = mix(keySeed xor mix(hostSeed))
+
 private fun fnv1a(text: String, seed: ULong): ULong = text.fold(seed) { hash, char ->
     (hash xor char.code.toULong()) *
         FNV_PRIME
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/KeySettings.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/KeySettings.kt
@@ -25,7 +25,7 @@
     val margin: Duration = 3.seconds,
     val resendAfter: Duration = 50.milliseconds,
     val giveUpAfter: Duration = 300.milliseconds,
-    val maxRecords: Int = 16_384,
+    val maxRecords: Int = 32_768,
     val maxClaims: Int = 1_024,
 ) {
     /** Longest time for which a witness must remember a claim. */
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/WitnessView.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/WitnessView.kt
@@ -4,6 +4,7 @@
 import kingcuptide.coordination.process.HostId
 import kingcuptide.coordination.process.HostList
 import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.rendezvousSeed
 import kingcuptide.coordination.process.rendezvousWeight
 import kingcuptide.coordination.version.FailureDomainSpec
 
@@ -16,6 +17,8 @@
     private val regions: Map<FailureDomainId, RegionId>,
     private val hosts: Map<FailureDomainId, List<HostId>>,
 ) {
+    private val domains = regions.map { (id, region) -> Domain(id, region, hosts[id].orEmpty()) }
+
     /**
      * Returns the witnesses of [keyHash] by slot, all in [homeRegions]; null where a slot has no host.
      *
@@ -26,39 +29,57 @@
         keyHash: String,
         homeRegions: Set<RegionId>,
     ): List<HostId?> {
-        val domains = regions.keys
-            .filter { homeRegions.isEmpty() || regions[it] in homeRegions }
-            .sortedWith(compareByDescending<FailureDomainId> { domainWeight(keyHash, it) }.thenBy { it.value })
-        if (domains.isEmpty()) {
+        val keySeed = rendezvousSeed(keyHash)
+        val order = domains
+            .filter { homeRegions.isEmpty() || it.region in homeRegions }
+            .map { it to rendezvousWeight(keySeed, it.seed) }
+            .sortedWith(compareByDescending<Pair<Domain, ULong>> { it.second }.thenBy { it.first.id.value })
+        if (order.isEmpty()) {
             return List(WITNESS_SLOTS) { null }
         }
-        return List(WITNESS_SLOTS) { slot ->
-            hostInDomain(keyHash, domains[slot % domains.size], rank = slot / domains.size)
-        }
-    }
-
-    private fun domainWeight(
-        keyHash: String,
-        domain: FailureDomainId,
-    ): ULong = rendezvousWeight(keyHash, HostId(domain.value))
-
-    private fun hostInDomain(
-        keyHash: String,
-        domain: FailureDomainId,
-        rank: Int,
-    ): HostId? {
-        val candidates = hosts[domain].orEmpty()
-        val order = compareBy<HostId> { rendezvousWeight(keyHash, it) }.thenByDescending { it }
-        if (rank == 0) {
-            return candidates.maxWithOrNull(order)
-        }
-        return candidates.sortedWith(order.reversed()).getOrNull(rank)
+        return List(WITNESS_SLOTS) { slot -> order[slot % order.size].first.host(keySeed, rank = slot / order.size) }
     }
 
     override fun equals(other: Any?): Boolean =
         other is WitnessView && regions == other.regions && hosts == other.hosts
 
     override fun hashCode(): Int = 31 * regions.hashCode() + hosts.hashCode()
+
+    private class Domain(
+        val id: FailureDomainId,
+        val region: RegionId,
+        private val hosts: List<HostId>,
+    ) {
+        val seed = rendezvousSeed(id.value)
+        private val hostSeeds = ULongArray(hosts.size) { rendezvousSeed(hosts[it].value) }
+
+        /** Returns the host of the given [rank] for a key, or null if there are not so many. */
+        fun host(
+            keySeed: ULong,
+            rank: Int,
+        ): HostId? {
+            if (rank == 0) {
+                return greatest(keySeed)
+            }
+            return hosts.indices
+                .sortedByDescending { rendezvousWeight(keySeed, hostSeeds[it]) }
+                .getOrNull(rank)
+                ?.let { hosts[it] }
+        }
+
+        private fun greatest(keySeed: ULong): HostId? {
+            var greatest = -1
+            var greatestWeight = 0uL
+            for (index in hosts.indices) {
+                val weight = rendezvousWeight(keySeed, hostSeeds[index])
+                if (greatest < 0 || weight > greatestWeight) {
+                    greatest = index
+                    greatestWeight = weight
+                }
+            }
+            return hosts.getOrNull(greatest)
+        }
+    }
 }
 
 /** How many witnesses a key has. */
