--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/ValidateSettings.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/ValidateSettings.kt
@@ -28,6 +28,8 @@
     check.port("peerPort", settings.peerPort)
     check.port("adminPort", settings.adminPort)
     check.range("maxEntryRequests", settings.maxEntryRequests.toLong(), 1L..100_000L)
+    check.range("resendWindowMs", settings.resendWindowMs, 1_000L..3_600_000L)
+    check.range("maxKeyedDeadlineMs", settings.maxKeyedDeadlineMs, 100L..600_000L)
 }
 
 private fun checkTarget(target: TargetSettings, check: SettingsCheck) {
