--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/AdminHandler.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/AdminHandler.kt
@@ -5,8 +5,11 @@
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.path
 import io.ktor.server.response.respondText
-import kingcuptide.coordination.request.TargetChooser
-import kingcuptide.coordination.version.ConvergenceSummary
+import kingcuptide.coordination.process.ExplainReport
+import kingcuptide.coordination.process.StatusReport
+import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.version.ResourceKind
+import kotlinx.serialization.SerializationStrategy
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
 
@@ -15,7 +18,7 @@
     private val settings: DaemonSettings,
     private val decisions: ControlDecisions,
     private val loop: ControlLoop,
-    private val chooser: TargetChooser,
+    private val explainer: Explainer,
     private val metrics: DaemonMetrics,
     private val isReady: () -> Boolean,
 ) {
@@ -25,6 +28,7 @@
             "/ready" -> respondReady(call)
             "/metrics" -> call.respondText(metrics.scrape(), ContentType.Text.Plain)
             "/v1/status" -> respondStatus(call)
+            "/v1/explain" -> respondExplain(call)
             "/v1/rejected" -> respondRejected(call)
             else -> call.respondText("unknown path\n", status = HttpStatusCode.NotFound)
         }
@@ -39,17 +43,32 @@
     private suspend fun respondStatus(call: ApplicationCall) {
         val summary =
             loop.summary() ?: return call.respondText("too many queries\n", status = HttpStatusCode.ServiceUnavailable)
-        call.respondText(json.encodeToString(ConvergenceSummary.serializer(), summary), ContentType.Application.Json)
+        val confirmedAge = decisions.versions.confirmedAge(ResourceKind.DOCUMENT)
+        respondJson(
+            call,
+            StatusReport.serializer(),
+            summary.toReport(settings.host, decisions.membership, confirmedAge),
+        )
+    }
+
+    private suspend fun respondExplain(call: ApplicationCall) {
+        val query = call.request.queryParameters
+        val method = query["method"]
+        val path = query["path"]
+        if (method == null || path == null) {
+            return call.respondText("method and path are required\n", status = HttpStatusCode.BadRequest)
+        }
+        respondJson(call, ExplainReport.serializer(), explainer.explain(method, path, query["tenant"]?.let(::TenantId)))
     }
 
     private suspend fun respondRejected(call: ApplicationCall) {
         val reports = decisions.versions.document.rejected.map { it.toReport() }
-        call.respondText(
-            json.encodeToString(ListSerializer(RejectedReport.serializer()), reports),
-            ContentType.Application.Json,
-        )
+        respondJson(call, ListSerializer(RejectedReport.serializer()), reports)
     }
 
+    private suspend fun <T> respondJson(call: ApplicationCall, serializer: SerializationStrategy<T>, value: T) =
+        call.respondText(json.encodeToString(serializer, value), ContentType.Application.Json)
+
     private companion object {
         val json = Json { encodeDefaults = true }
     }
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/Daemon.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/Daemon.kt
@@ -162,7 +162,8 @@
         )
     private val listener =
         PeerListener(scope, selector, codec, metrics::fault, ::serveRequests, transport::serveConnection)
-    private val admin = AdminHandler(settings, decisions, loop, chooser, metrics, this::isReady)
+    private val explainer = Explainer(settings.host, settings.region, membership, chooser, ::snapshot)
+    private val admin = AdminHandler(settings, decisions, loop, explainer, metrics, this::isReady)
     private val http = HttpServers(settings, entry, admin)
     private val watcher = TargetWatcher(settings.target, target, gate, membership)
     private val fleetIps = FleetIps()
--- /dev/null
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/Reports.kt
@@ -0,0 +1,40 @@
+package kingcuptide.daemon.process
+
+import kingcuptide.coordination.process.CandidateStateReport
+import kingcuptide.coordination.process.FleetView
+import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.process.LaggardReport
+import kingcuptide.coordination.process.StatusReport
+import kingcuptide.coordination.process.VersionCountReport
+import kingcuptide.coordination.process.toReportedCode
+import kingcuptide.coordination.request.CandidateReport
+import kingcuptide.coordination.version.ConvergenceSummary
+import kotlin.time.Duration
+
+/** Returns the summary in the form in which operators get it. */
+internal fun ConvergenceSummary.toReport(answeredBy: HostId, fleet: FleetView, confirmedAge: Duration?): StatusReport =
+    StatusReport(
+        answeredBy = answeredBy,
+        versionInForce = newestVersion,
+        hostsTotal = hosts,
+        hostsInForce = inForce,
+        counts = rows.map { VersionCountReport(it.failureDomain, it.version, it.count) },
+        laggards = behind.map {
+            LaggardReport(it.host, fleet.entry(it.host)?.failureDomain, it.version, it.behindForMs)
+        },
+        laggardsTotal = behindTotal,
+        unreachable = unreachable,
+        unreachableTotal = unreachableTotal,
+        confirmedAgeMs = confirmedAge?.inWholeMilliseconds,
+        tookMs = tookMs,
+    )
+
+/** Returns the candidate in the form in which operators get it. */
+internal fun CandidateReport.toReport(fleet: FleetView): CandidateStateReport =
+    CandidateStateReport(
+        host = entry.host,
+        failureDomain = entry.failureDomain,
+        region = entry.region,
+        liveness = fleet.liveness(entry.host),
+        refusal = code?.toReportedCode(),
+    )
