--- a/system-tests/src/test/kotlin/kingcuptide/systemtests/SmallFleet.kt
+++ b/system-tests/src/test/kotlin/kingcuptide/systemtests/SmallFleet.kt
@@ -63,3 +63,8 @@
     }
 
 internal fun FleetShape.hostOf(service: ServiceId): HostEntry = hosts.first { it.service == service }
+
+/** Returns this document with the failure domains of [fleet]. */
+internal fun ConfigDocument.withDomainsOf(
+    fleet: LocalFleet,
+): ConfigDocument = copy(failureDomains = fleet.shape.document.failureDomains)
