--- a/daemon/src/test/kotlin/kingcuptide/daemon/process/SettingsReaderTest.kt
+++ b/daemon/src/test/kotlin/kingcuptide/daemon/process/SettingsReaderTest.kt
@@ -37,7 +37,7 @@
         fun `when keys are unknown, missing or of another type, then each is named`() {
             val broken =
                 VALID
-                    .replace("\"peerPort\": 7001, ", "")
+                    .replace("\"peerPort\": 7001, \"adminPort\"", "\"adminPort\"")
                     .replace("\"drainMs\": 5000", "\"drainSeconds\": 5")
                     .replace("\"joinWaitMs\": 100", "\"joinWaitMs\": \"100ms\"")
                     .replace("\"httpPort\": 8001", "\"httpPort\": 99999999999")
