--- a/cli/src/main/kotlin/kingcuptide/cli/CheckReport.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/CheckReport.kt
@@ -6,10 +6,10 @@
 import kingcuptide.coordination.version.DocumentFault
 import kingcuptide.coordination.version.Severity
 import kingcuptide.coordination.version.documentWarnings
+import kingcuptide.coordination.version.findDocumentFaults
 import kingcuptide.coordination.version.readDocument
 import kingcuptide.coordination.version.readHostList
 import kingcuptide.coordination.version.validateAgainstHosts
-import kingcuptide.coordination.version.validateDocument
 import kingcuptide.coordination.version.validateHostList
 import kotlinx.serialization.Serializable
 
@@ -42,9 +42,8 @@
 
 /** Checks the text of a document, and the text of a host list if there is one. */
 internal fun checkTexts(documentText: String, hostsText: String?): CheckReport {
-    val read = readDocument(documentText)
-    val document = read.get()
-    val ofDocument = read.getError() ?: document?.let { validateDocument(it) + documentWarnings(it) }.orEmpty()
+    val document = readDocument(documentText).get()
+    val ofDocument = findDocumentFaults(documentText) + document?.let { documentWarnings(it) }.orEmpty()
     val ofHosts = hostsText?.let { checkHosts(it, document) }.orEmpty()
     val findings =
         ofDocument.map { it.toFinding(CheckedFile.DOCUMENT) } + ofHosts.map { it.toFinding(CheckedFile.HOSTS) }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ReadDocument.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ReadDocument.kt
@@ -29,11 +29,15 @@
 public fun readHostList(text: String): Result<HostList, List<DocumentFault>> =
     readStrictly(text, HostList.serializer())
 
-private fun <T> readStrictly(text: String, serializer: KSerializer<T>): Result<T, List<DocumentFault>> {
+private fun <T> readStrictly(text: String, serializer: KSerializer<T>): Result<T, List<DocumentFault>> =
+    parseResource(text).flatMap { decodeStrictly(it, serializer) }
+
+/** Parses [text] unless it is over [MAX_RESOURCE_BYTES]. */
+internal fun parseResource(text: String): Result<JsonElement, List<DocumentFault>> {
     if (text.length > MAX_RESOURCE_BYTES || text.encodeToByteArray().size > MAX_RESOURCE_BYTES) {
         return refuse(ResultCode.DOCUMENT_TOO_LARGE, "the text is over $MAX_RESOURCE_BYTES bytes")
     }
-    return parseJson(text).flatMap { decodeStrictly(it, serializer) }
+    return parseJson(text)
 }
 
 /** Parses [text], which stands at [path]; nesting beyond [MAX_DEPTH] and keys that stand twice are refused. */
@@ -65,7 +69,7 @@
     }
 }
 
-private fun ShapeFault.toDocumentFault(): DocumentFault {
+internal fun ShapeFault.toDocumentFault(): DocumentFault {
     val code =
         when (kind) {
             ShapeFaultKind.UNKNOWN_FIELD -> ResultCode.DOCUMENT_UNKNOWN_FIELD
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/DocumentFuzzTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/DocumentFuzzTest.kt
@@ -16,6 +16,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotEmpty
+import strikt.assertions.isTrue
 import kotlin.random.Random
 
 internal class DocumentFuzzTest {
@@ -32,7 +33,11 @@
             var invalid = 0
             var valid = 0
             repeat(ROUNDS) {
-                val read = readDocument(mutate(original)).onFailure { checkFaults(it) }.get()
+                val text = mutate(original)
+                val read = readDocument(text).onFailure { checkFaults(it) }.get()
+                val all = findDocumentFaults(text)
+                expectThat(all.isEmpty()).isEqualTo(read != null && validateDocument(read).isEmpty())
+                expectThat(all.containsAll(readDocument(text).getError().orEmpty())).isTrue()
                 when {
                     read == null -> unreadable++
                     checkDocument(read) -> valid++
--- /dev/null
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/FindDocumentFaultsTest.kt
@@ -0,0 +1,92 @@
+package kingcuptide.coordination.version
+
+import kingcuptide.coordination.process.ResultCode
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+
+internal class FindDocumentFaultsTest {
+    @Nested
+    inner class `Given a document without faults` {
+        @Test
+        fun `when faults are looked for, then there are none`() {
+            expectThat(findDocumentFaults(DOCUMENT)).isEmpty()
+        }
+    }
+
+    @Nested
+    inner class `Given a document with faults of shape and of value` {
+        @Test
+        fun `when they are looked for, then all are found in one run`() {
+            val broken =
+                DOCUMENT
+                    .replace("\"slots\": 10", "\"slots\": 0")
+                    .replace("\"timeoutMs\": 100", "\"timeoutMs\": \"100\"")
+                    .replace("\"/a\", \"methods\": [\"GET\"]", "\"a\"")
+                    .replace("\"tenants\"", "\"colour\": 1, \"tenants\"")
+                    .replace("\"maxRetries\": 1", "\"maxRetries\": 9, \"retries\": 1")
+            expectThat(find(broken)).containsExactlyInAnyOrder(
+                ResultCode.DOCUMENT_UNKNOWN_FIELD to "colour",
+                ResultCode.DOCUMENT_UNKNOWN_FIELD to "routes.b.retries",
+                ResultCode.DOCUMENT_UNREADABLE to "routes.b.timeoutMs",
+                ResultCode.DOCUMENT_VALUE_OUT_OF_RANGE to "services.parcels.slots",
+                ResultCode.DOCUMENT_VALUE_OUT_OF_RANGE to "services.parcels.coldSlots",
+                ResultCode.DOCUMENT_VALUE_OUT_OF_RANGE to "routes.a.pathPrefix",
+                ResultCode.DOCUMENT_VALUE_OUT_OF_RANGE to "routes.b.maxRetries",
+            )
+        }
+
+        @Test
+        fun `when only a leaf has the wrong shape, then broken references are found as well`() {
+            val broken =
+                DOCUMENT
+                    .replace("\"timeoutMs\": 100", "\"timeoutMs\": \"100\"")
+                    .replace("[\"north\"]", "[\"west\"]")
+            expectThat(find(broken)).containsExactlyInAnyOrder(
+                ResultCode.DOCUMENT_UNREADABLE to "routes.b.timeoutMs",
+                ResultCode.DOCUMENT_BROKEN_REFERENCE to "tenants.t.homeRegions",
+            )
+        }
+    }
+
+    @Nested
+    inner class `Given a document with one fault of shape` {
+        @Test
+        fun `when other checks depend on that place, then no fault that only follows from it is named`() {
+            val shapes =
+                mapOf(
+                    "\"failureDomains\": {\"n1\": {\"region\": \"north\"}}" to "\"failureDomains\": 5",
+                    "\"region\": \"north\"" to "\"region\": 5",
+                    "\"services\": {" to "\"servces\": {",
+                    "\"slots\": 10" to "\"slots\": \"10\"",
+                    "\"/a\", \"methods\": [\"GET\"]" to "null, \"methods\": [\"GET\"]",
+                    "[\"GET\"]" to "\"GET\"",
+                    "\"version\": 3" to "\"version\": 3.5",
+                )
+            for ((right, wrong) in shapes) {
+                expectThat(find(DOCUMENT.replace(right, wrong)).size).describedAs(wrong).isEqualTo(1)
+            }
+        }
+    }
+
+    private fun find(text: String): List<Pair<ResultCode, String>> = findDocumentFaults(text).map { it.code to it.path }
+
+    private companion object {
+        val DOCUMENT =
+            """
+            {
+              "version": 3,
+              "failureDomains": {"n1": {"region": "north"}},
+              "services": {"parcels": {"slots": 10, "maxConnections": 100, "coldSlots": 5}},
+              "routes": {
+                "a": {"service": "parcels", "pathPrefix": "/a", "methods": ["GET"]},
+                "b": {"service": "parcels", "pathPrefix": "/a", "methods": ["PUT"], "timeoutMs": 100, "maxRetries": 1}
+              },
+              "tenants": {"t": {"homeRegions": ["north"]}}
+            }
+            """.trimIndent()
+    }
+}
