Put only the newest staged version in force at the end of a join

A restarted daemon that had fetched version 3 and then 4 put 3 in force first, although its earlier run had served 4.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ResourceSpread.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ResourceSpread.kt
@@ -71,10 +71,15 @@
     /** The newest version that is held, as it is named to peers, or null if there is none. */
     fun held(): OfferedVersion? = newest?.let { describe(it.version) }
 
-    /** Allows versions to go in force; until then they are only staged. */
+    /**
+     * Allows versions to go in force; until then they are only staged.
+     *
+     * Only the newest staged version may go in force, because an earlier run on this host may have served it.
+     */
     fun allowInForce(): List<Outbound> {
         if (mayPutInForce) return emptyList()
         mayPutInForce = true
+        while (staged.size > 1) staged.removeFirst()
         val now = clock.now()
         staged.replaceAll { it.copy(since = now, collectAt = now) }
         return advance()
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/SpreadRoles.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/SpreadRoles.kt
@@ -9,6 +9,7 @@
 import kingcuptide.coordination.process.Liveness
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.rendezvousWeight
+import kotlin.random.Random
 
 /**
  * Which host has which part in the distribution: pure functions of the host list and of liveness.
@@ -25,6 +26,7 @@
     private var orderedFor: HostList? = null
     private var ordered: List<HostEntry> = emptyList()
     private var byDomain: Map<FailureDomainId, List<HostEntry>> = emptyMap()
+    private var ofRegion: List<HostEntry> = emptyList()
     private val readerOrders = mutableMapOf<ResourceKind, ReaderOrder>()
     private var witnesses: List<HostEntry> = emptyList()
 
@@ -104,6 +106,18 @@
             .map { it.first }
     }
 
+    /** Returns a random usable host of this daemon's failure domain, or of its region; null if none is found soon. */
+    fun randomUsable(isInDomain: Boolean, random: Random): HostId? {
+        refresh()
+        val hosts = if (isInDomain) byDomain[fleet.self.failureDomain].orEmpty() else ofRegion
+        if (hosts.isEmpty()) return null
+        repeat(RANDOM_TRIES) {
+            val host = hosts.random(random)
+            if (isUsable(host)) return host.host
+        }
+        return null
+    }
+
     /** Whether [host] is believed able to take part. */
     fun isUsable(host: HostEntry): Boolean =
         host.state == HostState.LIVE && fleet.liveness(host.host).let { it != Liveness.DEAD && it != Liveness.LEAVING }
@@ -137,6 +151,7 @@
             .sortedWith(compareByDescending<Pair<HostEntry, ULong>> { it.second }.thenBy { it.first.host })
             .map { it.first }
         byDomain = ordered.groupBy { it.failureDomain }
+        ofRegion = ordered.filter { it.region == fleet.self.region }
         witnesses = computeWitnesses()
     }
 
@@ -167,5 +182,6 @@
         const val ROOTS_PER_REGION = 2
         const val MIN_WITNESS_DOMAINS = 3
         const val MAX_ANCHORS = 8
+        const val RANDOM_TRIES = 8
     }
 }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/VersionCoordinator.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/VersionCoordinator.kt
@@ -64,8 +64,8 @@
     private var nonce = random.nextLong()
     private var nextQueryAt = clock.now()
     private var queryInterval = FIRST_QUERY_INTERVAL
-    private var nextExchangeAt = clock.now() + settings.antiEntropyInterval * random.nextDouble()
-    private var documentReadAt = clock.now() + FIRST_READ_DELAY * (1 + 2 * random.nextDouble())
+    private val antiEntropy = AntiEntropy(clock, random, fleet, roles, settings)
+    private val documentReadAt = clock.now() + FIRST_READ_DELAY * (1 + 2 * random.nextDouble())
     private var awakeTarget: Long? = null
     private var hasAwakeAnswer = false
 
@@ -180,7 +180,7 @@
         val hosts = maxOf(fleet.hostList.hosts.size, settings.expectedHosts)
         sourceBudget.resize(sourceRate(hosts), sourceBurst(hosts))
         for (spread in spreads) {
-            if (spread === documents && document.current == null && clock.now() < documentReadAt) continue
+            if (spread === documents && !mayReadDocument()) continue
             val age = spread.confirmedAge() ?: (clock.now() - startedAt)
             readers.getValue(spread.kind).tick(isReader(spread.kind), spread.greatestNumber, age) { ++calls }?.let {
                 effects +=
@@ -227,7 +227,7 @@
     private fun answer(from: HostId, query: VersionQuery): List<Outbound> {
         join.noteSeen(query.seenNumber)
         val isSure = join.isJoined && awake.pausedSince == null
-        val offered = if (isSure) spreads.mapNotNull { it.held() } else emptyList()
+        val offered = spreads.mapNotNull { it.held() }
         val seenNumber = listOfNotNull(join.seenNumber, heldNumber(ResourceKind.DOCUMENT)).maxOrNull()
         return listOf(Outbound(from, VersionAnswer(query.nonce, isSure, seenNumber, offered)))
     }
@@ -284,25 +284,16 @@
     }
 
     private fun exchange(): List<Outbound> {
-        val now = clock.now()
-        if (now < nextExchangeAt) return emptyList()
-        nextExchangeAt = now + settings.antiEntropyInterval * (0.75 + random.nextDouble() / 2)
+        if (!join.isJoined) return emptyList()
         val offered = spreads.mapNotNull { it.offered() }
-        if (!join.isJoined || offered.isEmpty()) return emptyList()
-        return exchangePeers().map { Outbound(it, Offer(offered)) }
+        if (offered.isEmpty()) return emptyList()
+        return antiEntropy.duePeers().map { Outbound(it, Offer(offered)) }
     }
 
-    private fun exchangePeers(): Set<HostId> {
-        val usable = roles.others().filter { roles.isUsable(it) }
-        val region = usable.filter { it.region == fleet.self.region }
-        val domain = region.filter { it.failureDomain == fleet.self.failureDomain }
-        val near = if (random.nextInt(NEAR_OF) > 0) domain.ifEmpty { region } else region
-        val peers = mutableSetOf<HostId>()
-        near.randomOrNull(random)?.let { peers += it.host }
-        if (fleet.self.host in roles.roots(fleet.self.region)) {
-            roles.otherRegions().forEach { other -> roles.roots(other).randomOrNull(random)?.let { peers += it } }
-        }
-        return peers
+    private fun mayReadDocument(): Boolean {
+        if (documents.newest != null) return true
+        val isFar = fleet.self.region != settings.platformRegion
+        return clock.now() >= documentReadAt + if (isFar) FAR_READ_DELAY else Duration.ZERO
     }
 
     private fun spreadOf(kind: ResourceKind): ResourceSpread<*> =
@@ -324,10 +315,10 @@
         val FIRST_QUERY_INTERVAL = 200.milliseconds
         val MAX_QUERY_INTERVAL = 1_000.milliseconds
         val FIRST_READ_DELAY = 500.milliseconds
+        val FAR_READ_DELAY = 1_500.milliseconds
         const val AWAKE_WITNESSES = 3
         const val QUERIED_STRANGERS = 2
         const val MAX_OFFERED = 4
-        const val NEAR_OF = 4
         const val BUDGET_SHARE = 0.4
     }
 }
