--- a/bench/src/main/kotlin/kingcuptide/bench/ControlCommand.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/ControlCommand.kt
@@ -8,7 +8,12 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Measures the bytes that each daemon receives, and the calls that the platform gets. */
+/**
+ * Measures the bytes that each daemon receives, the calls that the platform gets, and processor time.
+ *
+ * The processor time is that of the decisions of all hosts and of the fake transport, which encodes each message to
+ * count its bytes. Contents are shared between the hosts: what one daemon spends on a change is measured apart.
+ */
 class ControlCommand : CliktCommand("control") {
     private val seed by option().int().default(1)
 
@@ -21,6 +26,7 @@
             val trial = FleetTrial(FleetShape(listOf(4, 3), hosts), Distribution.SPREAD, seed, 50_000)
             rest("fleet", trial, Distribution.SPREAD, 50_000)
         }
+        for (documentBytes in listOf(50_000, 950_000)) println(measureChangeCost(seed, documentBytes))
     }
 
     private fun measureLetter(distribution: Distribution, documentBytes: Int) {
@@ -44,6 +50,11 @@
     private fun rest(row: String, trial: FleetTrial, distribution: Distribution, documentBytes: Int) {
         val rate = trial.measureReceived(REST) { trial.fleet.run(REST) }
         print(row, trial, distribution, documentBytes, rate)
+        val ages = trial.confirmedAges().map { it.inWholeMilliseconds }
+        if (ages.isEmpty()) return
+        println(
+            "row=freshness hosts=${ages.size} confirmed_age_p50_ms=${ages[ages.size / 2]} confirmed_age_max_ms=${ages.last()}",
+        )
     }
 
     private fun herdRestart(trial: FleetTrial, distribution: Distribution, documentBytes: Int) {
@@ -68,7 +79,8 @@
                 "document_bytes=$documentBytes received_mean_bytes_per_s=${rate.meanBytesPerSecond.toLong()} " +
                 "received_max_bytes_per_s=${rate.maxBytesPerSecond.toLong()} " +
                 "cross_region_bytes_per_s=${rate.crossRegionBytesPerSecond.toLong()} " +
-                "source_calls_max_per_s=${rate.maxSourceCallsPerSecond} seed=$seed",
+                "source_calls_max_per_s=${rate.maxSourceCallsPerSecond} " +
+                "cpu_percent_of_core_per_host=${"%.3f".format(rate.cpuPercentOfCorePerHost)} seed=$seed",
         )
     }
 
--- a/bench/src/main/kotlin/kingcuptide/bench/FleetTrial.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/FleetTrial.kt
@@ -8,7 +8,9 @@
 import kingcuptide.bench.fleet.PlainWatcher
 import kingcuptide.bench.fleet.VersionDaemon
 import kingcuptide.bench.fleet.hostListContent
+import kingcuptide.coordination.version.ResourceKind
 import kingcuptide.coordination.version.VersionSettings
+import java.lang.management.ManagementFactory
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -40,6 +42,7 @@
     val maxBytesPerSecond: Double,
     val crossRegionBytesPerSecond: Double,
     val maxSourceCallsPerSecond: Int,
+    val cpuPercentOfCorePerHost: Double,
 )
 
 /** One fleet that has started and settled, for measuring. */
@@ -91,7 +94,9 @@
         val before = fleet.hosts.map { it.receivedBytes + it.sourceBytes }
         val crossRegion = fleet.bytes.crossRegion
         val start = fleet.clock.now()
+        val cpuStart = threads.currentThreadCpuTime
         during()
+        val cpuSeconds = (threads.currentThreadCpuTime - cpuStart) / NANOS_PER_SECOND
         val seconds = per.toDouble(DurationUnit.SECONDS)
         val received = fleet.hosts.mapIndexed { index, host -> host.receivedBytes + host.sourceBytes - before[index] }
         return ReceivedRate(
@@ -99,9 +104,16 @@
             maxBytesPerSecond = received.max() / seconds,
             crossRegionBytesPerSecond = (fleet.bytes.crossRegion - crossRegion) / seconds,
             maxSourceCallsPerSecond = maxCallsSince(start),
+            cpuPercentOfCorePerHost = PERCENT * cpuSeconds / seconds / fleet.hosts.size,
         )
     }
 
+    /** Returns the ages of the last confirmation of the document over all hosts, sorted. */
+    fun confirmedAges(): List<Duration> =
+        fleet.hosts.mapNotNull {
+            (it.daemon as? VersionDaemon)?.coordinator?.confirmedAge(ResourceKind.DOCUMENT)
+        }.sorted()
+
     private fun maxCallsSince(start: Duration): Int =
         fleet.platform.callsBySecond.filterKeys { it >= start.inWholeSeconds }.values.maxOrNull() ?: 0
 
@@ -118,6 +130,9 @@
         /** The letter's fleet: 2 regions, 7 failure domains, about 1,100 hosts. */
         val LETTER_SHAPE: FleetShape = FleetShape(listOf(4, 3), 157)
         private val SETTLE = 20.seconds
+        private val threads = ManagementFactory.getThreadMXBean()
+        private const val NANOS_PER_SECOND = 1e9
+        private const val PERCENT = 100.0
         private val LIMIT = 20.seconds
     }
 }
--- a/bench/src/main/kotlin/kingcuptide/bench/fleet/InMemoryFleet.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/fleet/InMemoryFleet.kt
@@ -52,7 +52,7 @@
     var onInForce: (FleetHost, Long) -> Unit = { _, _ -> }
 
     /** Called with each message that reaches a running daemon, before the daemon handles it. */
-    var onDelivered: (FleetHost, ControlMessage) -> Unit = { _, _ -> }
+    var onDelivered: (from: FleetHost, to: FleetHost, message: ControlMessage) -> Unit = { _, _, _ -> }
 
     /** Whether a message is lost on its way out of the host that sends it. */
     var losesMessage: (from: FleetHost, message: ControlMessage) -> Boolean = { _, _ -> false }
@@ -158,7 +158,7 @@
             delays.forEach { delay ->
                 events.after(delay) {
                     target.receivedBytes += size
-                    if (target.run == run) onDelivered(target, message)
+                    if (target.run == run) onDelivered(from, target, message)
                     arrive(target, run) { it.receive(from.entry.host, message) }
                 }
             }
--- a/bench/src/test/kotlin/kingcuptide/bench/fleet/VersionFaultMatrixTest.kt
+++ b/bench/src/test/kotlin/kingcuptide/bench/fleet/VersionFaultMatrixTest.kt
@@ -3,12 +3,16 @@
 import kingcuptide.coordination.version.ResourceContent
 import kingcuptide.coordination.version.VersionSettings
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotNull
+import kotlin.io.path.Path
+import kotlin.io.path.readText
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 
@@ -24,6 +28,12 @@
             }
         }
 
+    @Test
+    fun `Given the page of the fault matrix, when it is read, then it shows the versions' table as declared here`() {
+        val page = Path("../docs/FAULT-MATRIX.md").readText()
+        expectThat(page).contains(versionFaultTable(COVERED_STEPS))
+    }
+
     private fun check(fault: VersionFault, step: VersionStep, shape: FleetShape, seed: Int) {
         println("fault=$fault step=$step domains=${shape.failureDomainsPerRegion} seed=$seed")
         val scene = settledScene(fault, shape, seed)
--- a/bench/src/test/kotlin/kingcuptide/bench/fleet/VersionFaults.kt
+++ b/bench/src/test/kotlin/kingcuptide/bench/fleet/VersionFaults.kt
@@ -3,6 +3,7 @@
 import kingcuptide.coordination.connection.Held
 import kingcuptide.coordination.connection.Offer
 import kingcuptide.coordination.connection.Payload
+import kingcuptide.coordination.process.HostEntry
 import kingcuptide.coordination.version.ResourceKind
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
@@ -143,7 +144,7 @@
 
     private inline fun <reified M> onMessage(crossinline describe: (M) -> Pair<ResourceKind, Long>) {
         val number = expected + 1
-        fleet.onDelivered = { host, message ->
+        fleet.onDelivered = { _, host, message ->
             if (message is M && describe(message) == ResourceKind.DOCUMENT to number) strikeSoon(host)
         }
     }
@@ -167,3 +168,14 @@
 
 /** How long each fault lasts. */
 val FAULT_LASTS: Duration = 5.seconds
+
+/** The table of the version faults for the documents: `x` where [VersionFaultMatrixTest] covers the cell. */
+fun versionFaultTable(covered: Collection<VersionStep>): String {
+    val head = "| fault | " + VersionStep.entries.joinToString(" | ") { it.label } + " |"
+    val rule = "| --- " + "| --- ".repeat(VersionStep.entries.size) + "|"
+    val rows = VersionFault.entries.map { fault ->
+        "| ${fault.label} |" +
+            VersionStep.entries.joinToString("") { if (it in covered) " x |" else " |" }
+    }
+    return (listOf(head, rule) + rows).joinToString("\n")
+}
