--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ResourceSpread.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ResourceSpread.kt
@@ -66,10 +66,10 @@
     fun confirmedAge(): Duration? = holder.current?.let { confirmations.of(it.version) }?.let { clock.now() - it }
 
     /** The version in force as it is named to peers, or null if there is none. */
-    fun offered(): OfferedVersion? = holder.current?.let { describe(it.version) }
+    fun offered(): OfferedVersion? = holder.current?.let { describe(it.version, withHolders = false) }
 
     /** The newest version that is held, as it is named to peers, or null if there is none. */
-    fun held(): OfferedVersion? = newest?.let { describe(it.version) }
+    fun held(): OfferedVersion? = newest?.let { describe(it.version, withHolders = false) }
 
     /**
      * Allows versions to go in force; until then they are only staged.
@@ -115,7 +115,7 @@
 
     /** Sends the newest content to [from], which asks for it. */
     fun receiveWant(from: HostId, message: Want): List<Outbound> =
-        newest?.let { sender.answer(from, message, it, ::describe) }.orEmpty()
+        newest?.let { sender.answer(from, message, it) { version -> describe(version) } }.orEmpty()
 
     /** Asks another peer, or the same one later. */
     fun receiveBusy(from: HostId, message: Busy): List<Outbound> {
@@ -285,12 +285,12 @@
         if (age >= 0) confirmations.note(item.version, clock.now() - age.milliseconds)
     }
 
-    private fun describe(version: ResourceVersion): OfferedVersion =
+    private fun describe(version: ResourceVersion, withHolders: Boolean = witnessed): OfferedVersion =
         OfferedVersion(
             kind = kind,
             version = version,
             confirmedAgeMs = confirmations.of(version)?.let { (clock.now() - it).inWholeMilliseconds },
-            holders = if (witnessed) ledger.holding(version).take(MAX_HOLDERS).map { it.host } else emptyList(),
+            holders = if (withHolders) ledger.holding(version).take(MAX_HOLDERS).map { it.host } else emptyList(),
         )
 
     private inline fun Result<List<Outbound>, ResultCode>.onAccepted(action: () -> Unit): Result<List<Outbound>, ResultCode> {
