--- a/bench/src/main/kotlin/kingcuptide/bench/membership/MembershipBench.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/membership/MembershipBench.kt
@@ -16,16 +16,21 @@
 ) {
     private val random = Random(seed)
 
-    fun run() {
-        print("bench=membership seed=$seed hosts=$hosts clock=virtual")
-        atRest()
-        killed(MembershipSettings(), "ring")
-        killed(MembershipSettings(ringSuccessors = 0, probeInterval = ONE_PROBE_INTERVAL), "random")
-        leaving()
-        restarts()
-        domainReturns()
-        regionCut()
-        allRestart()
+    /** Runs the measurement of [case]. */
+    fun run(case: MembershipBenchCase) {
+        when (case) {
+            MembershipBenchCase.REST -> atRest()
+            MembershipBenchCase.KILLED -> {
+                killed(MembershipSettings(), "ring")
+                killed(MembershipSettings(ringSuccessors = 0, probeInterval = ONE_PROBE_INTERVAL), "random")
+            }
+            MembershipBenchCase.LEAVING -> leaving()
+            MembershipBenchCase.RESTARTS -> restarts()
+            MembershipBenchCase.DOMAIN -> domainReturns()
+            MembershipBenchCase.REGION -> regionCut()
+            MembershipBenchCase.ALL_RESTART -> allRestart()
+            MembershipBenchCase.STATUS -> StatusBench(hosts, seed, print).run()
+        }
     }
 
     private fun fleet(settings: MembershipSettings = MembershipSettings()): MembershipFleet {
@@ -180,6 +185,18 @@
     }
 }
 
+/** One measurement of [MembershipBench]. */
+enum class MembershipBenchCase {
+    REST,
+    KILLED,
+    LEAVING,
+    RESTARTS,
+    DOMAIN,
+    REGION,
+    ALL_RESTART,
+    STATUS,
+}
+
 /** Control bytes that daemons received in a stretch of time; datagram headers are counted. */
 data class Rates(
     val meanBytesPerSecond: Double,
