--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/PayloadCodec.kt
@@ -0,0 +1,34 @@
+package kingcuptide.coordination.version
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import kingcuptide.coordination.process.ResultCode
+
+/** Turns contents and differences into compressed bytes for peers, and back. */
+public interface PayloadCodec {
+    /** Encodes [content] so that a receiver needs no base. */
+    public fun encodeWhole(content: ResourceContent): ByteArray
+
+    /** Encodes [delta] for a receiver that holds its base. */
+    public fun encodeDelta(delta: ResourceDelta): ByteArray
+
+    /** Decodes what [encodeWhole] made. The digest is computed anew from the entries. */
+    public fun decodeWhole(bytes: ByteArray): Result<ResourceContent, ResultCode>
+
+    /** Decodes what [encodeDelta] made, and applies it to a copy of [base]. */
+    public fun decodeDelta(base: ResourceContent, bytes: ByteArray): Result<ResourceContent, ResultCode>
+}
+
+/** Returns the codec that daemons use: CBOR, compressed with deflate. Thread-safe. */
+public fun deflatePayloadCodec(): PayloadCodec = DeflatePayloadCodec
+
+private object DeflatePayloadCodec : PayloadCodec {
+    override fun encodeWhole(content: ResourceContent): ByteArray = packWhole(content)
+
+    override fun encodeDelta(delta: ResourceDelta): ByteArray = packDelta(delta)
+
+    override fun decodeWhole(bytes: ByteArray): Result<ResourceContent, ResultCode> = unpackWhole(bytes)
+
+    override fun decodeDelta(base: ResourceContent, bytes: ByteArray): Result<ResourceContent, ResultCode> =
+        unpackDelta(bytes).flatMap { base.apply(it) }
+}
