Check a pause for death until the end of the case, and count envelopes

The matrix looked at paused hosts only while they were paused, so a death 2 s after they woke went unseen: without refutation (mutant) 'daemon frozen for 3 s, while at rest' passed. Byte counts include the sender's name as the daemon sends it.

--- a/bench/src/main/kotlin/kingcuptide/bench/membership/MembershipCaseRun.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/membership/MembershipCaseRun.kt
@@ -32,7 +32,6 @@
         watch.regionsApart = case.fault == MembershipFault.REGION_CUT
         watch.spared = if (MembershipPromise.PAUSE_IS_NO_DEATH in case.promises) touchedByFault() else emptyList()
         strike()
-        watch.spared = emptyList()
         fleet.network.heal()
         checkHealed()
         return watch.violations
--- a/bench/src/main/kotlin/kingcuptide/bench/membership/MembershipFleet.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/membership/MembershipFleet.kt
@@ -1,6 +1,6 @@
 package kingcuptide.bench.membership
 
-import kingcuptide.coordination.connection.ControlMessage
+import kingcuptide.coordination.connection.ControlEnvelope
 import kingcuptide.coordination.connection.MembershipMessage
 import kingcuptide.coordination.connection.Outbound
 import kingcuptide.coordination.process.HostEntry
@@ -143,7 +143,7 @@
         for (outbound in messages) {
             val to = byHost[outbound.to] ?: continue
             val message = outbound.message as MembershipMessage
-            val bytes = if (countBytes) encodedBytes(message) else 0
+            val bytes = if (countBytes) encodedBytes(from.host, message) else 0
             for (delay in network.delays(from.entry, to.entry)) {
                 clock.schedule(delay) { arrive(from, to, message, bytes) }
             }
@@ -170,8 +170,8 @@
         return result
     }
 
-    private fun encodedBytes(message: MembershipMessage): Int {
-        val bytes = Cbor.encodeToByteArray<ControlMessage>(message).size
+    private fun encodedBytes(from: HostId, message: MembershipMessage): Int {
+        val bytes = Cbor.encodeToByteArray(ControlEnvelope(from, message)).size
         greatestMessageBytes = maxOf(greatestMessageBytes, bytes)
         return bytes + DATAGRAM_HEADER_BYTES
     }
--- a/bench/src/main/kotlin/kingcuptide/bench/membership/MembershipWatch.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/membership/MembershipWatch.kt
@@ -15,7 +15,7 @@
     /** Hosts that a fault touches; they may be dead to others, and others to them. */
     val touched = HashSet<HostId>()
 
-    /** Hosts that must not be dead to anybody at this moment. */
+    /** Hosts that must not be dead to anybody. */
     var spared: List<FleetNode> = emptyList()
 
     /** Whether the regions are cut from each other. */
--- a/bench/src/main/kotlin/kingcuptide/bench/membership/StatusFleet.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/membership/StatusFleet.kt
@@ -1,6 +1,7 @@
 package kingcuptide.bench.membership
 
 import com.github.michaelbull.result.onSuccess
+import kingcuptide.coordination.connection.ControlEnvelope
 import kingcuptide.coordination.connection.ControlMessage
 import kingcuptide.coordination.connection.ConvergenceMessage
 import kingcuptide.coordination.connection.Outbound
@@ -125,7 +126,7 @@
     }
 
     private fun account(from: StatusNode, to: StatusNode, message: ControlMessage) {
-        val size = Cbor.encodeToByteArray(message).size
+        val size = Cbor.encodeToByteArray(ControlEnvelope(from.self.host, message)).size
         greatestMessageBytes = maxOf(greatestMessageBytes, size)
         messages++
         bytes += size + DATAGRAM_HEADER_BYTES
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/MembershipWriter.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/MembershipWriter.kt
@@ -131,14 +131,14 @@
     private fun updateOf(member: Member): MemberUpdate = member.claim().toUpdate(member.key, table.me.incarnation)
 
     private companion object {
-        /** Bytes of updates in one gossip or sync message; the rest of the datagram is for its head. */
-        const val MAX_UPDATE_BYTES = 1_100
+        /** Bytes of updates in one gossip or sync message; the rest of the datagram is for its head and the sender's name. */
+        const val MAX_UPDATE_BYTES = 1_040
 
         /** Bytes of updates that ride on a probe or its answer. */
         const val PIGGYBACK_BYTES = 120
 
-        /** Bytes of datagram headers and of a message without updates. */
-        const val HEADER_BYTES = 60
+        /** Bytes of datagram headers, and of a message without updates. */
+        const val HEADER_BYTES = 80
         const val TELLS_PER_TICK = 16
         const val MAX_CORRECTIONS = 16
         val TELL_INTERVAL = 1.seconds
--- a/coordination/src/test/kotlin/kingcuptide/coordination/process/MembershipTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/process/MembershipTest.kt
@@ -1,6 +1,6 @@
 package kingcuptide.coordination.process
 
-import kingcuptide.coordination.connection.ControlMessage
+import kingcuptide.coordination.connection.ControlEnvelope
 import kingcuptide.coordination.connection.Gossip
 import kingcuptide.coordination.connection.MAX_MEMBERSHIP_MESSAGE_BYTES
 import kingcuptide.coordination.connection.Probe
@@ -182,10 +182,15 @@
                 val incarnation = if (index % 2 == 0) Long.MAX_VALUE / 4 - index else Long.MIN_VALUE / 4 + index
                 hear(host, incarnation) + membership.tick()
             }
-            val encoded = sent.map { Cbor.encodeToByteArray<ControlMessage>(it.message) }
+            val sender = HostId("h".repeat(64))
+            val encoded = sent.map { Cbor.encodeToByteArray(ControlEnvelope(sender, it.message)) }
 
             expectThat(encoded.map { it.size }).isNotEmpty().all { isLessThanOrEqualTo(MAX_MEMBERSHIP_MESSAGE_BYTES) }
-            expectThat(encoded.map { Cbor.decodeFromByteArray<ControlMessage>(it) }).isEqualTo(sent.map { it.message })
+            expectThat(
+                encoded.map {
+                    Cbor.decodeFromByteArray<ControlEnvelope>(it).message
+                },
+            ).isEqualTo(sent.map { it.message })
         }
     }
 
