--- a/bench/src/main/kotlin/kingcuptide/bench/Bench.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/Bench.kt
@@ -6,5 +6,13 @@
 
 /** Runs one of the measurements; each prints key=value lines with the unit in the key. */
 fun main(args: Array<String>) {
-    NoOpCliktCommand("bench").subcommands(FailureDomainCommand(), OverloadCommand()).main(args)
+    NoOpCliktCommand("bench")
+        .subcommands(
+            ConvergenceCommand(),
+            ControlCommand(),
+            MembershipCommand(),
+            FailureDomainCommand(),
+            OverloadCommand(),
+            KeysCommand(),
+        ).main(args)
 }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
@@ -29,6 +29,7 @@
     METHOD_NOT_ALLOWED(107, 405, Outcome.NOT_RUN),
     BAD_DEADLINE(108, 400, Outcome.NOT_RUN),
     BAD_IDEMPOTENCY_KEY(109, 400, Outcome.NOT_RUN),
+    LENGTH_REQUIRED(110, 411, Outcome.NOT_RUN),
 
     // 2xx: refused, and it did not run
     NO_CONFIGURATION(200, 503, Outcome.NOT_RUN),
@@ -70,6 +71,7 @@
     DELTA_BASE_UNKNOWN(408, 0),
     NO_TARGET_IN_HOME_REGION(409, 0),
     DUPLICATE_PATH_PREFIX(410, 0),
+    HOME_REGION_TAKEN_OUT(411, 0),
 
     // 5xx: between daemons and with the platform
     PEER_PROTOCOL_VERSION(500, 0),
@@ -79,6 +81,8 @@
     SOURCE_BUDGET_SPENT(504, 0),
     SOURCE_MALFORMED(505, 0),
     LATE_ANSWER_DROPPED(506, 0),
+    DUPLICATE_FRAME_DROPPED(507, 0),
+    STATUS_QUERIES_FULL(508, 0),
 
     // 6xx: settings and command line
     SETTINGS_UNREADABLE(600, 0),
@@ -88,4 +92,5 @@
     SETTINGS_CONFLICT(604, 0),
     DAEMON_UNREACHABLE(605, 0),
     WAIT_TIMED_OUT(606, 0),
+    DAEMON_ANSWER_UNREADABLE(607, 0),
 }
