--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/AdmissionGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/AdmissionGate.kt
@@ -105,10 +105,12 @@
     }
 
     override fun load(): GateLoad = synchronized(lock) {
-        val present = if (draining || connection.isDown(clock.now())) 0 else limit.current(clock.now())
-        GateLoad(inFlight = running.size, limit = present, queued = queue.size)
+        GateLoad(inFlight = running.size, limit = limitNow(clock.now()), queued = queue.size)
     }
 
+    private fun limitNow(now: Duration): Int =
+        if (draining) 0 else connection.limit(now, running.size, limit.current(now))
+
     private fun admit(waiting: Waiting): Admission {
         val now = clock.now()
         refusalOf(waiting, now)?.let { return refused(it, now) }
@@ -121,6 +123,7 @@
 
     private fun admitClear(waiting: Waiting, now: Duration): Admission {
         if (queue.isEmpty && hasRoom(now)) return Admission.Admitted(start(waiting, now, alone = false))
+        if (connection.isDown(now)) return refused(ResultCode.TARGET_DOWN, now)
         val wait = expectedWait(now)
         val late = wait > settings.maxQueueWait || wait + limit.serviceTime > waiting.request.remaining
         if (late || !queue.offer(waiting, waiting.deadline)) return refused(fullCode(now), now)
@@ -155,7 +158,7 @@
     }
 
     private fun hasRoom(now: Duration): Boolean =
-        !alone.isClaimed && connection.mayTry(now, running.size) && running.size < limit.current(now)
+        !alone.isClaimed && running.size < limitNow(now)
 
     private fun expectedWait(now: Duration): Duration =
         limit.serviceTime * ((queue.size + 1).toDouble() / limit.current(now))
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetConnection.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetConnection.kt
@@ -23,8 +23,12 @@
     /** Whether the target is out of reach and it is too early to try again. */
     fun isDown(now: Duration): Boolean = downUntil?.let { now < it } ?: false
 
-    /** Whether a request may be sent, with [inFlight] at the target already. */
-    fun mayTry(now: Duration, inFlight: Int): Boolean = downUntil == null || (!isDown(now) && inFlight == 0)
+    /** Returns how many may be at the target that has [inFlight] now and otherwise bears [limit]. */
+    fun limit(now: Duration, inFlight: Int, limit: Int): Int = when {
+        downUntil == null -> limit
+        isDown(now) -> minOf(inFlight, 1)
+        else -> 1
+    }
 
     /** A request is on its way; if the target was out of reach, the others wait for what comes of it. */
     fun tried(now: Duration) {
