--- a/bench/src/main/kotlin/kingcuptide/bench/Bench.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/Bench.kt
@@ -14,5 +14,7 @@
             FailureDomainCommand(),
             OverloadCommand(),
             KeysCommand(),
+            AddedLatencyCommand(),
+            DaemonsCommand(),
         ).main(args)
 }
--- /dev/null
+++ b/bench/src/main/kotlin/kingcuptide/bench/DaemonsCommand.kt
@@ -0,0 +1,174 @@
+package kingcuptide.bench
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.ajalt.clikt.parameters.types.long
+import kingcuptide.bench.processes.ProcessUsage
+import kingcuptide.bench.processes.usageOf
+import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.process.HostEntry
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.RouteId
+import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.version.ConfigDocument
+import kingcuptide.coordination.version.RouteSpec
+import kingcuptide.coordination.version.ServiceSpec
+import kingcuptide.coordination.version.TenantSpec
+import kingcuptide.standins.fleet.DomainShape
+import kingcuptide.standins.fleet.FleetShape
+import kingcuptide.standins.fleet.LocalFleet
+import kingcuptide.standins.fleet.fleetShape
+import java.nio.file.Files
+import java.util.concurrent.locks.LockSupport
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+import kotlin.time.TimeSource
+
+/** Measures what real daemon processes spend on control: processor time, memory, bytes, and the time to convergence. */
+class DaemonsCommand : CliktCommand(name = "daemons") {
+    private val seed by option("--seed").long().default(1)
+    private val perDomain by option("--hosts-per-domain").int().default(4)
+    private val domains by option("--domains").int().default(7)
+    private val tenants by option("--tenants").int().default(1_000)
+    private val windowSeconds by option("--window-seconds").int().default(30)
+    private val changes by option("--changes").int().default(10)
+
+    private val random by lazy { Random(seed) }
+
+    override fun run() {
+        echo(
+            "seed=$seed hosts=${perDomain * domains} failure_domains=$domains tenants=$tenants window_s=$windowSeconds",
+        )
+        LocalFleet(shape(), Files.createTempDirectory("daemons")).use { fleet ->
+            fleet.startPlatform()
+            fleet.await("platform") { fleet.sourceCalls() >= 0 }
+            fleet.shape.hosts.forEach { fleet.startDaemon(it) }
+            fleet.shape.hosts.forEach { fleet.awaitReady(it) }
+            pause(SETTLE)
+            window(fleet, "rest", changes = 0)
+            window(fleet, "changes", changes)
+        }
+    }
+
+    private fun window(fleet: LocalFleet, name: String, changes: Int) {
+        val usedBefore = usages(fleet)
+        val bytesBefore = bytes(fleet)
+        val callsBefore = fleet.sourceCalls()
+        val started = TimeSource.Monotonic.markNow()
+        val convergence = (1..changes).map { change(fleet) }
+        val left = windowSeconds.seconds - started.elapsedNow()
+        if (left > Duration.ZERO) pause(left)
+        val took = started.elapsedNow()
+        val usedAfter = usages(fleet)
+        val cpu = usedAfter.zip(usedBefore) { after, before -> (after.cpuTime - before.cpuTime) / took * PERCENT }
+        val received = bytes(fleet).zip(bytesBefore) { after, before ->
+            (after - before) /
+                took.toDouble(DurationUnit.SECONDS)
+        }
+        echo(
+            "window=$name took_s=%.1f cpu_percent_mean=%.2f cpu_percent_max=%.2f target_cpu_percent=1.8 ".format(
+                took.toDouble(DurationUnit.SECONDS),
+                cpu.average(),
+                cpu.max(),
+            ) +
+                "resident_mb_mean=%.1f resident_mb_max=%.1f anonymous_mb_max=%.1f target_mb=64 ".format(
+                    usedAfter.map { it.residentBytes }.average() / MEGABYTE,
+                    usedAfter.maxOf { it.residentBytes } / MEGABYTE,
+                    usedAfter.maxOf { it.anonymousBytes } / MEGABYTE,
+                ) +
+                "received_bytes_per_s_mean=%.0f received_bytes_per_s_max=%.0f target_bytes_per_s=13000 ".format(
+                    received.average(),
+                    received.max(),
+                ) +
+                "source_calls_per_s=%.2f target_source_calls_per_s=2000".format(
+                    (fleet.sourceCalls() - callsBefore) / took.toDouble(DurationUnit.SECONDS),
+                ),
+        )
+        if (convergence.isNotEmpty()) {
+            val sorted = convergence.map { it.inWholeMilliseconds }.sorted()
+            echo(
+                "window=$name changes=$changes convergence_ms_median=${sorted[sorted.size / 2]} convergence_ms_max=${sorted.last()} target_ms=4000",
+            )
+        }
+    }
+
+    private fun change(fleet: LocalFleet): Duration {
+        val next = document.copy(version = document.version + 1, tenants = document.tenants + changedTenant())
+        document = next
+        val started = TimeSource.Monotonic.markNow()
+        fleet.publish(next)
+        fleet.await("version ${next.version}") { inForceOn(fleet, next.version) == fleet.shape.hosts.size }
+        return started.elapsedNow()
+    }
+
+    private fun inForceOn(fleet: LocalFleet, version: Long): Int {
+        val body = fleet.get(fleet.adminUrl(fleet.shape.hosts.first(), "/v1/status")).body()
+        if (!body.contains("\"versionInForce\":$version,")) return 0
+        return checkNotNull(Regex("\"hostsInForce\":(\\d+)").find(body)).groupValues[1].toInt()
+    }
+
+    private fun changedTenant() = mapOf(
+        TenantId("tenant-${random.nextInt(tenants)}") to TenantSpec(setOf(REGIONS.random(random))),
+    )
+
+    private fun usages(fleet: LocalFleet): List<ProcessUsage> = fleet.shape.hosts.map {
+        usageOf(fleet.daemon(it.host).pid)
+    }
+
+    private fun bytes(fleet: LocalFleet): List<Double> = fleet.shape.hosts.map { receivedBytes(fleet, it) }
+
+    private fun receivedBytes(fleet: LocalFleet, host: HostEntry): Double =
+        fleet
+            .get(fleet.adminUrl(host, "/metrics"))
+            .body()
+            .lineSequence()
+            .filter { it.startsWith("kingcuptide_control_bytes_total") && it.contains("direction=\"received\"") }
+            .sumOf { it.substringAfterLast(' ').toDouble() }
+
+    private var document =
+        ConfigDocument(
+            version = 1,
+            services = SERVICES.associateWith { ServiceSpec(slots = 10, maxConnections = 100) },
+            routes = SERVICES.associate { RouteId(it.value) to RouteSpec(it, "/$it") },
+        )
+
+    private fun shape(): FleetShape {
+        document =
+            document.copy(
+                tenants = (0 until tenants).associate {
+                    TenantId("tenant-$it") to
+                        TenantSpec(setOf(REGIONS[it % 2]))
+                },
+            )
+        val shapes =
+            (0 until domains).map { index ->
+                DomainShape(
+                    FailureDomainId("domain-$index"),
+                    REGIONS[index % 2],
+                    List(perDomain) {
+                        SERVICES[
+                            it %
+                                SERVICES.size,
+                        ]
+                    },
+                )
+            }
+        return fleetShape(NETWORK, shapes, document).also { document = it.document }
+    }
+
+    private fun pause(duration: Duration) = LockSupport.parkNanos(duration.inWholeNanoseconds)
+
+    private companion object {
+        const val NETWORK = 28
+        const val PERCENT = 100.0
+        const val MEGABYTE = 1_048_576.0
+        val SETTLE = 20.seconds
+        val REGIONS = listOf(RegionId("north"), RegionId("south"))
+        val SERVICES = (1..4).map { ServiceId("service-$it") }
+    }
+}
