--- a/daemon/src/main/kotlin/kingcuptide/daemon/connection/GateLink.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/connection/GateLink.kt
@@ -8,6 +8,7 @@
 import kingcuptide.coordination.connection.Header
 import kingcuptide.coordination.connection.RequestFrame
 import kingcuptide.coordination.connection.RequestHead
+import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.ResultCode
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
@@ -25,6 +26,7 @@
     private val scope: CoroutineScope,
     private val pipe: FramePipe,
     private val connection: GateConnection,
+    private val clock: Clock,
     private val onFault: (ResultCode) -> Unit,
     private val handle: suspend (GateExchange) -> Unit,
 ) {
@@ -34,13 +36,11 @@
     /** Serves the connection until it closes. Requests that were not forwarded by then never start. */
     suspend fun serve() {
         val writer = scope.launch { runCatching { writeAll() }.onFailure { pipe.close() } }
-        val expiry = scope.launch { expireRegularly() }
         try {
             readAll()
         } finally {
             pipe.close()
             writer.cancel()
-            expiry.cancel()
             connection.close().forEach { stop(it.number) }
         }
     }
@@ -75,11 +75,13 @@
     private fun accept(accepted: GateDecision.Accepted) {
         val exchange = Exchange(accepted.head, accepted.deadline)
         exchanges[accepted.head.number] = exchange
+        val expiry = scope.launch { expireAt(accepted.deadline) }
         val job =
             scope.launch(start = CoroutineStart.LAZY) {
                 try {
                     handle(exchange)
                 } finally {
+                    expiry.cancel()
                     exchanges.remove(accepted.head.number)
                     connection.refuse(accepted.head.number, ResultCode.CANCELLED).forEach(::write)
                 }
@@ -103,11 +105,9 @@
         exchanges.remove(number)?.job?.cancel()
     }
 
-    private suspend fun expireRegularly() {
-        while (true) {
-            delay(EXPIRY_INTERVAL)
-            connection.tick().forEach(::expire)
-        }
+    private suspend fun expireAt(deadline: Duration) {
+        delay(deadline - clock.now() + EXPIRY_MARGIN)
+        connection.tick().forEach(::expire)
     }
 
     private fun write(frame: RequestFrame) {
@@ -169,6 +169,6 @@
     }
 
     private companion object {
-        val EXPIRY_INTERVAL = 20.milliseconds
+        val EXPIRY_MARGIN = 1.milliseconds
     }
 }
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/Daemon.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/Daemon.kt
@@ -224,7 +224,7 @@
 
     private suspend fun serveRequests(pipe: FramePipe) {
         val connection = gateConnection(clock, load = gate::load)
-        GateLink(scope, pipe, connection, metrics::fault, gateHandler::handle).serve()
+        GateLink(scope, pipe, connection, clock, metrics::fault, gateHandler::handle).serve()
     }
 
     private fun afterStep() {
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/TargetClient.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/TargetClient.kt
@@ -3,8 +3,6 @@
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.engine.cio.endpoint
-import io.ktor.client.plugins.HttpTimeout
-import io.ktor.client.plugins.timeout
 import io.ktor.client.request.header
 import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.request
@@ -31,6 +29,7 @@
 import kotlinx.coroutines.channels.SendChannel
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.withTimeoutOrNull
 import java.net.ConnectException
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
@@ -44,9 +43,10 @@
         HttpClient(CIO) {
             expectSuccess = false
             followRedirects = false
-            install(HttpTimeout)
             engine {
                 requestTimeout = 0
+                // Keeps connections open for further requests; with one request at a time on each.
+                pipelining = true
                 maxConnectionsCount = maxConnections
                 endpoint {
                     maxConnectionsPerRoute = maxConnections
@@ -75,7 +75,6 @@
                     url("http://${settings.ip}:${settings.port}${head.pathAndQuery}")
                     copyHeaders(head, timeLeft)
                     if (body != null) setBody(StreamedBody(head, body, progress))
-                    timeout { requestTimeoutMillis = null }
                 }
             request.execute { response -> pass(response, head.method, answer, progress) }
         } catch (exception: CancellationException) {
@@ -90,10 +89,10 @@
     suspend fun isHealthy(timeout: Duration): Boolean =
         try {
             val response =
-                client.request("http://${settings.ip}:${settings.port}${settings.healthPath}") {
-                    timeout { requestTimeoutMillis = timeout.inWholeMilliseconds }
+                withTimeoutOrNull(timeout) {
+                    client.request("http://${settings.ip}:${settings.port}${settings.healthPath}")
                 }
-            response.status.value < FIRST_ERROR_STATUS
+            response != null && response.status.value < FIRST_ERROR_STATUS
         } catch (exception: CancellationException) {
             currentCoroutineContext().ensureActive()
             false
