--- a/daemon/src/test/kotlin/kingcuptide/daemon/process/SettingsReaderTest.kt
+++ b/daemon/src/test/kotlin/kingcuptide/daemon/process/SettingsReaderTest.kt
@@ -3,11 +3,15 @@
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.unwrap
 import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.version.readHostList
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isEqualTo
+import java.nio.file.Path
+import kotlin.io.path.readText
 
 class SettingsReaderTest {
     @Nested
@@ -20,6 +24,21 @@
             expectThat(settings.logLevel).isEqualTo(LogLevel.WARN)
             expectThat(settings.seeds.map { it.host.value }).isEqualTo(listOf("b"))
         }
+
+        @Test
+        fun `when the example is read, then its seeds are hosts of the example's list`() {
+            val directory = Path.of("..", "examples", "georgia")
+            val settings = readSettings(directory.resolve("daemon.json").readText(), "daemon.json").unwrap()
+            val hosts = readHostList(directory.resolve("hosts.json").readText()).unwrap().hosts
+            val seeds = hosts.map { SeedPeer(it.host, it.ip, it.peerPort, it.failureDomain, it.region) }
+            expectThat(seeds).contains(settings.seeds)
+            expectThat(hosts.single { it.host == settings.host }) {
+                get { ip }.isEqualTo(settings.ip)
+                get { peerPort }.isEqualTo(settings.peerPort)
+                get { httpPort }.isEqualTo(settings.httpPort)
+                get { failureDomain }.isEqualTo(settings.failureDomain)
+            }
+        }
     }
 
     @Nested
