Name broken references also beside ill-typed values

Seen by running the command on an example: with a quoted number in a service, a route to a missing service was not named. Only a whole map of the wrong shape can hide the name of a service. The test failed under the old rule.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/FindDocumentFaults.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/FindDocumentFaults.kt
@@ -26,15 +26,16 @@
 
 private fun mayFollowFrom(fault: DocumentFault, shape: List<ShapeFault>): Boolean = when {
     shape.any { isAtOrBelow(fault.path, it.path) } -> true
-    fault.code == ResultCode.DOCUMENT_BROKEN_REFERENCE -> shape.any { mayHideNames(it) }
+    fault.code == ResultCode.DOCUMENT_BROKEN_REFERENCE -> shape.any { mayHideName(it, fault) }
     fault.code == ResultCode.DUPLICATE_PATH_PREFIX -> shape.any { isAtOrBelow(it.path, "routes") }
     else -> false
 }
 
-private fun mayHideNames(fault: ShapeFault): Boolean {
-    if ('.' !in fault.path) return true
-    val isOfNames = isAtOrBelow(fault.path, "failureDomains") || isAtOrBelow(fault.path, "services")
-    return isOfNames && fault.kind != ShapeFaultKind.UNKNOWN_FIELD
+/** A whole map of the wrong shape hides all its names; a failure domain of the wrong shape hides the name of its region. */
+private fun mayHideName(shape: ShapeFault, reference: DocumentFault): Boolean {
+    if ('.' !in shape.path) return true
+    val hidesRegion = shape.kind != ShapeFaultKind.UNKNOWN_FIELD && isAtOrBelow(shape.path, "failureDomains")
+    return hidesRegion && reference.path.endsWith(".homeRegions")
 }
 
 private fun isAtOrBelow(path: String, above: String): Boolean =
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/FindDocumentFaultsTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/FindDocumentFaultsTest.kt
@@ -45,7 +45,11 @@
                 DOCUMENT
                     .replace("\"timeoutMs\": 100", "\"timeoutMs\": \"100\"")
                     .replace("[\"north\"]", "[\"west\"]")
+                    .replace("\"slots\": 10", "\"slots\": \"10\"")
+                    .replace("\"a\": {\"service\": \"parcels\"", "\"a\": {\"service\": \"gone\"")
             expectThat(find(broken)).containsExactlyInAnyOrder(
+                ResultCode.DOCUMENT_UNREADABLE to "services.parcels.slots",
+                ResultCode.DOCUMENT_BROKEN_REFERENCE to "routes.a.service",
                 ResultCode.DOCUMENT_UNREADABLE to "routes.b.timeoutMs",
                 ResultCode.DOCUMENT_BROKEN_REFERENCE to "tenants.t.homeRegions",
             )
