--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/ExampleDocumentsTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/ExampleDocumentsTest.kt
@@ -47,7 +47,12 @@
 
         @ParameterizedTest
         @ValueSource(
-            strings = ["georgia POST /rounds/traps", "georgia POST /visits", "belgium POST /munten", "belgium POST /stortingen"],
+            strings = [
+                "georgia POST /rounds/traps",
+                "georgia POST /visits",
+                "belgium POST /munten",
+                "belgium POST /stortingen",
+            ],
         )
         fun `when a booking, trap log or deposit is routed, then it is not repeatable`(request: String) {
             val (user, method, path) = request.split(' ')
--- /dev/null
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/SettingsFault.kt
@@ -0,0 +1,11 @@
+package kingcuptide.daemon.process
+
+import kingcuptide.coordination.process.ResultCode
+
+/** One reason why settings are refused. [path] names the key, or the line if the text can't be parsed. */
+data class SettingsFault(
+    val code: ResultCode,
+    val file: String,
+    val path: String,
+    val reason: String,
+)
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/SettingsReader.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/SettingsReader.kt
@@ -12,14 +12,6 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
 
-/** One reason why settings are refused. [path] names the key, or the line if the text can't be parsed. */
-data class SettingsFault(
-    val code: ResultCode,
-    val file: String,
-    val path: String,
-    val reason: String,
-)
-
 /** Reads settings from JSON with comments and returns every fault at once; [fileName] only appears in faults. */
 fun readSettings(text: String, fileName: String): Result<DaemonSettings, List<SettingsFault>> =
     parseSettings(text, fileName)
