--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ResourceSpread.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ResourceSpread.kt
@@ -100,7 +100,10 @@
         return when {
             holder.isRejected(item.version) -> emptyList()
             own == null || item.version.number > own.number -> noteNewer(from, item.version, acknowledge)
-            item.version == own -> acknowledged(from, own, acknowledge) + advance()
+            item.version == own -> {
+                if (!acknowledge) hastenCollecting()
+                acknowledged(from, own, acknowledge) + advance()
+            }
             item.version.number == own.number -> conflict()
             acknowledge -> acknowledged(from, own, true)
             else -> listOfNotNull(offered()).map { Outbound(from, Offer(listOf(it))) }
@@ -228,11 +231,20 @@
     private fun isWitnessed(candidate: Staged<T>): Boolean =
         !witnessed || ledger.verdict(candidate.checked.version) == WitnessVerdict.ENOUGH
 
+    /** Collects at once, because the version is in force elsewhere and only witnesses are missing here. */
+    private fun hastenCollecting() {
+        val candidate = staged.lastOrNull() ?: return
+        if (!candidate.hasCollected) staged[staged.lastIndex] = candidate.copy(collectAt = clock.now())
+    }
+
     private fun collect(): List<Outbound> {
         val now = clock.now()
         val candidate = staged.last()
         if (now < candidate.collectAt) return emptyList()
-        staged[staged.lastIndex] = candidate.copy(collectAt = now + COLLECT_RETRY * (1 + random.nextDouble()))
+        staged[staged.lastIndex] = candidate.copy(
+            collectAt = now + COLLECT_RETRY * (1 + random.nextDouble()),
+            hasCollected = true,
+        )
         val offer = Offer(listOf(describe(candidate.checked.version)), acknowledge = true)
         return ledger.missing(candidate.checked.version).map { Outbound(it.host, offer) }
     }
@@ -303,6 +315,7 @@
         val since: Duration,
         val collectAt: Duration,
         val isOrigin: Boolean,
+        val hasCollected: Boolean = false,
     )
 
     private companion object {
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/VersionSettings.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/VersionSettings.kt
@@ -45,7 +45,7 @@
     val awakeWait: Duration = 1.seconds,
     val watchWait: Duration = 2.seconds,
     val sourceCallTimeout: Duration = 2.seconds,
-    val fallbackAfter: Duration = 15.seconds,
-    val staleAfter: Duration = 30.seconds,
+    val fallbackAfter: Duration = 30.seconds,
+    val staleAfter: Duration = 60.seconds,
     val payloadBytesPerSecond: Int = 4_000_000,
 )
