--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/VersionCoordinatorTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/VersionCoordinatorTest.kt
@@ -288,6 +288,7 @@
         fun `when the source gives version 1, then nothing is in force and no work is taken`() {
             scene.read(hostListOf(1))
             scene.read(first)
+            scene.pass(TEST_SETTINGS.commitWait + 500.milliseconds)
             expectThat(number).isNull()
             expectThat(scene.coordinator.mayTakeWork()).isFalse()
         }
