--- a/bench/src/main/kotlin/kingcuptide/bench/Bench.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/Bench.kt
@@ -13,5 +13,8 @@
             MembershipCommand(),
             FailureDomainCommand(),
             OverloadCommand(),
+            KeysCommand(),
+            AddedLatencyCommand(),
+            DaemonsCommand(),
         ).main(args)
 }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/connection/FrameCodecTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/connection/FrameCodecTest.kt
@@ -33,6 +33,15 @@
             }
         }
 
+        @Test
+        fun `Given control messages, when encoded and decoded, then they are the same with their sender`() {
+            for (message in sampleControl) {
+                val envelope = ControlEnvelope(HostId("sender"), message)
+
+                expectThat(codec.decodeControl(codec.encode(envelope).unwrap())).isEqualTo(Ok(envelope))
+            }
+        }
+
         @Test
         fun `Given a frame, when encoded, then its prefix is the length of the rest`() {
             val bytes = codec.encode(sampleHead).unwrap()
@@ -122,6 +131,16 @@
             expectThat(decoded).isLessThan(FUZZ_ROUNDS)
         }
 
+        @Test
+        fun `Given seeded mutations of control messages, when decoded, then nothing is thrown`() {
+            val random = Random(FUZZ_SEED)
+            repeat(FUZZ_ROUNDS) {
+                val envelope = ControlEnvelope(HostId("sender"), sampleControl.random(random))
+                val result = codec.decodeControl(mutate(codec.encode(envelope).unwrap(), random))
+                result.onFailure { code -> expectThat(faultCodes).contains(code) }
+            }
+        }
+
         @Test
         fun `Given a huge declared length at any position, when decoded, then nothing is thrown`() {
             for (frame in sampleFrames) {
@@ -141,10 +160,19 @@
         fun `Given nesting as deep as a frame allows, when decoded, then it is malformed`() {
             val deep = ByteArray(MAX_FRAME_BYTES - 100) { ARRAY_OF_ONE }
 
-            expectThat(codec.decodeRequestFrame(byteArrayOf(PROTOCOL_VERSION.toByte()) + deep))
+            expectThat(codec.decodeRequestFrame(payload(sampleHead).copyOf(2) + deep))
+                .isEqualTo(Err(ResultCode.PEER_FRAME_MALFORMED))
+            expectThat(codec.decodeControl(payload(sampleHead).copyOf(1) + deep))
                 .isEqualTo(Err(ResultCode.PEER_FRAME_MALFORMED))
         }
 
+        @Test
+        fun `Given an unknown kind, when decoded, then it is malformed`() {
+            val bytes = payload(Stamp(1)).also { it[1] = 0x7f }
+
+            expectThat(codec.decodeRequestFrame(bytes)).isEqualTo(Err(ResultCode.PEER_FRAME_MALFORMED))
+        }
+
         @Test
         fun `Given deep nesting under an unknown field, when decoded, then it is malformed`() {
             val stamp = payload(Stamp(1))
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/DaemonMetrics.kt
@@ -2,6 +2,8 @@
 
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.DistributionSummary
+import io.micrometer.core.instrument.FunctionCounter
+import io.micrometer.core.instrument.Gauge
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kingcuptide.coordination.process.ResultCode
@@ -31,6 +33,21 @@
     /** Counts a fault that no caller sees, such as a malformed frame or a refused document. */
     fun fault(code: ResultCode) = increment("kingcuptide_faults", codeLabel(code))
 
+    /** Counts a request that is not tried again, by the reason and the code of the last attempt. */
+    fun gaveUp(
+        reason: String,
+        code: ResultCode,
+    ) = increment("kingcuptide_give_ups", Label("reason", reason), codeLabel(code))
+
+    /** Counts a cut of the gate's limit. */
+    fun limitCut(reason: String) = increment("kingcuptide_limit_cuts", Label("reason", reason))
+
+    /** Counts a host that the entry set aside for a while. */
+    fun hostSetAside() = increment("kingcuptide_hosts_set_aside", Label("side", Side.ENTRY.label))
+
+    /** Counts a change of what is held against a fingerprint. */
+    fun verdict(verdict: String) = increment("kingcuptide_verdict_changes", Label("verdict", verdict))
+
     /** Counts an answer by its HTTP status class. */
     fun answered(status: Int) = increment("kingcuptide_answers", Label("status_class", "${status / 100}xx"))
 
@@ -51,9 +68,14 @@
     /** Records the time that a request spent in this entry daemon and beyond. */
     fun requestTook(duration: Duration) = addedLatency.record(duration.toDouble(DurationUnit.MILLISECONDS))
 
-    /** Counts [amount] under [name], for the counters that decisions keep themselves. */
-    fun gauge(name: String, value: () -> Number) {
-        registry.gauge(name, this) { value().toDouble() }
+    /** Shows a counter that a decision keeps itself, under [name] with the label [label]. */
+    fun watchCount(name: String, label: String, value: String, count: () -> Number) {
+        FunctionCounter.builder(name, this) { count().toDouble() }.tag(label, value).register(registry)
+    }
+
+    /** Shows a value that may rise and fall. */
+    fun watchValue(name: String, value: () -> Number) {
+        Gauge.builder(name, this) { value().toDouble() }.register(registry)
     }
 
     /** Returns all metrics in the Prometheus text format. */
