Print the fault matrix; distrust own timeouts from a gap of 400 ms

A probe waits 300 ms and then 400 ms for indirect answers, so a gap below 400 ms cannot by itself end in a suspicion; a lower threshold would drop every probe of a daemon on a busy machine.

--- a/bench/src/main/kotlin/kingcuptide/bench/MembershipCommand.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/MembershipCommand.kt
@@ -2,6 +2,7 @@
 
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.enum
@@ -9,6 +10,7 @@
 import com.github.ajalt.clikt.parameters.types.long
 import kingcuptide.bench.membership.MembershipBench
 import kingcuptide.bench.membership.MembershipBenchCase
+import kingcuptide.bench.membership.membershipFaultTable
 
 /** Measures membership and status queries on a virtual clock: bytes, detection, spread and processor time, against their targets. */
 class MembershipCommand : CliktCommand(name = "membership") {
@@ -19,7 +21,10 @@
         .enum<MembershipBenchCase>()
         .multiple(MembershipBenchCase.entries)
 
+    private val faultTable by option("--fault-table", help = "Print the fault matrix in Markdown and stop").flag()
+
     override fun run() {
+        if (faultTable) return echo(membershipFaultTable())
         echo("bench=membership seed=$seed hosts=$hosts clock=virtual")
         val bench = MembershipBench(hosts, seed) { echo(it) }
         cases.forEach { bench.run(it) }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/MembershipSettings.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/MembershipSettings.kt
@@ -40,6 +40,6 @@
     val gossipBytesPerSecond: Int = 8_000,
     val syncInterval: Duration = 5.seconds,
     val deadProbeInterval: Duration = 5.seconds,
-    val lateTick: Duration = 250.milliseconds,
+    val lateTick: Duration = 400.milliseconds,
     val forgetAfter: Duration = 10.minutes,
 )
