Count processor time of decisions by thread, and look at the peer after a pause

The pause test looked too early: without the gap rule (mutant) the probe that waited through the pause only went on to its indirect stage in the first tick.

--- a/bench/src/main/kotlin/kingcuptide/bench/membership/MembershipFleet.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/membership/MembershipFleet.kt
@@ -12,6 +12,7 @@
 import kingcuptide.coordination.process.membership
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.encodeToByteArray
+import java.lang.management.ManagementFactory
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -30,6 +31,7 @@
     private val countBytes: Boolean = false,
 ) {
     private val random = Random(seed)
+    private val threads = ManagementFactory.getThreadMXBean()
     private val list = HostList(FIRST_REVISION, shape.entries())
 
     val clock = VirtualTime()
@@ -41,7 +43,7 @@
     var greatestMessageBytes = 0
         private set
 
-    /** Wall-clock time that all ticks and receipts took. */
+    /** Processor time that all ticks and receipts took. */
     var decisionTime = Duration.ZERO
         private set
 
@@ -164,9 +166,9 @@
     }
 
     private fun <T> timed(action: () -> T): T {
-        val start = System.nanoTime()
+        val start = threads.currentThreadCpuTime
         val result = action()
-        decisionTime += (System.nanoTime() - start).nanoseconds
+        decisionTime += (threads.currentThreadCpuTime - start).nanoseconds
         return result
     }
 
--- a/coordination/src/test/kotlin/kingcuptide/coordination/process/MembershipTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/process/MembershipTest.kt
@@ -121,6 +121,7 @@
             ticksFor(400.milliseconds)
             clock.time += 4.seconds
             membership.tick()
+            ticksFor(500.milliseconds)
 
             expectThat(membership.liveness(peer.host)).isEqualTo(Liveness.ALIVE)
             expectThat(membership.counters.suspicions).isEqualTo(0)
