--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/SpreadingTracker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/SpreadingTracker.kt
@@ -120,13 +120,12 @@
         return listOf(Outbound(peer.host, SuspectsDigest(digestOf(shared), shared.size)))
     }
 
-    private fun spread(records: List<SuspectRecord>, hopsLeft: Int, without: HostId?): List<Outbound> {
-        if (records.isEmpty()) return emptyList()
-        return peers(without).shuffled(random).take(settings.fanout).mapNotNull { peer ->
-            val allowed = records.filter { isFor(it, peer.region) }.take(MAX_RECORDS_PER_MESSAGE)
-            if (allowed.isEmpty()) null else Outbound(peer.host, SuspectsNews(allowed, hopsLeft))
+    private fun spread(records: List<SuspectRecord>, hopsLeft: Int, without: HostId?): List<Outbound> =
+        records.groupBy { it.homeRegions }.flatMap { (homes, group) ->
+            val news = SuspectsNews(group.take(MAX_RECORDS_PER_MESSAGE), hopsLeft)
+            val allowed = peers(without).filter { homes.isEmpty() || it.region in homes }
+            allowed.shuffled(random).take(settings.fanout).map { Outbound(it.host, news) }
         }
-    }
 
     /** Records that both this daemon and [peer] may hold. */
     private fun sharedWith(peer: HostEntry): List<SuspectRecord> =
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetChooser.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetChooser.kt
@@ -10,6 +10,7 @@
 import kingcuptide.coordination.process.Liveness
 import kingcuptide.coordination.process.ResultCode
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.math.pow
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -54,6 +55,9 @@
     @Volatile
     private var index = HostIndex(view.hostList)
 
+    @Volatile
+    private var hostsAtStart = index.hosts
+
     override fun choose(request: ChoiceRequest): TargetChoice {
         val now = clock.now()
         val candidates = candidates(request, now)
@@ -190,7 +194,14 @@
         val weights = candidates.map(weightOf)
         val first = drawIndex(weights, without = -1)
         val second = drawIndex(weights, without = first)
-        return listOf(candidates[first], candidates[second]).minBy { it.record.burden(now) / it.weight }
+        return lessBurdened(candidates[first], candidates[second], now)
+    }
+
+    /** The less burdened of two, but not always: what a host says of itself must not keep it from all requests. */
+    private fun lessBurdened(first: Candidate, second: Candidate, now: Duration): Candidate {
+        val ratio = second.burden(now) / first.burden(now)
+        val odds = ratio.pow(CHOICE_SHARPNESS)
+        return if (drawShare() < odds / (1 + odds)) first else second
     }
 
     private fun drawIndex(weights: List<Double>, without: Int): Int {
@@ -217,6 +228,7 @@
         if (known.hostList === hostList) return known
         val fresh = HostIndex(hostList)
         index = fresh
+        if (clock.now() - startedAt < settings.startUp) hostsAtStart = fresh.hosts
         records.keys.retainAll(fresh.hosts)
         return fresh
     }
@@ -225,10 +237,12 @@
         records.computeIfAbsent(host) { HostRecord(settings, firstSight(host, now), view.incarnation(host)) }
 
     /** What was there before this daemon is no newcomer; what is on its own host is as new as itself. */
-    private fun firstSight(host: HostId, now: Duration): Duration {
-        val wasThereBefore = now - startedAt < settings.startUp && host != view.self.host
-        return if (wasThereBefore) now - settings.slowStart else now
-    }
+    private fun firstSight(host: HostId, now: Duration): Duration =
+        when {
+            host == view.self.host -> startedAt
+            host in hostsAtStart -> startedAt - settings.slowStart
+            else -> now
+        }
 
     private fun draw(bound: Int): Int = synchronized(random) { random.nextInt(bound) }
 
@@ -239,9 +253,12 @@
         val record: HostRecord,
         val code: ResultCode?,
         val weight: Double,
-    )
+    ) {
+        fun burden(now: Duration): Double = record.burden(now) / weight
+    }
 }
 
 private val BELIEVED_DEAD = setOf(ResultCode.PEER_UNREACHABLE, ResultCode.TARGET_DOWN)
 private val NO_TARGET_RETRY_AFTER = 2.seconds
+private const val CHOICE_SHARPNESS = 4.0
 private const val MIN_LEFT = 1e-6
--- /dev/null
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/HomeRegionCheckTest.kt
@@ -0,0 +1,73 @@
+package kingcuptide.coordination.request
+
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.version.ConfigDocument
+import kingcuptide.coordination.version.RouteSpec
+import kingcuptide.coordination.version.TenantSpec
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
+
+internal class HomeRegionCheckTest {
+    private val north = RegionId("north")
+    private val south = RegionId("south")
+    private val tenant = TenantId("school")
+
+    @Nested
+    inner class `Regions of a request` {
+        @Test
+        fun `Given neither route nor tenant has a home, when asked, then it may be anywhere`() {
+            expectThat(homeOf(route = emptySet(), tenant = emptySet())).isEqualTo(HomeRegions.Anywhere)
+        }
+
+        @Test
+        fun `Given both have homes, when asked, then only what they share is left, even if that is nothing`() {
+            expectThat(homeOf(setOf(north, south), setOf(south))).isEqualTo(HomeRegions.Only(setOf(south)))
+            expectThat(homeOf(setOf(north), setOf(south))).isEqualTo(HomeRegions.Only(emptySet()))
+        }
+
+        @Test
+        fun `Given a tenant that the document does not have, when asked, then it is at home nowhere`() {
+            val home = homeRegionsOf(routeOf(emptySet()), TenantId("unknown"), ConfigDocument(version = 1))
+            expectThat(checkHomeRegion(north, home)).isEqualTo(HomeRegionCheck.Nowhere)
+        }
+
+        private fun homeOf(route: Set<RegionId>, tenant: Set<RegionId>): HomeRegions {
+            val tenants = mapOf(this@HomeRegionCheckTest.tenant to TenantSpec(tenant))
+            val document = ConfigDocument(version = 1, tenants = tenants)
+            return homeRegionsOf(routeOf(route), this@HomeRegionCheckTest.tenant, document)
+        }
+
+        private fun routeOf(homes: Set<RegionId>) =
+            RouteSpec(service = ServiceId("rounds"), pathPrefix = "/", homeRegions = homes)
+    }
+
+    @Nested
+    inner class `Check` {
+        @Test
+        fun `Given a request at home elsewhere, when checked, then it names where to go`() {
+            val home = HomeRegions.Only(setOf(south, RegionId("east")))
+            expectThat(checkHomeRegion(north, home))
+                .isEqualTo(HomeRegionCheck.Elsewhere(listOf(RegionId("east"), south)))
+            expectThat(checkHomeRegion(south, home)).isEqualTo(HomeRegionCheck.Allowed)
+        }
+    }
+
+    @Nested
+    inner class `Fingerprint` {
+        @Test
+        fun `Given the same request, when only its homes or the salt differ, then so do the fingerprints`() {
+            val plain = print(HomeRegions.Anywhere, salt = "")
+            expectThat(print(HomeRegions.Anywhere, salt = "")).isEqualTo(plain)
+            expectThat(print(HomeRegions.Only(setOf(north)), salt = "")).isNotEqualTo(plain)
+            expectThat(print(HomeRegions.Anywhere, salt = "s")).isNotEqualTo(plain)
+        }
+
+        private fun print(home: HomeRegions, salt: String) =
+            fingerprintOf(GateFixture.ROUTE, "POST", "/rounds", "body".encodeToByteArray(), home, salt)
+    }
+}
