--- a/bench/src/main/kotlin/kingcuptide/bench/requests/FakeTarget.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/requests/FakeTarget.kt
@@ -50,6 +50,9 @@
     /** Factor on the time that each request takes. */
     var slowness: Double = 1.0
 
+    /** Told when the process ends, as an idle connection held open would tell. */
+    var onProcessEnd: () -> Unit = {}
+
     /** Requests that kill the process. */
     var killers: (Long) -> Boolean = { false }
 
@@ -97,6 +100,7 @@
     fun kill() {
         advance()
         isUp = false
+        onProcessEnd()
         loseAll()
     }
 
--- a/bench/src/main/kotlin/kingcuptide/bench/requests/LoadRun.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/requests/LoadRun.kt
@@ -74,6 +74,9 @@
     /** Ends of all calls that could not be repeated, by id. */
     val ends: HashMap<Long, CallEnd> = HashMap()
 
+    /** Told of each call and of the function that says that its caller went away. */
+    var onStart: (Call, () -> Unit) -> Unit = { _, _ -> }
+
     private val entries = fleet.hosts.values.toList()
     private var nextId = 1L
 
@@ -107,10 +110,11 @@
         val repeatable = random.nextInt(100) < load.repeatablePercent
         val call = Call(nextId++, entry, deadline = now + load.timeout, repeatable = repeatable)
         second.begin()
-        policy.start(call) { end ->
+        val cancel = policy.start(call) { end ->
             ends[call.id] = end
             second.end(end, fleet.time.now() - now)
         }
+        onStart(call, cancel)
     }
 
     private fun secondAt(now: Duration): Second {
--- a/bench/src/main/kotlin/kingcuptide/bench/requests/RoutedCall.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/requests/RoutedCall.kt
@@ -18,6 +18,7 @@
 import kingcuptide.coordination.request.attemptOutcomeOf
 import kingcuptide.coordination.request.checkHomeRegion
 import kingcuptide.coordination.request.decideRetry
+import kingcuptide.coordination.request.truthfulCode
 import kotlin.time.Duration
 
 /** One call under the real decisions: the part of the entry daemon, and for each attempt that of the gate's daemon. */
@@ -30,6 +31,7 @@
     private val entry = policy.daemon(call.entry)
     private val tried = ArrayList<HostId>()
     private var suspect = false
+    private var mayHaveRun = false
     private var ended = false
     private var current: Attempt? = null
 
@@ -38,6 +40,7 @@
             return end(ResultCode.WRONG_REGION, Outcome.NOT_RUN, null)
         }
         entry.budget.recordFirstAttempt()
+        policy.observer(Step.ACCEPTED, call, call.entry.entry.host)
         fleet.onDaemon(call.entry, call.deadline - fleet.time.now()) { stop(ResultCode.DEADLINE_PASSED_RUNNING) }
         attempt()
     }
@@ -53,24 +56,34 @@
             tried = tried.toSet(),
         )
         when (val choice = entry.chooser.choose(request)) {
-            is TargetChoice.None -> end(choice.code, Outcome.NOT_RUN, choice.retryAfter)
+            is TargetChoice.None -> endWithoutTarget(choice)
             is TargetChoice.Chosen -> Attempt(fleet.hosts.getValue(choice.entry.host)).also { current = it }.start()
         }
     }
 
+    private fun endWithoutTarget(choice: TargetChoice.None) {
+        val code = truthfulCode(choice.code, mayHaveRun)
+        end(code, code.outcome, choice.retryAfter)
+    }
+
     private fun failed(host: HostId, code: ResultCode, outcome: Outcome, retryAfter: Duration?) {
         if (code == ResultCode.TARGET_DIED) suspect = true
         val state = RetryState(
             repeatable = call.repeatable,
             level = call.level,
             tried = tried,
+            mayHaveRun = mayHaveRun,
             maxRetries = policy.route.maxRetries,
             retryBudgetPercent = policy.route.retryBudgetPercent,
             remaining = call.deadline - fleet.time.now(),
         )
         val failed = FailedAttempt(host, code, outcome, retryAfter)
         when (val decision = decideRetry(failed, state, entry.budget, policy.random, policy.counters)) {
-            is RetryDecision.Retry -> attempt()
+            is RetryDecision.Retry -> {
+                mayHaveRun = mayHaveRun || outcome == Outcome.UNKNOWN
+                policy.observer(Step.RETRIED, call, host)
+                attempt()
+            }
             is RetryDecision.GiveUp -> end(decision.code, decision.outcome, decision.retryAfter)
         }
     }
@@ -95,6 +108,7 @@
         fun start() {
             tried += host.entry.host
             entry.chooser.begin(host.entry.host)
+            policy.observer(Step.CHOSEN, call, host.entry.host)
             arrived = fleet.call(
                 from = call.entry,
                 to = host,
@@ -144,6 +158,7 @@
 
         fun receive(answer: (ResultCode?, Duration?, GateLoad) -> Unit) {
             if (cancelled) return
+            policy.observer(Step.ARRIVED, call, host.entry.host)
             val request = AdmissionRequest(
                 route = RoutedPolicy.ROUTE,
                 homeRegions = call.homeRegions,
@@ -179,6 +194,7 @@
             stopTarget = host.target!!.submit(call.id) { end ->
                 fleet.onDaemon(host, Duration.ZERO) { ended(granted, end, answer) }
             }
+            policy.observer(Step.FORWARDED, call, host.entry.host)
         }
 
         private fun ended(
@@ -187,6 +203,7 @@
             answer: (ResultCode?, Duration?, GateLoad) -> Unit,
         ) {
             granted.finish(resultOf(end))
+            policy.observer(Step.ANSWERED, call, host.entry.host)
             val code = when (end) {
                 TargetEnd.ANSWERED -> null
                 TargetEnd.OVERLOADED -> ResultCode.TARGET_OVERLOADED
--- a/bench/src/main/kotlin/kingcuptide/bench/requests/RoutedPolicy.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/requests/RoutedPolicy.kt
@@ -33,6 +33,9 @@
     internal val counters: RequestCounters = RequestCounters.NONE,
     private val withSuspects: Boolean = true,
 ) : Policy {
+    /** Told of each step of each call, before the step is taken. */
+    var observer: (Step, Call, HostId) -> Unit = { _, _, _ -> }
+
     private val daemons = fleet.hosts.mapValues { (_, host) -> Daemon(host) }.toMutableMap()
 
     init {
@@ -72,6 +75,10 @@
         /** Calls that were given up before they started, so that a late frame does not start them. */
         val cancelled = HashSet<Long>()
 
+        init {
+            host.target?.onProcessEnd = { fleet.onDaemon(host, Duration.ZERO) { gate.targetStarted() } }
+        }
+
         fun tick() {
             if (host.frozenEvents != null || !host.isUp) return
             if (host.target != null) gate.tick()
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/ConcurrencyLimit.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/ConcurrencyLimit.kt
@@ -25,6 +25,7 @@
     private var proven = coldSlots.toDouble()
     private var rampStart = now
     private var rampByTime = true
+    private var isAnsweredSinceCold = false
     private var trial: ColdTrial? = null
     private var lastCut = now
     private var lastLatencyCut: Duration? = null
@@ -51,6 +52,7 @@
     fun answered(route: RouteId, startedAt: Duration, now: Duration, inFlight: Int) {
         errorsInRow = 0
         if (startedAt < lastCut) return
+        startRamp(startedAt)
         val ratio = baseline.record(route, now - startedAt, now)
         window.add(ratio)
         val running = trial
@@ -85,9 +87,17 @@
     /** Starts the ramp over: the target is cold. */
     fun turnedCold(reason: LimitCutReason, now: Duration) {
         cutTo(coldSlots.toDouble(), now)
+        isAnsweredSinceCold = false
         onCut(reason)
     }
 
+    /** A target that is down does not warm up, so time counts from the first request that it answers. */
+    private fun startRamp(startedAt: Duration) {
+        if (isAnsweredSinceCold) return
+        isAnsweredSinceCold = true
+        rampStart = startedAt
+    }
+
     private fun isStalled(route: RouteId, startedAt: Duration, now: Duration): Boolean {
         val age = now - startedAt
         return startedAt >= lastCut && age >= STALL_FLOOR && baseline.ratio(route, age) >= STALL_RATIO
@@ -129,6 +139,7 @@
     }
 
     private fun timeCap(now: Duration): Double {
+        if (!isAnsweredSinceCold) return coldSlots.toDouble()
         if (!rampByTime || spec.coldStartMs <= 0) return slots.toDouble()
         val share = (now - rampStart) / spec.coldStartMs.milliseconds
         return coldSlots + (slots - coldSlots) * share.coerceIn(0.0, 1.0)
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/RetryDecision.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/RetryDecision.kt
@@ -23,12 +23,14 @@
 /**
  * What a retry decision needs to know of the request.
  *
- * @property tried hosts of all attempts so far, in order
+ * @property tried hosts of the attempts so far, in order
+ * @property mayHaveRun whether an earlier attempt ended as unknown, so that no later refusal can say "not run"
  */
 public data class RetryState(
     val repeatable: Boolean,
     val level: CallLevel,
     val tried: List<HostId>,
+    val mayHaveRun: Boolean,
     val maxRetries: Int,
     val retryBudgetPercent: Int,
     val remaining: Duration,
@@ -36,7 +38,7 @@
 
 /** Why a request is not tried again. */
 public enum class GiveUpReason {
-    /** Another target would answer the same. */
+    /** Another target would answer the same, or might die as well. */
     FINAL,
 
     /** It may have run, and must not run twice. */
@@ -93,21 +95,27 @@
     counters.gaveUp(reason, failed.code)
     return RetryDecision.GiveUp(
         reason = reason,
-        code = finalCode(reason, failed.code),
-        outcome = failed.outcome,
+        code = truthfulCode(finalCode(reason, failed.code), state.mayHaveRun),
+        outcome = if (state.mayHaveRun) Outcome.UNKNOWN else failed.outcome,
         retryAfter = failed.retryAfter ?: retryAfter(DEFAULT_RETRY_AFTER, random),
     )
 }
 
+/** Returns [code], or one that says that the request may have run if an earlier attempt may have. */
+public fun truthfulCode(code: ResultCode, mayHaveRun: Boolean): ResultCode =
+    if (mayHaveRun && code.outcome == Outcome.NOT_RUN) ResultCode.ANSWER_LOST else code
+
 private fun reasonToGiveUp(failed: FailedAttempt, state: RetryState, budget: RetryBudget): GiveUpReason? {
     if (failed.outcome == Outcome.UNKNOWN) {
         if (!state.repeatable) return GiveUpReason.MAY_HAVE_RUN
         if (failed.code !in REPEATABLE_AFTER_UNKNOWN) return GiveUpReason.FINAL
         if (state.level == CallLevel.NESTED) return GiveUpReason.NOT_THIS_LEVEL
+        if (failed.code == ResultCode.TARGET_DIED && state.mayHaveRun) return GiveUpReason.FINAL
     } else if (!failed.code.retryable) {
         return GiveUpReason.FINAL
     }
-    if (state.tried.size > state.maxRetries) return GiveUpReason.ATTEMPTS_SPENT
+    val attempts = (state.tried + failed.host).toSet().size
+    if (attempts > state.maxRetries) return GiveUpReason.ATTEMPTS_SPENT
     if (state.remaining < MIN_TIME_FOR_ATTEMPT) return GiveUpReason.NO_TIME
     if (!budget.tryRetry(state.retryBudgetPercent)) return GiveUpReason.BUDGET_SPENT
     return null
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/SuspectTracker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/SuspectTracker.kt
@@ -58,7 +58,7 @@
     val suspectMs: Long = 60_000,
     val quarantineMs: Long = 600_000,
     val answeredMemory: Duration = Duration.parse("60s"),
-    val fanout: Int = 4,
+    val fanout: Int = 8,
     val hops: Int = 8,
     val exchangeEvery: Duration = Duration.parse("2s"),
 )
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/RetryDecisionTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/RetryDecisionTest.kt
@@ -47,6 +47,13 @@
             expectThat(decision).isA<RetryDecision.Retry>()
         }
 
+        @Test
+        fun `Given a request that may have run before, when a target dies with it, then no third one gets it`() {
+            val failed = FailedAttempt(host, ResultCode.TARGET_DIED, Outcome.UNKNOWN)
+            val decision = decideRetry(failed, state(repeatable = true, mayHaveRun = true), budget, Random(1))
+            expectThat(reason(decision)).isEqualTo(GiveUpReason.FINAL)
+        }
+
         @Test
         fun `Given a passed deadline, when the request may be repeated, then the answer is final`() {
             val decision = decide(ResultCode.DEADLINE_PASSED_RUNNING, repeatable = true)
@@ -97,6 +104,18 @@
         }
     }
 
+    @Nested
+    inner class `Truth of the final answer` {
+        @Test
+        fun `Given an earlier attempt that may have run, when a later one is refused, then the answer says unknown`() {
+            val failed = FailedAttempt(host, ResultCode.QUARANTINED, Outcome.NOT_RUN)
+            val state = state(repeatable = true, mayHaveRun = true)
+            val decision = decideRetry(failed, state, budget, Random(1)) as RetryDecision.GiveUp
+            expectThat(decision.outcome).isEqualTo(Outcome.UNKNOWN)
+            expectThat(decision.code.outcome).isEqualTo(Outcome.UNKNOWN)
+        }
+    }
+
     @Nested
     inner class `Budget` {
         @Test
@@ -151,7 +170,8 @@
         level: CallLevel = CallLevel.OUTERMOST,
         tried: List<HostId> = listOf(host),
         remaining: Duration = 1.seconds,
-    ) = RetryState(repeatable, level, tried, maxRetries = 2, retryBudgetPercent = 20, remaining = remaining)
+        mayHaveRun: Boolean = false,
+    ) = RetryState(repeatable, level, tried, mayHaveRun, maxRetries = 2, retryBudgetPercent = 20, remaining = remaining)
 
     private fun reason(decision: RetryDecision): GiveUpReason = (decision as RetryDecision.GiveUp).reason
 }
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryHandler.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryHandler.kt
@@ -30,6 +30,7 @@
 import kingcuptide.coordination.request.decideRetry
 import kingcuptide.coordination.request.keyHash
 import kingcuptide.coordination.request.retryBudget
+import kingcuptide.coordination.request.truthfulCode
 import kingcuptide.coordination.version.Snapshot
 import kingcuptide.daemon.connection.Attempt
 import kingcuptide.daemon.connection.AttemptResult
@@ -126,7 +127,13 @@
                     counters,
                 )
             served.tried += choice.host
-            served.last = EntryFailure(failed.code, failed.outcome, failed.retryAfter)
+            served.mayHaveRun = served.mayHaveRun || failed.outcome == Outcome.UNKNOWN
+            served.last =
+                EntryFailure(
+                    truthfulCode(failed.code, served.mayHaveRun),
+                    if (served.mayHaveRun) Outcome.UNKNOWN else failed.outcome,
+                    failed.retryAfter,
+                )
             when (decision) {
                 is RetryDecision.GiveUp -> return refuse(
                     call,
@@ -229,6 +236,7 @@
     ) {
         val tried = ArrayList<HostId>(1)
         var last: EntryFailure? = null
+        var mayHaveRun: Boolean = false
 
         /** A request whose last target died with it is announced as a suspect. */
         fun headOfAttempt(): RequestHead = if (last?.code == ResultCode.TARGET_DIED) head.copy(suspect = true) else head
@@ -249,6 +257,7 @@
                 repeatable = request.repeatable,
                 level = level,
                 tried = tried.toList(),
+                mayHaveRun = mayHaveRun,
                 maxRetries = request.route.maxRetries,
                 retryBudgetPercent = request.route.retryBudgetPercent,
                 remaining = deadline - now,
