Wait for the last witness before saying that a key was not granted

Two young witnesses made the claim end as 'not granted' although the third knew that the key had run.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/KeyClaimer.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/KeyClaimer.kt
@@ -168,7 +168,10 @@
             return emptyList()
         }
         val unanswered = claim.slots.count { it !in claim.grants && it !in claim.refusals }
-        return if (claim.grants.size + unanswered < rules.quorum) giveUp(claim) else emptyList()
+        val isHopeless = claim.grants.size + unanswered < rules.quorum
+        // While the key is not known to be held, the last answer may still tell.
+        val mayLearnMore = unanswered > 0 && claim.refusals.values.none { it.reason == KeyRefusalReason.HELD }
+        return if (isHopeless && !mayLearnMore) giveUp(claim) else emptyList()
     }
 
     private fun giveUp(claim: OpenClaim): List<Outbound> {
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/KeyFaultMatrixTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/KeyFaultMatrixTest.kt
@@ -106,6 +106,20 @@
             expectSecond(KeyStep.COMPLETED, KeyStep.BEGUN, KeyFault.FIRST_WITNESS_RESTARTED, SecondResult.ALREADY_USED)
         }
 
+        @Test
+        fun `Given a key that ran, when any fault spares a witness that answers, then it is already used`() {
+            val faults = listOf(
+                KeyFault.TWO_WITNESSES_RESTARTED,
+                KeyFault.FIRST_WITNESS_FROZEN,
+                KeyFault.FIRST_WITNESS_CUT,
+                KeyFault.ALL_MESSAGES_LOST,
+                KeyFault.ALL_MESSAGES_REPEATED,
+                KeyFault.ALL_MESSAGES_REVERSED,
+                KeyFault.FIRST_WITNESS_REPLACED,
+            )
+            faults.forEach { expectSecond(KeyStep.COMPLETED, KeyStep.BEGUN, it, SecondResult.ALREADY_USED) }
+        }
+
         @Test
         fun `Given a key that ran, when all daemons restarted, then it is not granted`() {
             expectSecond(KeyStep.BEGUN, KeyStep.BEGUN, KeyFault.ALL_RESTARTED, SecondResult.NOT_GRANTED)
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/ValidateSettings.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/ValidateSettings.kt
@@ -72,7 +72,8 @@
 }
 
 private fun checkPorts(settings: DaemonSettings, check: SettingsCheck) {
-    val own = listOf("httpPort" to settings.httpPort, "peerPort" to settings.peerPort, "adminPort" to settings.adminPort)
+    val own =
+        listOf("httpPort" to settings.httpPort, "peerPort" to settings.peerPort, "adminPort" to settings.adminPort)
     own.forEachIndexed { index, (path, port) ->
         val other = own.take(index).firstOrNull { it.second == port } ?: return@forEachIndexed
         check.conflict(path, "is the same port as ${other.first}")
