--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/KeyClaimerTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/KeyClaimerTest.kt
@@ -80,7 +80,7 @@
         }
 
         @Test
-        fun `Given two witnesses that hold the key, when they answer, then it is already used and the claim released`() {
+        fun `Given two witnesses that hold the key, when they answer, then it is already used and released`() {
             start()
             refuse(0, KeyRefusalReason.HELD, status = 201)
             val released = refuse(1, KeyRefusalReason.HELD)
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/KeyStaleViewTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/KeyStaleViewTest.kt
@@ -79,7 +79,7 @@
 
     /** The limit of the protection: see the assumption in docs/design/at-most-once.md. */
     @Test
-    fun `Given a platform that confirms a superseded list to a cut off side, when both are asked, then it runs twice`() {
+    fun `Given a platform that confirms an old list to one side, when both are asked, then the key runs twice`() {
         val world = play(keyRules(settings), oldSideConfirms = true)
 
         expectThat(world.doubleRun()).isNotNull()
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/KeyWitnessTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/KeyWitnessTest.kt
@@ -73,7 +73,7 @@
         }
 
         @Test
-        fun `Given a grant, when another claim comes within the window, then it is held, and afterwards it is granted`() {
+        fun `Given a grant, when another claim comes, then it is held within the window and granted after it`() {
             grow()
             claim(1)
             grow(settings.startWithin + 1_000.milliseconds + settings.resendWindow - 1.milliseconds)
