Answer too few grants with an unknown outcome; confirm views inside a failure domain; free late grants

Cause: after a restart of all daemons a resend got 'not run' although an earlier sending under its key may have run. 306 KEY_NOT_GRANTED now says unknown. Views are confirmed by peers of the own failure domain, since two quorums of a key always share one. A claim whose request was given up while it waited kept its key for minutes: a grant that comes late is released. The resend window is a setting only; the document's was read by nobody.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
@@ -44,7 +44,6 @@
     TARGET_DOWN(209, 503, Outcome.NOT_RUN, retryable = true),
     CANCELLED(210, 499, Outcome.NOT_RUN),
     RETRY_BUDGET_SPENT(211, 503, Outcome.NOT_RUN),
-    KEY_NOT_GRANTED(212, 503, Outcome.NOT_RUN, retryable = true),
     QUARANTINED(213, 422, Outcome.NOT_RUN),
     SUSPECT_BUSY(214, 503, Outcome.NOT_RUN),
     ENTRY_FULL(215, 503, Outcome.NOT_RUN),
@@ -58,6 +57,7 @@
     KEY_ALREADY_USED(303, 409, Outcome.UNKNOWN),
     TARGET_DIED(304, 502, Outcome.UNKNOWN),
     TARGET_OVERLOADED(305, 503, Outcome.UNKNOWN),
+    KEY_NOT_GRANTED(306, 503, Outcome.UNKNOWN),
 
     // 4xx: documents and versions
     DOCUMENT_UNREADABLE(400, 0),
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ConfigDocument.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ConfigDocument.kt
@@ -64,6 +64,5 @@
 /** Limits that hold for the whole fleet. */
 @Serializable
 public data class FleetLimits(
-    val resendWindowMs: Long = 120_000,
     val quarantineMs: Long = 600_000,
 )
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/DocumentRanges.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/DocumentRanges.kt
@@ -29,9 +29,6 @@
     /** Characters of a path prefix. */
     public val PATH_PREFIX_LENGTH: IntRange = 1..1_024
 
-    /** Time in which a caller may send a request again under the same idempotency key. */
-    public val RESEND_WINDOW_MS: LongRange = 1_000L..3_600_000L
-
     /** Time for which a request that crashes targets is refused. */
     public val QUARANTINE_MS: LongRange = 1_000L..86_400_000L
 }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ValidateDocument.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ValidateDocument.kt
@@ -120,7 +120,6 @@
 }
 
 private fun validateLimits(limits: FleetLimits, collector: FaultCollector) {
-    collector.requireRange("limits.resendWindowMs", limits.resendWindowMs, DocumentRanges.RESEND_WINDOW_MS, "ms")
     collector.requireRange("limits.quarantineMs", limits.quarantineMs, DocumentRanges.QUARANTINE_MS, "ms")
 }
 
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/KeyDecisions.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/KeyDecisions.kt
@@ -60,14 +60,21 @@
         return deliver(claimer.tick())
     }
 
-    /** Notes that a peer of another failure domain has the same versions in force, which confirms the view. */
+    /**
+     * Notes that a peer of this failure domain has the same versions in force, which confirms the view: two quorums of a
+     * key always share a failure domain, so it is inside one that views must agree. A host alone in its failure domain
+     * takes the word of any peer.
+     */
     fun noteOffer(from: HostId, offer: Offer) {
-        val domain = fleet.entry(from)?.failureDomain ?: return
-        if (domain == fleet.self.failureDomain) return
+        val peer = fleet.entry(from) ?: return
+        if (peer.failureDomain != fleet.self.failureDomain && !isAloneInFailureDomain()) return
         val offered = offer.offered.associate { it.kind to it.version }
         if (ResourceKind.entries.all { offered[it] != null && offered[it] == versionInForce(it) }) view?.let(::confirm)
     }
 
+    private fun isAloneInFailureDomain(): Boolean =
+        fleet.hostList.hosts.none { it.failureDomain == fleet.self.failureDomain && it.host != fleet.self.host }
+
     private fun isConfirmedBySource(kind: ResourceKind): Boolean =
         (versions.confirmedAge(kind) ?: Duration.INFINITE) <= RECENT_CONFIRMATION
 
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/KeyGuard.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/KeyGuard.kt
@@ -13,7 +13,10 @@
 import kingcuptide.coordination.request.KeyRequest
 import kingcuptide.coordination.request.TargetResult
 import kingcuptide.daemon.process.KeyDecisions
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -39,7 +42,17 @@
     private suspend fun claim(request: KeyRequest): KeyDecision {
         val decided = CompletableDeferred<KeyDecision>()
         forward(keys.claimer.start(request) { decided.complete(it) })
-        return decided.await()
+        return try {
+            decided.await()
+        } catch (exception: CancellationException) {
+            withContext(NonCancellable) { releaseGranted(decided.await()) }
+            throw exception
+        }
+    }
+
+    /** A grant that comes after its request was given up frees the key again. */
+    private fun releaseGranted(decision: KeyDecision) {
+        if (decision is KeyDecision.Granted) forward(keys.claimer.release(decision.claim))
     }
 
     private suspend fun runClaimed(claim: ClaimId, run: suspend () -> TargetRun): Result<TargetRun, KeyRefused> {
