--- a/bench/src/main/kotlin/kingcuptide/bench/requests/RoutedCall.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/requests/RoutedCall.kt
@@ -15,6 +15,7 @@
 import kingcuptide.coordination.request.RetryState
 import kingcuptide.coordination.request.TargetChoice
 import kingcuptide.coordination.request.TargetResult
+import kingcuptide.coordination.request.Verdict
 import kingcuptide.coordination.request.attemptOutcomeOf
 import kingcuptide.coordination.request.checkHomeRegion
 import kingcuptide.coordination.request.decideRetry
@@ -76,6 +77,7 @@
             maxRetries = policy.route.maxRetries,
             retryBudgetPercent = policy.route.retryBudgetPercent,
             remaining = call.deadline - fleet.time.now(),
+            suspect = entry.suspects.verdict(call.fingerprint) != Verdict.CLEAR,
         )
         val failed = FailedAttempt(host, code, outcome, retryAfter)
         when (val decision = decideRetry(failed, state, entry.budget, policy.random, policy.counters)) {
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/RetryDecision.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/RetryDecision.kt
@@ -24,6 +24,7 @@
  * What a retry decision needs to know of the request.
  *
  * @property tried hosts of the attempts so far, in order
+ * @property suspect whether this daemon held something against the request before the attempt
  * @property mayHaveRun whether an earlier attempt ended as unknown, so that no later refusal can say "not run"
  */
 public data class RetryState(
@@ -34,6 +35,7 @@
     val maxRetries: Int,
     val retryBudgetPercent: Int,
     val remaining: Duration,
+    val suspect: Boolean = false,
 )
 
 /** Why a request is not tried again. */
@@ -110,7 +112,8 @@
         if (!state.repeatable) return GiveUpReason.MAY_HAVE_RUN
         if (failed.code !in REPEATABLE_AFTER_UNKNOWN) return GiveUpReason.FINAL
         if (state.level == CallLevel.NESTED) return GiveUpReason.NOT_THIS_LEVEL
-        if (failed.code == ResultCode.TARGET_DIED && state.mayHaveRun) return GiveUpReason.FINAL
+        val diedAgain = failed.code == ResultCode.TARGET_DIED && (state.mayHaveRun || state.suspect)
+        if (diedAgain) return GiveUpReason.FINAL
     } else if (!failed.code.retryable) {
         return GiveUpReason.FINAL
     }
