--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/Daemon.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/Daemon.kt
@@ -125,7 +125,17 @@
 
     private val target = TargetClient(settings.target, maxConnections = MAX_TARGET_CONNECTIONS)
     private val gateHandler =
-        GateHandler(settings.region, gate, target, KeyGuard(keys) { transport.send(it) }, ::snapshot, clock, metrics)
+        GateHandler(
+            settings.region,
+            gate,
+            target,
+            KeyGuard(keys.claimer) {
+                transport.send(keys.deliver(it))
+            },
+            ::snapshot,
+            clock,
+            metrics,
+        )
     private val transport =
         ControlTransport(scope, selector, codec, settings.host, settings.region, peers, metrics) { loop.receive(it) }
     private val loop: ControlLoop = ControlLoop(controlScope, decisions, { transport.send(it) }, ::afterStep)
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/KeyGuard.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/KeyGuard.kt
@@ -9,10 +9,10 @@
 import kingcuptide.coordination.connection.RequestHead
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.request.HomeRegions
+import kingcuptide.coordination.request.KeyClaimer
 import kingcuptide.coordination.request.KeyDecision
 import kingcuptide.coordination.request.KeyRequest
 import kingcuptide.coordination.request.TargetResult
-import kingcuptide.daemon.process.KeyDecisions
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.NonCancellable
@@ -22,7 +22,7 @@
 
 /** Lets a request with an idempotency key run only while its key is claimed for it. */
 class KeyGuard(
-    private val keys: KeyDecisions,
+    private val claimer: KeyClaimer,
     private val send: (List<Outbound>) -> Unit,
 ) {
     /** Runs [run] if the key of [head] is granted, or if it needs no grant; otherwise says why not. */
@@ -41,7 +41,7 @@
 
     private suspend fun claim(request: KeyRequest): KeyDecision {
         val decided = CompletableDeferred<KeyDecision>()
-        forward(keys.claimer.start(request) { decided.complete(it) })
+        send(claimer.start(request) { decided.complete(it) })
         return try {
             decided.await()
         } catch (exception: CancellationException) {
@@ -52,12 +52,12 @@
 
     /** A grant that comes after its request was given up frees the key again. */
     private fun releaseGranted(decision: KeyDecision) {
-        if (decision is KeyDecision.Granted) forward(keys.claimer.release(decision.claim))
+        if (decision is KeyDecision.Granted) send(claimer.release(decision.claim))
     }
 
     private suspend fun runClaimed(claim: ClaimId, run: suspend () -> TargetRun): Result<TargetRun, KeyRefused> {
-        keys.claimer.begin(claim).getOrElse {
-            forward(keys.claimer.release(claim))
+        claimer.begin(claim).getOrElse {
+            send(claimer.release(claim))
             return Err(KeyRefused(it, Duration.ZERO))
         }
         var ended: TargetRun? = null
@@ -72,13 +72,11 @@
     private fun end(claim: ClaimId, ended: TargetRun?) {
         val result = ended?.result
         when {
-            result is TargetResult.Answered -> forward(keys.claimer.complete(claim, result.status))
-            ended != null && !ended.mayHaveRun -> forward(keys.claimer.release(claim))
-            else -> keys.claimer.abandon(claim)
+            result is TargetResult.Answered -> send(claimer.complete(claim, result.status))
+            ended != null && !ended.mayHaveRun -> send(claimer.release(claim))
+            else -> claimer.abandon(claim)
         }
     }
-
-    private fun forward(outbound: List<Outbound>) = send(keys.deliver(outbound))
 }
 
 /** How a run at the target ended; [mayHaveRun] is false only if surely no byte reached the target. */
