--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/AdmissionGateTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/AdmissionGateTest.kt
@@ -278,7 +278,7 @@
         }
 
         @Test
-        fun `Given a request that can not be done in time here, when it would wait, then it may go elsewhere at once`() {
+        fun `Given a request that would come too late here, when it comes, then it may go elsewhere at once`() {
             fixture.warmUp()
             fixture.fill()
             val refusal = refusal(fixture.admit(fixture.request(remaining = 20.milliseconds)))
