Reach targets by the JDK's HTTP client, refuse unreadable content types, and mend what a reading found

Cause: with pipelining the CIO client closed kept connections after one answer, so every second request failed with 304; without it each request opened a connection, and a chunked answer cut short looked whole. Ruled out: the gate and the stand-in (a plain target saw the daemon close its end). Also: slots of timed-out requests count as time-outs; keyed requests have at most maxKeyedDeadlineMs; a planned stop waits for the slowest route; bodies without a length keep to the route's limit; a call that meets a closing link is not sent; suspects are known to the retry decision; two platform settings without effect are gone.

--- a/daemon/src/main/kotlin/kingcuptide/daemon/connection/EntryLink.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/connection/EntryLink.kt
@@ -36,6 +36,9 @@
     private val stampRenewed = Channel<Unit>(Channel.CONFLATED)
     private lateinit var job: Job
 
+    @Volatile
+    private var closed = false
+
     val isOpen: Boolean get() = job.isActive
 
     /** Says hello and starts to read and write. */
@@ -48,8 +51,8 @@
                 } finally {
                     pipe.close()
                     writer.cancel()
+                    closed = true
                     connection.close().forEach(::fail)
-                    calls.clear()
                 }
             }
     }
@@ -61,7 +64,12 @@
         val number = connection.open().getOrElse { return FailedAttempt(it) }
         val call = PendingCall(number)
         calls[number] = call
-        if (!isOpen) fail(number, ResultCode.PEER_UNREACHABLE)
+        // Checked after the call is known and before its head is queued: a call that closing does not find is not sent.
+        if (closed) {
+            connection.abandon(number)
+            forget(number)
+            return FailedAttempt(ResultCode.PEER_UNREACHABLE)
+        }
         writes.trySend(Write.Head(number, draft))
         if (body != null) call.bodyJob = scope.launch { sendBody(call, body) }
         return call
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/Daemon.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/Daemon.kt
@@ -57,6 +57,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** One kingcuptide daemon: everything that lives as long as the process. */
@@ -92,7 +93,11 @@
             clock,
             random.split(),
             membership,
-            VersionSettings(platformRegion = settings.platform.region, joinWait = settings.joinWaitMs.milliseconds),
+            VersionSettings(
+                platformRegion = settings.platform.region,
+                sourceCallsPerSecond = settings.platform.callsPerSecondForAll,
+                joinWait = settings.joinWaitMs.milliseconds,
+            ),
             deflatePayloadCodec(),
             ::validDocument,
             ::validHostList,
@@ -123,7 +128,7 @@
         )
     private val decisions = ControlDecisions(membership, versions, convergence, suspects, keys, gate)
 
-    private val target = TargetClient(settings.target, maxConnections = MAX_TARGET_CONNECTIONS)
+    private val target = TargetClient(settings.target)
     private val gateHandler =
         GateHandler(
             settings.region,
@@ -162,6 +167,7 @@
         EntryHandler(
             settings.region,
             settings.maxEntryRequests,
+            settings.maxKeyedDeadlineMs.milliseconds,
             entrySurroundings(),
             chooser,
             links,
@@ -218,7 +224,7 @@
         val drained = CompletableDeferred<Unit>()
         gate.drain { drained.complete(Unit) }
         val finished =
-            withTimeoutOrNull(settings.drainMs.milliseconds) {
+            withTimeoutOrNull(drainLimit()) {
                 drained.await()
                 while (entry.requestsInFlight > 0) delay(DRAIN_POLL)
                 delay(LAST_ANSWERS)
@@ -230,6 +236,12 @@
         log.info("stop_ended", "drained" to (finished != null), "cut_off" to entry.requestsInFlight + gate.inFlight)
     }
 
+    /** Long enough for the slowest request that a route allows, so that a planned stop cuts nothing off. */
+    private fun drainLimit(): Duration {
+        val longest = snapshot()?.document?.routes?.values?.maxOfOrNull { it.timeoutMs } ?: 0
+        return maxOf(settings.drainMs, longest).milliseconds + LAST_ANSWERS
+    }
+
     private fun snapshot(): Snapshot? = versions.document.current?.value
 
     private suspend fun serveRequests(pipe: FramePipe) {
@@ -293,13 +305,14 @@
 
             override fun isDraining(): Boolean = draining
 
+            override fun isSuspect(fingerprint: Fingerprint): Boolean = suspects.verdict(fingerprint) != Verdict.CLEAR
+
             override fun isFleetHost(ip: String): Boolean = fleetIps.contains(ip)
         }
 
     private companion object {
-        const val MAX_TARGET_CONNECTIONS = 130
         val DRAIN_POLL = 10.milliseconds
-        val LAST_ANSWERS = 100.milliseconds
+        val LAST_ANSWERS = 300.milliseconds
         val log = eventLog("daemon")
     }
 }
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/DaemonSettings.kt
@@ -52,13 +52,12 @@
     val healthIntervalMs: Long = 1_000,
 )
 
-/** Where the platform's configuration service listens, and how often this daemon may call it. */
+/** Where the platform's configuration service listens, and what it bears from all daemons together. */
 @Serializable
 data class PlatformSettings(
     val url: String,
     val region: RegionId,
-    val maxCallsPerSecond: Double = 1.0,
-    val watchWaitMs: Long = 20_000,
+    val callsPerSecondForAll: Int = 2_000,
     val callTimeoutMs: Long = 5_000,
 )
 
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/HttpServers.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/HttpServers.kt
@@ -36,13 +36,14 @@
         server.start(wait = false)
     }
 
-    fun stop() = server.stop(gracePeriodMillis = 0, timeoutMillis = STOP_TIMEOUT_MS)
+    fun stop() = server.stop(STOP_GRACE_MS, STOP_TIMEOUT_MS)
 
     private suspend fun handle(call: ApplicationCall) {
         if (call.request.local.localPort == settings.adminPort) admin.handle(call) else entry.handle(call)
     }
 
     private companion object {
-        const val STOP_TIMEOUT_MS = 500L
+        const val STOP_GRACE_MS = 300L
+        const val STOP_TIMEOUT_MS = 1_000L
     }
 }
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/Main.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/Main.kt
@@ -63,4 +63,8 @@
     }
 }
 
-fun main(args: Array<String>) = DaemonCommand().main(args)
+fun main(args: Array<String>) {
+    // The HTTP client of the JDK would send a GET again by itself; whether to retry is decided by kingcuptide alone.
+    System.setProperty("jdk.httpclient.redirects.retrylimit", "1")
+    DaemonCommand().main(args)
+}
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/ValidateSettings.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/ValidateSettings.kt
@@ -41,11 +41,8 @@
 
 private fun checkPlatform(platform: PlatformSettings, check: SettingsCheck) {
     check.name("platform.region", platform.region.value)
-    check.range("platform.watchWaitMs", platform.watchWaitMs, 0L..600_000L)
     check.range("platform.callTimeoutMs", platform.callTimeoutMs, 1L..60_000L)
-    if (platform.maxCallsPerSecond <= 0 || platform.maxCallsPerSecond > PLATFORM_CALLS_PER_SECOND) {
-        check.outOfRange("platform.maxCallsPerSecond", "must be over 0 and at most $PLATFORM_CALLS_PER_SECOND")
-    }
+    check.range("platform.callsPerSecondForAll", platform.callsPerSecondForAll.toLong(), 1L..100_000L)
     if (!isHttpUrl(platform.url)) check.outOfRange("platform.url", "must be a URL such as http://192.0.2.1:8500")
 }
 
@@ -138,5 +135,3 @@
         val WILDCARDS = setOf("0.0.0.0", "::")
     }
 }
-
-private const val PLATFORM_CALLS_PER_SECOND = 2_000.0
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryHandler.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryHandler.kt
@@ -18,6 +18,7 @@
 import kingcuptide.coordination.request.CallLevel
 import kingcuptide.coordination.request.ChoiceRequest
 import kingcuptide.coordination.request.DEPTH_HEADER
+import kingcuptide.coordination.request.Fingerprint
 import kingcuptide.coordination.request.Outcome
 import kingcuptide.coordination.request.RequestCounters
 import kingcuptide.coordination.request.RetryBudget
@@ -28,6 +29,7 @@
 import kingcuptide.coordination.request.attemptOutcomeOf
 import kingcuptide.coordination.request.callLevelOf
 import kingcuptide.coordination.request.decideRetry
+import kingcuptide.coordination.request.fingerprintOf
 import kingcuptide.coordination.request.keyHash
 import kingcuptide.coordination.request.retryBudget
 import kingcuptide.coordination.request.truthfulCode
@@ -57,6 +59,9 @@
     /** Whether a planned stop has begun. */
     fun isDraining(): Boolean
 
+    /** Whether [fingerprint] is held to crash targets, or suspected of it. */
+    fun isSuspect(fingerprint: Fingerprint): Boolean
+
     /** Whether [ip] is the address of a host of the fleet. */
     fun isFleetHost(ip: String): Boolean
 }
@@ -65,6 +70,7 @@
 class EntryHandler(
     private val region: RegionId,
     private val maxRequests: Int,
+    private val maxKeyedDeadline: Duration,
     private val surroundings: EntrySurroundings,
     private val chooser: TargetChooser,
     private val links: PeerLinks,
@@ -95,7 +101,7 @@
         if (surroundings.isDraining()) return refuse(call, EntryRefusal(ResultCode.DRAINING))
         val snapshot = surroundings.snapshot() ?: return refuse(call, EntryRefusal(ResultCode.NO_CONFIGURATION))
         if (!surroundings.mayTakeWork()) return refuse(call, EntryRefusal(ResultCode.AWAKENING))
-        val request = readEntryRequest(call, snapshot, region).getOrElse { return refuse(call, it) }
+        val request = readEntryRequest(call, snapshot, region, maxKeyedDeadline).getOrElse { return refuse(call, it) }
         val body =
             try {
                 EntryBody.read(call.receiveChannel(), call.request.contentLength(), isChunked(call))
@@ -103,6 +109,7 @@
                 return refuse(call, EntryRefusal(ResultCode.MALFORMED_REQUEST))
             }
         if (body.isUnboundedStream) return refuse(call, EntryRefusal(ResultCode.LENGTH_REQUIRED))
+        if (body.prefix.size > request.route.maxBodyBytes) return refuse(call, EntryRefusal(ResultCode.BODY_TOO_LARGE))
         serve(call, Served(request, body, levelOf(call), startedAt + request.timeout, headOf(call, request, body)))
     }
 
@@ -121,7 +128,7 @@
             val decision =
                 decideRetry(
                     failed.toFailedAttempt(choice.host),
-                    served.retryState(clock.now()),
+                    served.retryState(clock.now(), isSuspect(served)),
                     budgetOf(served),
                     random,
                     counters,
@@ -210,6 +217,13 @@
         return callLevelOf(headers[DEPTH_HEADER], headers[ATTEMPT_HEADER], fromFleetHost)
     }
 
+    private fun isSuspect(served: Served): Boolean {
+        val request = served.request
+        val fingerprint =
+            fingerprintOf(request.routeId, request.method, request.pathAndQuery, served.body.prefix, request.home)
+        return surroundings.isSuspect(fingerprint)
+    }
+
     private fun budgetOf(served: Served): RetryBudget = budgets.computeIfAbsent(served.request.routeId) {
         retryBudget(clock)
     }
@@ -252,12 +266,13 @@
                 tried.toSet(),
             )
 
-        fun retryState(now: Duration): RetryState =
+        fun retryState(now: Duration, suspect: Boolean): RetryState =
             RetryState(
                 repeatable = request.repeatable,
                 level = level,
                 tried = tried.toList(),
                 mayHaveRun = mayHaveRun,
+                suspect = suspect,
                 maxRetries = request.route.maxRetries,
                 retryBudgetPercent = request.route.retryBudgetPercent,
                 remaining = deadline - now,
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryRequest.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryRequest.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
+import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.contentLength
@@ -50,6 +51,7 @@
     call: ApplicationCall,
     snapshot: Snapshot,
     region: RegionId,
+    maxKeyedDeadline: Duration,
 ): Result<EntryRequest, EntryRefusal> {
     val method = call.request.httpMethod.value
     val found =
@@ -65,6 +67,7 @@
     if (elsewhere is HomeRegionCheck.Elsewhere) return Err(EntryRefusal(ResultCode.WRONG_REGION, elsewhere.regions))
     if (elsewhere is HomeRegionCheck.Nowhere) return refused(ResultCode.WRONG_REGION)
     if ((call.request.contentLength() ?: 0) > found.route.maxBodyBytes) return refused(ResultCode.BODY_TOO_LARGE)
+    if (!hasReadableContentType(call)) return refused(ResultCode.MALFORMED_REQUEST)
     val key = readKey(call).getOrElse { return Err(it) }
     val timeout = readTimeout(call, found.route).getOrElse { return Err(it) }
     return Ok(
@@ -79,7 +82,7 @@
             pathAndQuery = call.request.uri,
             repeatable = found.repeatable,
             idempotencyKey = key,
-            timeout = timeout,
+            timeout = if (key == null || found.repeatable) timeout else minOf(timeout, maxKeyedDeadline),
         ),
     )
 }
@@ -105,6 +108,11 @@
     return Ok(minOf(limit, asked.milliseconds))
 }
 
+private fun hasReadableContentType(call: ApplicationCall): Boolean {
+    val text = call.request.headers[HttpHeaders.ContentType] ?: return true
+    return runCatching { ContentType.parse(text) }.isSuccess
+}
+
 internal fun isChunked(call: ApplicationCall): Boolean =
     call.request.headers[HttpHeaders.TransferEncoding]?.contains("chunked", ignoreCase = true) == true
 
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/GateHandler.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/GateHandler.kt
@@ -91,7 +91,8 @@
                     TargetRun(TargetResult.Cancelled, mayHaveRun = false)
                 }.result
         } finally {
-            ticket.finish(result)
+            val timedOut = result == TargetResult.Cancelled && clock.now() >= exchange.deadline
+            ticket.finish(if (timedOut) TargetResult.TimedOut else result)
         }
     }
 
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/TargetClient.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/TargetClient.kt
@@ -1,8 +1,7 @@
 package kingcuptide.daemon.request
 
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.engine.java.Java
 import io.ktor.client.request.header
 import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.request
@@ -10,7 +9,6 @@
 import io.ktor.client.request.url
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
-import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpMethod
 import io.ktor.http.content.OutgoingContent
@@ -22,7 +20,9 @@
 import kingcuptide.coordination.connection.Header
 import kingcuptide.coordination.connection.RequestHead
 import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.request.DEPTH_HEADER
 import kingcuptide.coordination.request.Outcome
+import kingcuptide.coordination.request.nextDepth
 import kingcuptide.daemon.process.TargetSettings
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.channels.ReceiveChannel
@@ -37,23 +37,12 @@
 /** Sends admitted requests to the target on this host, and asks after its health. */
 class TargetClient(
     private val settings: TargetSettings,
-    maxConnections: Int,
 ) : AutoCloseable {
     private val client =
-        HttpClient(CIO) {
+        HttpClient(Java) {
             expectSuccess = false
             followRedirects = false
-            engine {
-                requestTimeout = 0
-                // Keeps connections open for further requests; with one request at a time on each.
-                pipelining = true
-                maxConnectionsCount = maxConnections
-                endpoint {
-                    maxConnectionsPerRoute = maxConnections
-                    pipelineMaxSize = 1
-                    connectAttempts = 1
-                }
-            }
+            engine { protocolVersion = java.net.http.HttpClient.Version.HTTP_1_1 }
         }
 
     /**
@@ -103,7 +92,17 @@
     override fun close() = client.close()
 
     private fun io.ktor.client.request.HttpRequestBuilder.copyHeaders(head: RequestHead, timeLeft: Duration) {
-        head.headers.filterNot { it.name.lowercase() in contentHeaders }.forEach { header(it.name, it.value) }
+        for (header in head.headers) {
+            if (header.name.lowercase() !in replacedHeaders) header(header.name, header.value)
+        }
+        header(
+            DEPTH_HEADER,
+            nextDepth(
+                head.headers.firstOrNull {
+                    it.name.equals(DEPTH_HEADER, ignoreCase = true)
+                }?.value,
+            ),
+        )
         header(KingcuptideHeaders.TIMEOUT_MS, timeLeft.inWholeMilliseconds)
     }
 
@@ -134,7 +133,7 @@
     private companion object {
         const val MAX_PIECE_BYTES = 16 * 1024
         const val FIRST_ERROR_STATUS = 400
-        val contentHeaders = setOf("content-length", "content-type")
+        val replacedHeaders = setOf(HttpHeaders.ContentLength.lowercase(), DEPTH_HEADER.lowercase())
     }
 }
 
@@ -162,7 +161,7 @@
     /** A refused connection is the only failure at which no byte reached the target. */
     fun failure(exception: Exception): TargetFailure =
         when {
-            exception is ConnectException && !bodyStarted.get() -> TargetFailure(
+            causesOf(exception).any { it is ConnectException } && !bodyStarted.get() -> TargetFailure(
                 ResultCode.TARGET_DOWN,
                 Outcome.NOT_RUN,
             )
@@ -171,16 +170,17 @@
         }
 }
 
+private fun causesOf(exception: Exception): Sequence<Throwable> = generateSequence(exception as Throwable) {
+    it.cause
+}.take(MAX_CAUSES)
+
+private const val MAX_CAUSES = 8
+
 private class StreamedBody(
     head: RequestHead,
     private val body: ReceiveChannel<ByteArray>,
     private val progress: TargetProgress,
 ) : OutgoingContent.WriteChannelContent() {
-    override val contentType: ContentType? =
-        head.headers.firstOrNull {
-            it.name.equals(HttpHeaders.ContentType, ignoreCase = true)
-        }?.let { ContentType.parse(it.value) }
-
     override val contentLength: Long? =
         head.headers.firstOrNull { it.name.equals(HttpHeaders.ContentLength, ignoreCase = true) }?.value?.toLongOrNull()
 
--- a/daemon/src/test/kotlin/kingcuptide/daemon/process/SettingsReaderTest.kt
+++ b/daemon/src/test/kotlin/kingcuptide/daemon/process/SettingsReaderTest.kt
@@ -20,7 +20,7 @@
         fun `when they are read with comments and closing commas, then every value arrives`() {
             val settings = readSettings(VALID, "a.json").unwrap()
             expectThat(settings.host.value).isEqualTo("a")
-            expectThat(settings.platform.maxCallsPerSecond).isEqualTo(1.5)
+            expectThat(settings.platform.callsPerSecondForAll).isEqualTo(1_500)
             expectThat(settings.logLevel).isEqualTo(LogLevel.WARN)
             expectThat(settings.seeds.map { it.host.value }).isEqualTo(listOf("b"))
         }
@@ -87,7 +87,7 @@
                     .replace("\"ip\": \"10.0.0.1\", \"httpPort\": 8001", "\"ip\": \"0.0.0.0\", \"httpPort\": 0")
                     .replace("\"port\": 9001", "\"port\": 65536")
                     .replace("http://10.0.0.9:8500", "10.0.0.9:8500")
-                    .replace("1.5", "0")
+                    .replace("1500", "0")
                     .replace("\"healthPath\": \"/health\"", "\"healthPath\": \"health\"")
                     .replace("\"ip\": \"10.0.0.2\"", "\"ip\": \"b.example.org\"")
                     .replace("\"drainMs\": 5000", "\"drainMs\": -1")
@@ -97,7 +97,7 @@
                 outOfRange("target.port"),
                 outOfRange("target.healthPath"),
                 outOfRange("platform.url"),
-                outOfRange("platform.maxCallsPerSecond"),
+                outOfRange("platform.callsPerSecondForAll"),
                 outOfRange("drainMs"),
                 outOfRange("seeds[0].ip"),
             )
@@ -147,7 +147,7 @@
               "failureDomain": "f1", "region": "north", "service": "parcels",
               /* the target beside it */
               "target": {"ip": "10.0.0.1", "port": 9001, "healthPath": "/health"},
-              "platform": {"url": "http://10.0.0.9:8500", "region": "north", "maxCallsPerSecond": 1.5},
+              "platform": {"url": "http://10.0.0.9:8500", "region": "north", "callsPerSecondForAll": 1500},
               "joinWaitMs": 100, "drainMs": 5000, "logLevel": "warn",
               "seeds": [
                 {"host": "b", "ip": "10.0.0.2", "peerPort": 7001, "failureDomain": "f2", "region": "north"},
--- a/system-tests/src/test/kotlin/kingcuptide/systemtests/BadInputTest.kt
+++ b/system-tests/src/test/kotlin/kingcuptide/systemtests/BadInputTest.kt
@@ -38,6 +38,10 @@
         fun `when the timeout is no number, then the answer is 400 with code 108`() =
             expectRefusal("/parcels/1", 400, 108, "Kingcuptide-Timeout-Ms" to "soon")
 
+        @Test
+        fun `when the content type is no media type, then the answer is 400 with code 100`() =
+            expectRefusal("/parcels/1", 400, 100, "Content-Type" to "garbage")
+
         @Test
         fun `when the key is empty, then the answer is 400 with code 109`() = expectRefusal(
             "/parcels/1",
