--- a/bench/src/main/kotlin/kingcuptide/bench/ControlCommand.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/ControlCommand.kt
@@ -73,7 +73,13 @@
         )
     }
 
-    private fun print(row: String, trial: FleetTrial, distribution: Distribution, documentBytes: Int, rate: ReceivedRate) {
+    private fun print(
+        row: String,
+        trial: FleetTrial,
+        distribution: Distribution,
+        documentBytes: Int,
+        rate: ReceivedRate,
+    ) {
         println(
             "row=$row distribution=${distribution.name.lowercase()} hosts=${trial.fleet.hosts.size} " +
                 "document_bytes=$documentBytes received_mean_bytes_per_s=${rate.meanBytesPerSecond.toLong()} " +
--- a/bench/src/test/kotlin/kingcuptide/bench/fleet/NeverOlderTest.kt
+++ b/bench/src/test/kotlin/kingcuptide/bench/fleet/NeverOlderTest.kt
@@ -136,7 +136,7 @@
         }
 
         @Test
-        fun `when no witnesses are required and its failure domain is lost, then the same scene shows an older version`() {
+        fun `when no witnesses are required and its failure domain is lost, then an older version shows`() {
             val unwitnessed = SETTINGS.copy(requiredWitnesses = 0)
             val found = SEEDS.sumOf { seed ->
                 lose(LARGE_SHAPE, seed, unwitnessed, 1.seconds) { fleet, first -> fleet.domainOf(first) }.servedOlder()
--- a/bench/src/test/kotlin/kingcuptide/bench/fleet/SpreadPathsTest.kt
+++ b/bench/src/test/kotlin/kingcuptide/bench/fleet/SpreadPathsTest.kt
@@ -42,7 +42,7 @@
     }
 
     @Test
-    fun `Given a host that missed every message of a change, when it can be reached again, then it has it within 4 s`() {
+    fun `Given a host that missed every message of a change, when it is reached again, then it has it within 4 s`() {
         for (seed in SEEDS) {
             val (fleet, documents) = settled(SETTINGS, seed)
             val deaf = fleet.hosts.filter { it.entry.host.value.endsWith("h5") }.toSet()
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/Explainer.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/Explainer.kt
@@ -48,7 +48,12 @@
         )
     }
 
-    private fun refusalOf(current: Snapshot, match: RouteMatch.Found, tenant: TenantId?, home: HomeRegions): ResultCode? =
+    private fun refusalOf(
+        current: Snapshot,
+        match: RouteMatch.Found,
+        tenant: TenantId?,
+        home: HomeRegions,
+    ): ResultCode? =
         when {
             tenant == null && match.route.tenantRequired -> ResultCode.TENANT_MISSING
             tenant != null && current.tenant(tenant) == null -> ResultCode.UNKNOWN_TENANT
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/GateHandler.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/GateHandler.kt
@@ -82,7 +82,12 @@
         }
     }
 
-    private suspend fun runAdmitted(exchange: GateExchange, home: HomeRegions, ticket: AdmissionTicket, body: StartedBody?) {
+    private suspend fun runAdmitted(
+        exchange: GateExchange,
+        home: HomeRegions,
+        ticket: AdmissionTicket,
+        body: StartedBody?,
+    ) {
         var result: TargetResult = TargetResult.Cancelled
         try {
             result = keys.guard(exchange.head, home, exchange.deadline) { runAtTarget(exchange, body) }
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/TargetClient.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/TargetClient.kt
@@ -106,7 +106,12 @@
         header(KingcuptideHeaders.TIMEOUT_MS, timeLeft.inWholeMilliseconds)
     }
 
-    private suspend fun pass(response: HttpResponse, method: String, answer: AnswerSink, progress: TargetProgress): TargetFailure? {
+    private suspend fun pass(
+        response: HttpResponse,
+        method: String,
+        answer: AnswerSink,
+        progress: TargetProgress,
+    ): TargetFailure? {
         progress.answering = true
         answer.head(response.status.value, response.headers.endToEnd())
         val expected = response.contentLength().takeUnless { method == HttpMethod.Head.value }
--- a/standins/src/main/kotlin/kingcuptide/standins/fleet/LocalFleet.kt
+++ b/standins/src/main/kotlin/kingcuptide/standins/fleet/LocalFleet.kt
@@ -132,7 +132,12 @@
 
     override fun close() = starter.close()
 
-    private fun send(method: String, url: String, body: String, headers: Array<out Pair<String, String>>): HttpResponse<String> {
+    private fun send(
+        method: String,
+        url: String,
+        body: String,
+        headers: Array<out Pair<String, String>>,
+    ): HttpResponse<String> {
         val request = HttpRequest.newBuilder(URI(url)).timeout(Duration.ofSeconds(20))
         headers.forEach { (name, value) -> request.header(name, value) }
         val publisher = if (body.isEmpty()) {
