--- a/daemon/src/test/kotlin/kingcuptide/daemon/request/KeyGuardTest.kt
+++ b/daemon/src/test/kotlin/kingcuptide/daemon/request/KeyGuardTest.kt
@@ -4,7 +4,6 @@
 import kingcuptide.coordination.connection.KeyGrant
 import kingcuptide.coordination.connection.KeyRelease
 import kingcuptide.coordination.connection.Outbound
-import kingcuptide.coordination.connection.RequestHead
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.FailureDomainId
 import kingcuptide.coordination.process.HostEntry
@@ -12,7 +11,6 @@
 import kingcuptide.coordination.process.HostList
 import kingcuptide.coordination.process.Incarnation
 import kingcuptide.coordination.process.RegionId
-import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.HomeRegions
 import kingcuptide.coordination.request.TargetResult
@@ -69,21 +67,7 @@
         claimer.receive(claim.to, KeyGrant(message.keyHash, message.claim))
     }
 
-    private fun head() =
-        RequestHead(
-            number = 1,
-            stampMs = 0,
-            remainingMs = 5_000,
-            version = 1,
-            route = RouteId("visits"),
-            tenant = null,
-            method = "POST",
-            pathAndQuery = "/visits",
-            headers = emptyList(),
-            repeatable = false,
-            keyHash = "00",
-            hasBody = false,
-        )
+    private fun head() = requestHead(method = "POST", repeatable = false, keyHash = "00")
 
     private fun entry(host: String, domain: String) =
         HostEntry(HostId(host), "127.0.0.1", 1, 1, FailureDomainId(domain), RegionId("north"), ServiceId("visits"))
--- /dev/null
+++ b/daemon/src/test/kotlin/kingcuptide/daemon/request/RequestHeads.kt
@@ -0,0 +1,21 @@
+package kingcuptide.daemon.request
+
+import kingcuptide.coordination.connection.RequestHead
+import kingcuptide.coordination.process.RouteId
+
+/** A request without a body, as it arrives at a gate. */
+internal fun requestHead(method: String, repeatable: Boolean, keyHash: String?): RequestHead =
+    RequestHead(
+        number = 1,
+        stampMs = 0,
+        remainingMs = 5_000,
+        version = 1,
+        route = RouteId("parcels"),
+        tenant = null,
+        method = method,
+        pathAndQuery = "/parcels/1",
+        headers = emptyList(),
+        repeatable = repeatable,
+        keyHash = keyHash,
+        hasBody = false,
+    )
--- a/daemon/src/test/kotlin/kingcuptide/daemon/request/TargetClientTest.kt
+++ b/daemon/src/test/kotlin/kingcuptide/daemon/request/TargetClientTest.kt
@@ -3,7 +3,6 @@
 import kingcuptide.coordination.connection.Header
 import kingcuptide.coordination.connection.RequestHead
 import kingcuptide.coordination.process.ResultCode
-import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.request.Outcome
 import kingcuptide.daemon.process.TargetSettings
 import kotlinx.coroutines.runBlocking
@@ -83,21 +82,7 @@
     private fun run(client: TargetClient, head: RequestHead): TargetFailure? =
         runBlocking { client.run(head, body = null, 5.seconds, IgnoringSink) }
 
-    private fun head() =
-        RequestHead(
-            number = 1,
-            stampMs = 0,
-            remainingMs = 5_000,
-            version = 1,
-            route = RouteId("parcels"),
-            tenant = null,
-            method = "GET",
-            pathAndQuery = "/parcels/1",
-            headers = emptyList(),
-            repeatable = true,
-            keyHash = null,
-            hasBody = false,
-        )
+    private fun head() = requestHead(method = "GET", repeatable = true, keyHash = null)
 
     private object IgnoringSink : AnswerSink {
         override suspend fun head(status: Int, headers: List<Header>) = Unit
