--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/TargetWatcher.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/TargetWatcher.kt
@@ -3,8 +3,9 @@
 import kingcuptide.coordination.process.Membership
 import kingcuptide.coordination.request.AdmissionGate
 import kingcuptide.daemon.request.TargetClient
-import kotlinx.coroutines.delay
+import kingcuptide.forwarder.process.eventLog
 import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.delay
 
 /**
  * Asks after the target's health. Only a target that comes back from being down counts for something: the gate's ramp
--- /dev/null
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
@@ -0,0 +1,219 @@
+package kingcuptide.forwarder.connection
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.suspendCancellableCoroutine
+import java.io.ByteArrayOutputStream
+import java.net.InetSocketAddress
+import kotlin.coroutines.resume
+
+/**
+ * One connection to an HTTP server, for one call at a time. It never sends anything twice by itself.
+ *
+ * An answer that is not for the call, as [exchange]'s `accepts` says, is skipped; bytes that no call waits for end the
+ * connection. Used on its event loop.
+ */
+class HttpConnection private constructor(
+    private val channel: Channel,
+    private val receiver: Receiver,
+) {
+    /** Whether another call may be sent. */
+    val isUsable: Boolean get() = channel.isActive && receiver.isSound && !receiver.isWaiting
+
+    /** Seconds that the server keeps the connection open while idle, or null if it did not say. */
+    val idleLimitSeconds: Int? get() = receiver.idleLimitSeconds
+
+    /** Sends [call] and waits for the answer that [accepts]; cancellation closes the connection. */
+    suspend fun exchange(call: HttpCall, accepts: (Headers) -> Boolean = { true }): HttpEnd {
+        if (!isUsable) return HttpEnd.NotSent("connection closed")
+        return suspendCancellableCoroutine { continuation ->
+            receiver.await(continuation, accepts)
+            continuation.invokeOnCancellation { close() }
+            channel.writeAndFlush(requestOf(call)).addListener { sent ->
+                if (!sent.isSuccess) receiver.fail("write failed: ${sent.cause()}")
+            }
+        }
+    }
+
+    fun close() {
+        receiver.isSound = false
+        channel.close()
+    }
+
+    private fun requestOf(call: HttpCall): DefaultFullHttpRequest {
+        val body = if (call.body.isEmpty()) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(call.body)
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method), call.target, body)
+        call.headers.forEach { (name, value) -> request.headers().add(name, value) }
+        if (call.body.isNotEmpty() || call.method in METHODS_WITH_BODY) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
+        }
+        return request
+    }
+
+    private class Receiver(
+        private val maxAnswerBytes: Int,
+    ) : ChannelInboundHandlerAdapter() {
+        var isSound = true
+        var idleLimitSeconds: Int? = null
+        private var waiting: CancellableContinuation<HttpEnd>? = null
+        private var accepts: (Headers) -> Boolean = { true }
+        private var head: HttpResponse? = null
+        private var headers: Headers = emptyList()
+        private var skipping = false
+        private val body = ByteArrayOutputStream(INITIAL_BODY_BYTES)
+
+        val isWaiting: Boolean get() = waiting != null
+
+        fun await(continuation: CancellableContinuation<HttpEnd>, accepts: (Headers) -> Boolean) {
+            waiting = continuation
+            this.accepts = accepts
+        }
+
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            try {
+                if (message is HttpObject) receive(context, message)
+            } finally {
+                ReferenceCountUtil.release(message)
+            }
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) = fail("connection closed")
+
+        @Deprecated("Deprecated in Java")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            fail("connection failed: $cause")
+            context.close()
+        }
+
+        fun fail(reason: String) {
+            isSound = false
+            val begun = head != null
+            head = null
+            val continuation = waiting ?: return
+            waiting = null
+            if (continuation.isActive) continuation.resume(HttpEnd.Broken(reason, begun))
+        }
+
+        private fun receive(context: ChannelHandlerContext, message: HttpObject) {
+            if (!isSound) return
+            if (message.decoderResult().isFailure || waiting == null) {
+                fail(if (waiting == null) "unexpected bytes" else "malformed answer")
+                context.close()
+                return
+            }
+            if (message is HttpResponse) begin(message)
+            if (message is HttpContent) append(context, message)
+            if (message is LastHttpContent) end(context)
+        }
+
+        private fun begin(response: HttpResponse) {
+            head = response
+            headers = response.headers().map { it.key to it.value }
+            body.reset()
+            skipping = response.status().code() < FIRST_FINAL_STATUS || !accepts(headers)
+        }
+
+        private fun append(context: ChannelHandlerContext, content: HttpContent) {
+            val bytes = content.content()
+            if (skipping || !bytes.isReadable) return
+            if (body.size() + bytes.readableBytes() > maxAnswerBytes) {
+                fail("answer too large")
+                context.close()
+                return
+            }
+            bytes.readBytes(body, bytes.readableBytes())
+        }
+
+        private fun end(context: ChannelHandlerContext) {
+            val response = head ?: return
+            head = null
+            if (!HttpUtil.isKeepAlive(response)) isSound = false
+            if (skipping) {
+                if (!isSound) fail("connection closed after an answer to another call")
+                return
+            }
+            noteIdleLimit(response)
+            val continuation = waiting ?: return
+            waiting = null
+            if (!isSound) context.close()
+            val answer = HttpAnswer(response.status().code(), headers, body.toByteArray())
+            if (continuation.isActive) continuation.resume(HttpEnd.Answered(answer))
+        }
+
+        private fun noteIdleLimit(response: HttpResponse) {
+            val value = response.headers().get(KEEP_ALIVE) ?: return
+            idleLimitSeconds = IDLE_LIMIT.find(value)?.groupValues?.get(1)?.toIntOrNull() ?: return
+        }
+    }
+
+    companion object {
+        private val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
+        private val IDLE_LIMIT = Regex("timeout=(\\d+)")
+        private const val KEEP_ALIVE = "Keep-Alive"
+        private const val FIRST_FINAL_STATUS = 200
+        private const val INITIAL_BODY_BYTES = 1_024
+        private const val MAX_LINE_BYTES = 8_192
+        private const val MAX_HEAD_BYTES = 65_536
+
+        /** Opens a connection to [address], or returns null with [onFailure] told why. */
+        suspend fun open(
+            loop: EventLoop,
+            address: InetSocketAddress,
+            limits: HttpClientLimits,
+            onFailure: (String) -> Unit = {},
+        ): HttpConnection? {
+            val receiver = Receiver(limits.maxAnswerBytes)
+            val connecting = bootstrap(loop, limits, receiver).connect(address)
+            return suspendCancellableCoroutine { continuation ->
+                continuation.invokeOnCancellation { connecting.channel().close() }
+                connecting.addListener { done ->
+                    val channel = (done as ChannelFuture).channel()
+                    if (!done.isSuccess) onFailure(done.cause().toString())
+                    if (!continuation.isActive) return@addListener
+                    continuation.resume(if (done.isSuccess) HttpConnection(channel, receiver) else null)
+                }
+            }
+        }
+
+        private fun decoderLimits(): HttpDecoderConfig =
+            HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE_BYTES).setMaxHeaderSize(MAX_HEAD_BYTES)
+
+        private fun bootstrap(loop: EventLoop, limits: HttpClientLimits, receiver: Receiver): Bootstrap =
+            Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel::class.java)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeout.inWholeMilliseconds.toInt())
+                .handler(
+                    object : ChannelInitializer<Channel>() {
+                        override fun initChannel(channel: Channel) {
+                            channel.pipeline().addLast(
+                                HttpClientCodec(decoderLimits(), false, false),
+                                receiver,
+                            )
+                        }
+                    },
+                )
+    }
+}
--- /dev/null
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
@@ -0,0 +1,51 @@
+package kingcuptide.forwarder.connection
+
+import kotlin.time.Duration
+
+/** Headers in order, names as they came. */
+typealias Headers = List<Pair<String, String>>
+
+/** Returns the first value of [name], or null. */
+fun Headers.first(name: String): String? = firstOrNull { it.first.equals(name, ignoreCase = true) }?.second
+
+/** A request as it is sent. [headers] frame no body: that is done when it is written. */
+class HttpCall(
+    val method: String,
+    val target: String,
+    val headers: Headers,
+    val body: ByteArray = NO_BYTES,
+)
+
+/** A whole answer. */
+class HttpAnswer(
+    val status: Int,
+    val headers: Headers,
+    val body: ByteArray,
+)
+
+/** How a call ended. */
+sealed interface HttpEnd {
+    /** The whole answer came. */
+    data class Answered(
+        val answer: HttpAnswer,
+    ) : HttpEnd
+
+    /** No byte of the call left this process. */
+    data class NotSent(
+        val reason: String,
+    ) : HttpEnd
+
+    /** The call may have arrived, and no whole answer came. [begun] tells whether a part of one did. */
+    data class Broken(
+        val reason: String,
+        val begun: Boolean,
+    ) : HttpEnd
+}
+
+/** Bounds of a connection to an HTTP server. */
+data class HttpClientLimits(
+    val connectTimeout: Duration,
+    val maxAnswerBytes: Int,
+)
+
+internal val NO_BYTES = ByteArray(0)
--- /dev/null
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/BeliefLog.kt
@@ -0,0 +1,38 @@
+package kingcuptide.forwarder.process
+
+import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.version.FleetPicture
+import kingcuptide.coordination.version.RoutingVersion
+import kingcuptide.coordination.version.TargetEntry
+
+/** Writes a line for each change of what the daemon believes. */
+internal class BeliefLog : FleetPicture.Observer {
+    private val log = eventLog("belief")
+
+    override fun versionInForce(version: RoutingVersion, before: Long?) =
+        log.info("version_in_force", "version" to version.number, "before" to before, "routes" to version.routeCount)
+
+    override fun refusedVersion(number: Long, held: Long) =
+        log.warn("version_refused", "version" to number, "held" to held, "reason" to "older")
+
+    override fun targetSeen(entry: TargetEntry) =
+        log.info(
+            "target_seen",
+            "target" to entry.id,
+            "service" to entry.service,
+            "address" to entry.address,
+            "cold_ms" to entry.coldFor.inWholeMilliseconds,
+        )
+
+    override fun targetLeaving(entry: TargetEntry) =
+        log.info("target_leaving", "target" to entry.id, "service" to entry.service)
+
+    override fun targetGone(entry: TargetEntry, reason: String) =
+        log.info("target_gone", "target" to entry.id, "service" to entry.service, "reason" to reason)
+
+    override fun takenOut(failureDomain: FailureDomainId, out: Boolean) =
+        log.info("failure_domain", "failure_domain" to failureDomain, "taken_out" to out)
+
+    override fun unusable(key: String, revision: Long, reason: String) =
+        log.info("item_unusable", "key" to key, "revision" to revision, "reason" to reason)
+}
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/EventLog.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/EventLog.kt
@@ -1,9 +1,7 @@
-package kingcuptide.daemon.process
+package kingcuptide.forwarder.process
 
-import ch.qos.logback.classic.Level
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
-import ch.qos.logback.classic.Logger as LogbackLogger
 
 /** Writes one line of key=value pairs for each event. Values with spaces or quotes are quoted. */
 class EventLog(
@@ -25,13 +23,7 @@
 /** Returns the event log whose lines carry [name] as their source. */
 fun eventLog(name: String): EventLog = EventLog(LoggerFactory.getLogger(name))
 
-/** Sets the least severe events that are logged; the libraries' own levels stay as they are. */
-internal fun setLogLevel(level: LogLevel) {
-    val root = LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) as? LogbackLogger ?: return
-    root.level = Level.toLevel(level.name)
-}
-
-internal fun formatEvent(event: String, fields: Array<out Pair<String, Any?>>): String =
+fun formatEvent(event: String, fields: Array<out Pair<String, Any?>>): String =
     buildString {
         append("event=").append(event)
         for ((key, value) in fields) {
--- /dev/null
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
@@ -0,0 +1,49 @@
+package kingcuptide.forwarder.process
+
+import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.request.RetryAllowanceSettings
+import java.net.InetSocketAddress
+import kotlin.time.Duration
+
+/**
+ * What one process is told at its start.
+ *
+ * @property service service of the target beside this daemon
+ * @property callerAddress where callers and the own target send requests
+ * @property peerPort port at which the daemon of every host is reached by the others
+ * @property stopLimit longest time from the request to stop until the process ends
+ * @property drainLimit time within which nothing more may reach a target that leaves
+ */
+data class ForwarderSettings(
+    val host: HostId,
+    val ip: String,
+    val failureDomain: FailureDomainId,
+    val region: RegionId,
+    val regionByDomain: Map<FailureDomainId, RegionId>,
+    val service: ServiceId,
+    val targetAddress: String,
+    val callerAddress: InetSocketAddress,
+    val readinessAddress: InetSocketAddress,
+    val peerPort: Int,
+    val sourceAddress: InetSocketAddress,
+    val stopLimit: Duration,
+    val drainLimit: Duration,
+    val coldRateFactor: Double,
+    val coldSlack: Int,
+    val retries: RetryAllowanceSettings,
+)
+
+/** The names of the headers that daemons, callers and targets exchange. */
+data class HeaderNames(
+    val requestId: String,
+    val remainingMs: String,
+    val callerService: String,
+    val expectedTarget: String,
+    val notRun: String,
+    val proof: String,
+    val targetId: String,
+    val coldMs: String,
+)
--- /dev/null
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/SettingsFile.kt
@@ -0,0 +1,103 @@
+package kingcuptide.forwarder.process
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.request.RetryAllowanceSettings
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import java.net.InetSocketAddress
+import kotlin.time.Duration
+
+/** Why settings were refused. */
+data class ForwarderSettingsFault(
+    val code: ResultCode,
+    val reason: String,
+)
+
+/**
+ * Reads the settings of a forwarder from JSON with comments. Times are strings of a number and its unit, as `1500ms` or
+ * `2.5s`; addresses are `ip:port`. Fields that are not known are ignored, since newer settings may have more.
+ */
+fun readForwarderSettings(text: String): Result<ForwarderSettings, ForwarderSettingsFault> =
+    try {
+        Ok(settingsJson.decodeFromString(SettingsFile.serializer(), text).toSettings())
+    } catch (exception: SerializationException) {
+        Err(ForwarderSettingsFault(ResultCode.SETTINGS_UNREADABLE, exception.message.orEmpty().lineSequence().first()))
+    } catch (exception: IllegalArgumentException) {
+        Err(ForwarderSettingsFault(ResultCode.SETTINGS_VALUE_OUT_OF_RANGE, exception.message.orEmpty()))
+    }
+
+@Serializable
+private data class SettingsFile(
+    val host: String,
+    val ip: String,
+    val failureDomain: String,
+    val region: String,
+    val regionByFailureDomain: Map<String, String>,
+    val service: String,
+    val targetAddress: String,
+    val callerAddress: String,
+    val readinessAddress: String,
+    val peerPort: Int,
+    val sourceAddress: String,
+    val stopLimit: String,
+    val drainLimit: String,
+    val coldRateFactor: Double,
+    val coldSlack: Int,
+    val retryRatio: Double,
+    val extraRetries: Int,
+    val retryWindow: String,
+) {
+    fun toSettings(): ForwarderSettings {
+        require(peerPort in PORTS) { "peerPort: $peerPort is no port" }
+        require(coldRateFactor > 0) { "coldRateFactor: must be greater than 0" }
+        require(coldSlack >= 0 && extraRetries >= 0 && retryRatio >= 0) { "coldSlack, extraRetries, retryRatio: must not be negative" }
+        addressOf("targetAddress", targetAddress)
+        return ForwarderSettings(
+            host = HostId(host),
+            ip = ip,
+            failureDomain = FailureDomainId(failureDomain),
+            region = RegionId(region),
+            regionByDomain = regionByFailureDomain.entries.associate { FailureDomainId(it.key) to RegionId(it.value) },
+            service = ServiceId(service),
+            targetAddress = targetAddress,
+            callerAddress = addressOf("callerAddress", callerAddress),
+            readinessAddress = addressOf("readinessAddress", readinessAddress),
+            peerPort = peerPort,
+            sourceAddress = addressOf("sourceAddress", sourceAddress),
+            stopLimit = durationOf("stopLimit", stopLimit),
+            drainLimit = durationOf("drainLimit", drainLimit),
+            coldRateFactor = coldRateFactor,
+            coldSlack = coldSlack,
+            retries = RetryAllowanceSettings(retryRatio, extraRetries, durationOf("retryWindow", retryWindow)),
+        )
+    }
+
+    private fun durationOf(field: String, value: String): Duration {
+        val duration = Duration.parseOrNull(value)
+        require(duration != null && duration.isPositive()) { "$field: \"$value\" is no time, such as 1500ms or 2.5s" }
+        return duration
+    }
+
+    private fun addressOf(field: String, value: String): InetSocketAddress {
+        val port = value.substringAfterLast(':', "").toIntOrNull()
+        require(port != null && port in PORTS) { "$field: \"$value\" is no address of the form ip:port" }
+        return InetSocketAddress(value.substringBeforeLast(':'), port)
+    }
+}
+
+private val PORTS = 1..65_535
+
+private val settingsJson =
+    Json {
+        allowComments = true
+        allowTrailingComma = true
+        ignoreUnknownKeys = true
+    }
--- /dev/null
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -0,0 +1,296 @@
+package kingcuptide.forwarder.request
+
+import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.request.PickRequest
+import kingcuptide.coordination.request.RetryAllowance
+import kingcuptide.coordination.request.TargetPicker
+import kingcuptide.coordination.request.WeightedTurns
+import kingcuptide.coordination.request.truthfulCode
+import kingcuptide.coordination.version.FleetPicture
+import kingcuptide.coordination.version.ForwardRoute
+import kingcuptide.coordination.version.KnownTarget
+import kingcuptide.coordination.version.TargetId
+import kingcuptide.forwarder.connection.CallerRequest
+import kingcuptide.forwarder.connection.Headers
+import kingcuptide.forwarder.connection.HttpAnswer
+import kingcuptide.forwarder.connection.NO_BYTES
+import kingcuptide.forwarder.connection.first
+import kingcuptide.forwarder.process.HeaderNames
+import kingcuptide.forwarder.process.eventLog
+import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.Locale
+import kotlin.coroutines.resume
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
+
+/** The ways from this daemon to the gates of targets. */
+interface Ways {
+    /** Whether a request can be sent to the gate of [target] at once. */
+    fun isOpen(target: KnownTarget): Boolean
+
+    /** Sends [call]; [onEnd] is called once, perhaps before this returns, unless the call is cancelled. */
+    fun submit(target: KnownTarget, call: ForwardCall, onEnd: (ForwardEnd) -> Unit): Cancellation
+}
+
+/** What an entry knows of its surroundings. */
+class EntryKnowledge(
+    val service: ServiceId,
+    val regionOf: (FailureDomainId) -> RegionId?,
+    val picture: FleetPicture,
+    val picker: TargetPicker,
+    val allowance: RetryAllowance,
+)
+
+/** Serves the requests of callers: finds the route, chooses targets, and repeats what may be repeated. */
+class EntryService(
+    private val clock: Clock,
+    private val names: HeaderNames,
+    private val knowledge: EntryKnowledge,
+    private val ways: Ways,
+) {
+    private val turns = WeightedTurns()
+
+    /** Returns the final answer to [request]; cancellation breaks off what was sent. */
+    suspend fun serve(request: CallerRequest): HttpAnswer {
+        val routing = knowledge.picture.routing ?: return refuse(request, ResultCode.NO_CONFIGURATION, NO_CONFIGURATION_WAIT)
+        val requestId = request.headers.first(names.requestId)
+        if (requestId.isNullOrEmpty()) return refuse(request, ResultCode.MALFORMED_REQUEST, null)
+        val host = request.headers.first("Host").orEmpty().substringBefore(':').lowercase(Locale.ROOT)
+        val route = routing.match(host, request.path) ?: return refuse(request, ResultCode.UNKNOWN_ROUTE, null)
+        val askedMs = request.headers.first(names.remainingMs)?.trim()
+        val asked = if (askedMs == null) route.timeout else askedMs.toDoubleOrNull()?.milliseconds
+        if (asked == null || asked.isNegative()) return refuse(request, ResultCode.BAD_DEADLINE, null)
+        val service = turns.next(route)
+        knowledge.allowance.recordRequest(service)
+        val serving = Serving(request, requestId, route, service, minOf(asked, route.timeout))
+        return serving.run()
+    }
+
+    private inner class Serving(
+        private val request: CallerRequest,
+        private val requestId: String,
+        private val route: ForwardRoute,
+        private val service: ServiceId,
+        limit: Duration,
+    ) {
+        private val deadline = request.receivedAt + limit
+        private val objectiveAt = request.receivedAt + route.objective
+        private val headers = forwardedHeaders(request.headers)
+        private val tried = LinkedHashSet<TargetId>()
+        private var reached = 0
+        private var hops = 0
+        private var mayHaveRun = false
+        private var inFlightAt: KnownTarget? = null
+
+        suspend fun run(): HttpAnswer {
+            val limitMs = (deadline - clock.now()).inWholeMilliseconds
+            val answer = if (limitMs > 0) withTimeoutOrNull(limitMs) { attempts() } else null
+            if (answer != null) return answer
+            val code = if (mayHaveRun || inFlightAt != null) ResultCode.DEADLINE_PASSED_RUNNING else ResultCode.DEADLINE_PASSED
+            return giveUp(code, null, "time is up")
+        }
+
+        private suspend fun attempts(): HttpAnswer {
+            while (true) {
+                val target = pick() ?: return giveUp(truthful(ResultCode.NO_TARGET), NO_TARGET_WAIT, "no target")
+                tried += target.entry.id
+                val end = attempt(target)
+                end.burden?.let { knowledge.picker.reported(target.entry.id, it) }
+                val answer = when (end) {
+                    is ForwardEnd.Answered -> answered(target, end)
+                    is ForwardEnd.Refused -> refused(target, end)
+                    is ForwardEnd.Lost -> lost(target, end)
+                }
+                if (answer != null) return answer
+            }
+        }
+
+        private fun pick(): KnownTarget? {
+            val takenOut = knowledge.picture.takenOut
+            val candidates = knowledge.picture.targetsOf(service).filter {
+                !it.entry.leaving && it.entry.failureDomain !in takenOut && isHome(it) && ways.isOpen(it)
+            }
+            val now = clock.now()
+            return knowledge.picker.pick(
+                candidates,
+                PickRequest(route.id, route.objective, objectiveAt - now, deadline - now, tried),
+            )
+        }
+
+        private fun isHome(target: KnownTarget): Boolean =
+            route.homeRegions.isEmpty() || knowledge.regionOf(target.entry.failureDomain) in route.homeRegions
+
+        private suspend fun attempt(target: KnownTarget): ForwardEnd {
+            val now = clock.now()
+            val call =
+                ForwardCall(
+                    requestId,
+                    request.method,
+                    request.target,
+                    headers,
+                    request.body,
+                    deadline - now,
+                    objectiveAt - now,
+                    route.objective,
+                    route.id,
+                    if (request.fromTarget) INTERNAL_RANK else route.rank,
+                    route.repeatable,
+                    target.entry.id,
+                )
+            knowledge.picker.sent(target.entry.id)
+            inFlightAt = target
+            val end = suspendCancellableCoroutine { continuation ->
+                val cancellation = ways.submit(target, call) { if (continuation.isActive) continuation.resume(it) }
+                continuation.invokeOnCancellation {
+                    knowledge.picker.abandoned(target.entry.id)
+                    cancellation.cancel()
+                }
+            }
+            inFlightAt = null
+            return end
+        }
+
+        private fun answered(target: KnownTarget, end: ForwardEnd.Answered): HttpAnswer? {
+            val sound = end.answer.status < FIRST_SERVER_ERROR
+            knowledge.picker.answered(target.entry.id, route.id, route.objective, end.ran, sound)
+            reached++
+            if (!sound && route.repeatable && mayRepeat()) {
+                mayHaveRun = true
+                noteRepeat(target, "status ${end.answer.status}")
+                return null
+            }
+            if (!sound) log.info("request_failed_by_target", "request" to requestId, "target" to target.entry.id, "status" to end.answer.status)
+            return HttpAnswer(end.answer.status, endToEnd(end.answer.headers), end.answer.body)
+        }
+
+        private fun refused(target: KnownTarget, end: ForwardEnd.Refused): HttpAnswer? {
+            if (end.reachedTarget) {
+                reached++
+                knowledge.picker.failed(target.entry.id)
+            } else {
+                hops++
+                knowledge.picker.refused(target.entry.id, end.code !in CROWDED)
+            }
+            val goesOn = if (end.reachedTarget) mayRepeat() else hops < MAX_HOPS
+            if (goesOn) {
+                noteRepeat(target, "refused code=${end.code.number}")
+                return null
+            }
+            return giveUp(truthful(end.code), end.retryAfter, "refused by ${target.entry.id}")
+        }
+
+        private fun lost(target: KnownTarget, end: ForwardEnd.Lost): HttpAnswer? {
+            reached++
+            mayHaveRun = true
+            knowledge.picker.failed(target.entry.id)
+            if (route.repeatable && end.code in REPEATABLE && mayRepeat()) {
+                noteRepeat(target, "lost code=${end.code.number}")
+                return null
+            }
+            return giveUp(end.code, null, "lost at ${target.entry.id}")
+        }
+
+        private fun mayRepeat(): Boolean =
+            reached < route.maxTargets && deadline - clock.now() > MIN_TIME_LEFT && knowledge.allowance.tryTake(service)
+
+        private fun truthful(code: ResultCode): ResultCode = truthfulCode(code, mayHaveRun)
+
+        private fun noteRepeat(target: KnownTarget, reason: String) {
+            log.info("request_repeated", "request" to requestId, "target" to target.entry.id, "reason" to reason)
+        }
+
+        private fun giveUp(code: ResultCode, retryAfter: Duration?, reason: String): HttpAnswer {
+            val tookMs = (clock.now() - request.receivedAt).inWholeMilliseconds
+            log.info(
+                "request_given_up",
+                "request" to requestId,
+                "route" to route.id,
+                "service" to service,
+                "code" to code.number,
+                "status" to code.httpStatus,
+                "reason" to reason,
+                "took_ms" to tookMs,
+                "reached" to reached,
+                "hops" to hops,
+                "knowledge_age_ms" to knowledge.picture.age().inWholeMilliseconds,
+            )
+            return ownAnswer(code, retryAfter)
+        }
+    }
+
+    private fun forwardedHeaders(headers: Headers): Headers {
+        val own = setOf(names.remainingMs, names.callerService, names.expectedTarget).map { it.lowercase(Locale.ROOT) }
+        return endToEnd(headers).filter { it.first.lowercase(Locale.ROOT) !in own } +
+            (names.callerService to knowledge.service.value)
+    }
+
+    private fun endToEnd(headers: Headers): Headers {
+        val named = headers.filter { it.first.equals("Connection", ignoreCase = true) }
+            .flatMap { it.second.split(',') }
+            .map { it.trim().lowercase(Locale.ROOT) }
+        return headers.filter { (name, _) ->
+            val lower = name.lowercase(Locale.ROOT)
+            lower !in ONE_CONNECTION && lower !in named
+        }
+    }
+
+    private fun refuse(request: CallerRequest, code: ResultCode, retryAfter: Duration?): HttpAnswer {
+        log.info(
+            "request_refused",
+            "request" to request.headers.first(names.requestId),
+            "code" to code.number,
+            "status" to code.httpStatus,
+            "version" to knowledge.picture.routing?.number,
+            "path" to request.path,
+        )
+        return ownAnswer(code, retryAfter)
+    }
+
+    private fun ownAnswer(code: ResultCode, retryAfter: Duration?): HttpAnswer {
+        val headers = ArrayList<Pair<String, String>>(2)
+        headers += RESULT_CODE to code.number.toString()
+        if (retryAfter != null && code.httpStatus == UNAVAILABLE) {
+            headers += RETRY_AFTER to String.format(Locale.ROOT, "%.3f", retryAfter.toDouble(DurationUnit.SECONDS))
+        }
+        return HttpAnswer(code.httpStatus, headers, NO_BYTES)
+    }
+
+    private companion object {
+        const val RETRY_AFTER = "Retry-After"
+        const val RESULT_CODE = "Kingcuptide-Code"
+        const val UNAVAILABLE = 503
+        const val FIRST_SERVER_ERROR = 500
+
+        /** A call that a running request waits for goes before new requests. */
+        const val INTERNAL_RANK = -1
+
+        /** Gates that one request may be turned away by before it is refused. */
+        const val MAX_HOPS = 3
+
+        /** Time that a repeat must have left to be of use. */
+        val MIN_TIME_LEFT = 10.milliseconds
+        val NO_CONFIGURATION_WAIT = 500.milliseconds
+        val NO_TARGET_WAIT = 300.milliseconds
+        val CROWDED = setOf(ResultCode.TARGET_FULL, ResultCode.TARGET_COLD, ResultCode.DEADLINE_PASSED)
+        val REPEATABLE = setOf(ResultCode.ANSWER_LOST, ResultCode.ANSWER_TRUNCATED, ResultCode.TARGET_DIED, ResultCode.PEER_UNREACHABLE)
+        val ONE_CONNECTION =
+            setOf(
+                "connection",
+                "keep-alive",
+                "proxy-connection",
+                "te",
+                "trailer",
+                "transfer-encoding",
+                "upgrade",
+                "content-length",
+                "expect",
+            )
+        val log = eventLog("entry")
+    }
+}
--- /dev/null
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
@@ -0,0 +1,57 @@
+package kingcuptide.forwarder.request
+
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.process.RouteId
+import kingcuptide.coordination.request.GateBurden
+import kingcuptide.coordination.version.TargetId
+import kingcuptide.forwarder.connection.Headers
+import kingcuptide.forwarder.connection.HttpAnswer
+import kotlin.time.Duration
+
+/** A request on its way from the daemon that took it to the one beside its target. Times count from now. */
+class ForwardCall(
+    val requestId: String,
+    val method: String,
+    val target: String,
+    val headers: Headers,
+    val body: ByteArray,
+    val remaining: Duration,
+    val untilObjective: Duration,
+    val objective: Duration,
+    val route: RouteId,
+    val rank: Int,
+    val repeatable: Boolean,
+    val targetId: TargetId,
+)
+
+/** How a forwarded request ended. [burden] is what the gate has in hand, if it said so. */
+sealed interface ForwardEnd {
+    val burden: GateBurden?
+
+    /** The target answered. */
+    data class Answered(
+        val answer: HttpAnswer,
+        val ran: Duration,
+        override val burden: GateBurden?,
+    ) : ForwardEnd
+
+    /** It did not run and will not. [reachedTarget] tells whether it was the target that refused. */
+    data class Refused(
+        val code: ResultCode,
+        val retryAfter: Duration,
+        val reachedTarget: Boolean,
+        override val burden: GateBurden?,
+    ) : ForwardEnd
+
+    /** It may have run. */
+    data class Lost(
+        val code: ResultCode,
+        override val burden: GateBurden?,
+    ) : ForwardEnd
+}
+
+/** A request in a gate's hands. */
+fun interface Cancellation {
+    /** The caller has left: what waits is dropped, what runs is broken off. */
+    fun cancel()
+}
--- /dev/null
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -0,0 +1,147 @@
+package kingcuptide.forwarder.request
+
+import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.request.GateRequest
+import kingcuptide.coordination.request.TargetGate
+import kingcuptide.coordination.version.TargetId
+import kingcuptide.forwarder.connection.HttpAnswer
+import kingcuptide.forwarder.connection.HttpCall
+import kingcuptide.forwarder.connection.HttpEnd
+import kingcuptide.forwarder.connection.first
+import kingcuptide.forwarder.process.HeaderNames
+import kingcuptide.forwarder.process.eventLog
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Carries out what the gate decides: sends admitted requests to the target and judges its answers. */
+class GateService(
+    private val scope: CoroutineScope,
+    private val clock: Clock,
+    private val gate: TargetGate,
+    private val client: TargetClient,
+    private val names: HeaderNames,
+    private val currentTarget: () -> TargetId?,
+    private val onTargetTrouble: (String) -> Unit,
+) {
+    /** Takes in [call]; [onEnd] is called once, perhaps before this returns, unless the call is cancelled. */
+    fun submit(call: ForwardCall, onEnd: (ForwardEnd) -> Unit): Cancellation {
+        val run = Run(call, onEnd)
+        gate.offer(run.request)
+        return run
+    }
+
+    private inner class Run(
+        private val call: ForwardCall,
+        private val onEnd: (ForwardEnd) -> Unit,
+    ) : Cancellation {
+        private val arrivedAt = clock.now()
+        private val deadline = arrivedAt + call.remaining
+        private var job: Job? = null
+        private var ended = false
+        val request =
+            GateRequest(
+                route = call.route,
+                rank = call.rank,
+                deadline = deadline,
+                objectiveAt = arrivedAt + call.untilObjective,
+                objective = call.objective,
+                onStart = ::start,
+                onRefused = { end(ForwardEnd.Refused(it.code, it.retryAfter, reachedTarget = false, gate.burden())) },
+            )
+
+        override fun cancel() {
+            if (ended) return
+            ended = true
+            gate.withdraw(request)
+            job?.cancel()
+        }
+
+        private fun start() {
+            job = scope.launch {
+                var completed = false
+                try {
+                    val startedAt = clock.now()
+                    val end = run(startedAt)
+                    completed = end is ForwardEnd.Answered
+                    gate.ended(request, completed)
+                    end(end)
+                } catch (cancelled: CancellationException) {
+                    gate.ended(request, completed)
+                    throw cancelled
+                }
+            }
+        }
+
+        private suspend fun run(startedAt: Duration): ForwardEnd {
+            val expected = currentTarget()
+            if (expected != null && expected != call.targetId) return refused(ResultCode.VERSION_BEHIND, false)
+            val left = deadline - startedAt
+            val sent = HttpCall(call.method, call.target, headersOf(left), call.body)
+            val end =
+                withTimeoutOrNull(left.inWholeMilliseconds) {
+                    client.call(sent, call.repeatable) { it.first(names.requestId) in setOf(null, call.requestId) }
+                }
+            return when (end) {
+                null -> ForwardEnd.Lost(ResultCode.DEADLINE_PASSED_RUNNING, gate.burden())
+                is HttpEnd.NotSent -> {
+                    onTargetTrouble(end.reason)
+                    refused(ResultCode.TARGET_DOWN, reachedTarget = false)
+                }
+                is HttpEnd.Broken -> {
+                    if (!end.begun) onTargetTrouble(end.reason)
+                    lost(if (end.begun) ResultCode.ANSWER_TRUNCATED else ResultCode.ANSWER_LOST, end.reason)
+                }
+                is HttpEnd.Answered -> judged(end.answer, clock.now() - startedAt)
+            }
+        }
+
+        private fun judged(answer: HttpAnswer, ran: Duration): ForwardEnd {
+            if (answer.headers.first(names.notRun) != null) return refused(ResultCode.TARGET_FULL, true)
+            if (answer.status == MISDIRECTED) {
+                onTargetTrouble("another target answers")
+                return refused(ResultCode.TARGET_DOWN, true)
+            }
+            val sound =
+                answer.headers.first(names.requestId) == call.requestId &&
+                    answer.headers.first(CONTENT_ENCODING) == null &&
+                    (answer.status !in SUCCESSES || answer.headers.first(names.proof) != null)
+            if (!sound) return lost(ResultCode.ANSWER_TRUNCATED, "status=${answer.status} is not the target's own")
+            return ForwardEnd.Answered(answer, ran, gate.burden())
+        }
+
+        private fun headersOf(left: Duration) =
+            call.headers +
+                (names.remainingMs to left.inWholeMilliseconds.coerceAtLeast(1).toString()) +
+                (names.expectedTarget to call.targetId.value)
+
+        private fun refused(code: ResultCode, reachedTarget: Boolean) =
+            ForwardEnd.Refused(code, TARGET_RETRY_AFTER, reachedTarget, gate.burden())
+
+        private fun lost(code: ResultCode, reason: String): ForwardEnd {
+            log.info("target_lost", "request" to call.requestId, "target" to call.targetId, "code" to code.number, "reason" to reason)
+            return ForwardEnd.Lost(code, gate.burden())
+        }
+
+        private fun end(end: ForwardEnd) {
+            if (ended) return
+            ended = true
+            onEnd(end)
+        }
+    }
+
+    private companion object {
+        const val MISDIRECTED = 421
+        const val CONTENT_ENCODING = "Content-Encoding"
+        val SUCCESSES = 200..299
+
+        /** When to come back to a target that turned a request away itself. */
+        val TARGET_RETRY_AFTER = 200.milliseconds
+        val log = eventLog("gate")
+    }
+}
--- /dev/null
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerWays.kt
@@ -0,0 +1,107 @@
+package kingcuptide.forwarder.request
+
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.request.GateBurden
+import kingcuptide.coordination.version.KnownTarget
+import kingcuptide.forwarder.connection.Headers
+import kingcuptide.forwarder.connection.HttpAnswer
+import kingcuptide.forwarder.connection.PeerFrame
+import kingcuptide.forwarder.connection.PeerMesh
+import kingcuptide.forwarder.connection.PeerMessage
+import kingcuptide.forwarder.connection.PeerSession
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Sends requests to the gate on this host directly, and to others over the own connections to them. */
+class PeerWays(
+    private val ownIp: String,
+    private val gate: GateService,
+    private val mesh: () -> PeerMesh,
+    private val isLeaving: () -> Boolean,
+) : Ways {
+    private val pending = HashMap<PeerSession, HashMap<Long, (ForwardEnd) -> Unit>>()
+    private var lastNumber = 0L
+
+    override fun isOpen(target: KnownTarget): Boolean {
+        if (target.entry.ip == ownIp) return !isLeaving()
+        val session = mesh().open(target.entry.ip) ?: return false
+        return session.lastPing?.leaving != true
+    }
+
+    override fun submit(target: KnownTarget, call: ForwardCall, onEnd: (ForwardEnd) -> Unit): Cancellation {
+        if (target.entry.ip == ownIp) return gate.submit(call, onEnd)
+        val session = mesh().open(target.entry.ip)
+        if (session == null) {
+            onEnd(ForwardEnd.Refused(ResultCode.PEER_UNREACHABLE, RETRY_AFTER, reachedTarget = false, burden = null))
+            return Cancellation { }
+        }
+        val number = ++lastNumber
+        val ofSession = pending.getOrPut(session) { HashMap() }
+        ofSession[number] = onEnd
+        session.send(messageOf(number, call), call.body)
+        return Cancellation { if (ofSession.remove(number) != null) session.send(PeerMessage.Cancel(number)) }
+    }
+
+    /** Takes in the end of a request. */
+    fun received(session: PeerSession, frame: PeerFrame) {
+        when (val message = frame.message) {
+            is PeerMessage.Answer -> end(session, message.number) {
+                val answer = HttpAnswer(message.status, pairs(message.headers), frame.body)
+                ForwardEnd.Answered(answer, message.ranMs.milliseconds, message.burden.toBurden())
+            }
+            is PeerMessage.Refusal -> end(session, message.number) {
+                val after = message.retryAfterMs.milliseconds
+                ForwardEnd.Refused(codeOf(message.code), after, message.reachedTarget, message.burden.toBurden())
+            }
+            is PeerMessage.Loss -> end(session, message.number) {
+                ForwardEnd.Lost(codeOf(message.code), message.burden.toBurden())
+            }
+            else -> Unit
+        }
+    }
+
+    /** The connection is gone: what was sent on it may have run. */
+    fun closed(session: PeerSession) {
+        val lost = pending.remove(session) ?: return
+        val ends = lost.values.toList()
+        lost.clear()
+        ends.forEach { it(ForwardEnd.Lost(ResultCode.PEER_UNREACHABLE, null)) }
+    }
+
+    private fun end(session: PeerSession, number: Long, result: () -> ForwardEnd) {
+        pending[session]?.remove(number)?.invoke(result())
+    }
+
+    private fun messageOf(number: Long, call: ForwardCall) =
+        PeerMessage.Forward(
+            number,
+            call.requestId,
+            call.method,
+            call.target,
+            flat(call.headers),
+            call.remaining.inWholeMilliseconds,
+            call.untilObjective.inWholeMilliseconds,
+            call.objective.inWholeMilliseconds,
+            call.route.value,
+            call.rank,
+            call.repeatable,
+            call.targetId.value,
+        )
+
+    private companion object {
+        val RETRY_AFTER = 200.milliseconds
+    }
+}
+
+private val codesByNumber = ResultCode.entries.associateBy { it.number }
+
+/** A number that this daemon does not know says no more than that the answer is lost. */
+internal fun codeOf(number: Int): ResultCode = codesByNumber[number] ?: ResultCode.ANSWER_LOST
+
+internal fun flat(headers: Headers): List<String> = headers.flatMap { listOf(it.first, it.second) }
+
+internal fun pairs(flat: List<String>): Headers = flat.chunked(2).filter { it.size == 2 }.map { it[0] to it[1] }
+
+internal fun GateBurden.toMessage() =
+    PeerMessage.Burden(inFlight, queued, limit, wait.inWholeMilliseconds, cold)
+
+internal fun PeerMessage.Burden.toBurden() = GateBurden(inFlight, queued, limit, waitMs.milliseconds, cold)
--- /dev/null
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/Source.kt
@@ -0,0 +1,33 @@
+package kingcuptide.forwarder.version
+
+import kingcuptide.coordination.version.SourceItem
+import kotlin.time.Duration
+
+/** Reads what the platform publishes. Every call is bounded in time and never throws but on cancellation. */
+interface Source {
+    /** Prefixes below which everything of use lies. */
+    val prefixes: List<String>
+
+    /** Reads all items below [prefix]. */
+    suspend fun readAll(prefix: String): SourceResult
+
+    /** Waits up to [wait] for changes below [prefix] after revision [after]. */
+    suspend fun watch(prefix: String, after: Long, wait: Duration): SourceResult
+}
+
+/** What a read of the source brought. */
+sealed interface SourceResult {
+    /** Items, as of a revision. */
+    data class Items(
+        val items: List<SourceItem>,
+        val asOf: Long,
+    ) : SourceResult
+
+    /** The history asked for is gone: all items must be read again. */
+    data object HistoryGone : SourceResult
+
+    /** Nothing was learned. */
+    data class Failed(
+        val reason: String,
+    ) : SourceResult
+}
