--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/RetryAllowance.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/RetryAllowance.kt
@@ -22,7 +22,7 @@
  */
 public class RetryAllowance(
     private val clock: Clock,
-    private val settings: RetryAllowanceSettings,
+    private val settings: () -> RetryAllowanceSettings,
     private val daemons: () -> Int,
 ) {
     private val services = HashMap<ServiceId, Counts>()
@@ -36,15 +36,15 @@
     public fun tryTake(service: ServiceId): Boolean {
         val now = clock.now()
         val counts = countsOf(service)
-        val allowed = counts.requests.count(now) * settings.ratio * RATIO_SHARE + ownExtra()
+        val allowed = counts.requests.count(now) * settings().ratio * RATIO_SHARE + ownExtra()
         if (counts.repeats.count(now) + 1 > allowed) return false
         counts.repeats.record(now)
         return true
     }
 
-    private fun ownExtra(): Double = settings.extra * EXTRA_SHARE / maxOf(1, daemons())
+    private fun ownExtra(): Double = settings().extra * EXTRA_SHARE / maxOf(1, daemons())
 
-    private fun countsOf(service: ServiceId): Counts = services.getOrPut(service) { Counts(settings.window) }
+    private fun countsOf(service: ServiceId): Counts = services.getOrPut(service) { Counts(settings().window) }
 
     private class Counts(window: Duration) {
         val requests = SlidingCount(window, MAX_COUNTED)
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
@@ -145,7 +145,7 @@
         if (code != null) return GateRefusal(code, CLOSED_RETRY_AFTER)
         val run = runTimes.expected(request.route, request.objective)
         if (now + run * HOPELESS_SHARE > request.deadline) return GateRefusal(ResultCode.DEADLINE_PASSED, Duration.ZERO)
-        val wait = expectedWait(waiting.count { isBefore(it, request) }, now)
+        val wait = expectedWait(waiting.count { !isBefore(request, it) }, now)
         if (wait == Duration.ZERO) return null
         val patience = patienceOf(request, run, now)
         if (wait <= patience) return null
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -19,6 +19,7 @@
     internal var sentSinceReport = 0
     internal var outstanding = 0
     internal var failures = 0.0
+    internal var failuresAt: Duration = Duration.ZERO
     internal var slowness = 1.0
     internal var asideUntil: Duration = Duration.ZERO
     internal var firstSeenAt: Duration = Duration.ZERO
@@ -114,8 +115,15 @@
         records.keys.retainAll(ids)
     }
 
+    /** The share of failures, which is forgotten with time, so that a target that is sound again gets requests. */
+    private fun failuresOf(record: TargetRecord, now: Duration): Double =
+        record.failures * HALF.pow((now - record.failuresAt) / FAILURE_HALF_LIFE)
+
     private fun noteFailure(record: TargetRecord, failed: Double) {
-        record.failures += (failed - record.failures) * FAILURE_SMOOTHING
+        val now = clock.now()
+        val held = failuresOf(record, now)
+        record.failures = held + (failed - held) * FAILURE_SMOOTHING
+        record.failuresAt = now
         if (failed > 0 && record.failures > ASIDE_FAILURES) {
             record.asideUntil = clock.now() + ASIDE_WHEN_FAILING
             record.failures = FAILURES_AFTER_ASIDE
@@ -130,7 +138,7 @@
         val onTime = chanceBefore(finish, request.untilObjective)
         val atAll = chanceBefore(finish, request.untilDeadline)
         val credit = onTime * (1 - LATE_WORTH) + atAll * LATE_WORTH
-        return credit * (1 - record.failures).pow(FAILURE_SHARPNESS) - way.cost - finish / request.objective * HURRY
+        return credit * (1 - failuresOf(record, now)).pow(FAILURE_SHARPNESS) - way.cost - finish / request.objective * HURRY
     }
 
     private fun waitAt(target: KnownTarget, record: TargetRecord, run: Duration, now: Duration): Duration {
@@ -170,6 +178,10 @@
         const val SMOOTHING = 0.1
         const val FAILURE_SMOOTHING = 0.15
         const val FAILURE_SHARPNESS = 1.5
+        const val HALF = 0.5
+
+        /** Time in which half of what is held against a target is forgotten while nothing is sent to it. */
+        val FAILURE_HALF_LIFE = 1_200.milliseconds
         const val MIN_RATIO = 0.2
         const val MAX_RATIO = 10.0
 
--- /dev/null
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/RetryAllowanceTest.kt
@@ -0,0 +1,48 @@
+package kingcuptide.coordination.request
+
+import kingcuptide.coordination.process.ServiceId
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal class RetryAllowanceTest {
+    private val clock = ManualClock()
+    private val settings = RetryAllowanceSettings(ratio = 0.2, extra = 50, window = 10.seconds)
+
+    @Test
+    fun `Given ten daemons that all repeat what they may, when counted together, then the fleet's bound holds`() {
+        val daemons = List(10) { RetryAllowance(clock, { settings }) { 10 } }
+        var requests = 0
+        val repeats = ArrayList<kotlin.time.Duration>()
+        repeat(3_000) {
+            daemons.forEach { daemon ->
+                if (it % 5 == 0) daemon.recordRequest(SERVICE)
+                if (it % 5 == 0) requests++
+                if (daemon.tryTake(SERVICE)) repeats += clock.now()
+            }
+            clock.advance(10.milliseconds)
+        }
+        val perWindow = requests / 3
+        val busiest = repeats.maxOf { from -> repeats.count { it >= from && it - from <= 10.seconds } }
+        expectThat(busiest.toDouble()).isLessThanOrEqualTo(settings.ratio * perWindow + settings.extra)
+    }
+
+    @Test
+    fun `Given a spent allowance, when the window has passed, then there is a new one`() {
+        val allowance = RetryAllowance(clock, { settings }) { 10 }
+        val taken = generateSequence { allowance.tryTake(SERVICE) }.takeWhile { it }.count()
+        expectThat(taken).isEqualTo(4)
+        expectThat(allowance.tryTake(SERVICE)).isFalse()
+        clock.advance(11.seconds)
+        expectThat(allowance.tryTake(SERVICE)).isTrue()
+    }
+
+    private companion object {
+        val SERVICE = ServiceId("parcels")
+    }
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetGateTest.kt
@@ -0,0 +1,193 @@
+package kingcuptide.coordination.request
+
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.process.RouteId
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThanOrEqualTo
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal class TargetGateTest {
+    private val clock = ManualClock()
+    private val gate = TargetGate(clock).apply {
+        slots = 2
+        coldRate = 5
+        coldFor(Duration.ZERO)
+    }
+    private val started = ArrayList<String>()
+    private val refused = ArrayList<Pair<String, GateRefusal>>()
+    private val running = HashMap<String, GateRequest>()
+
+    private fun offer(
+        name: String,
+        rank: Int = 1,
+        objective: Duration = 500.milliseconds,
+        deadline: Duration = 3.seconds,
+    ): GateRequest {
+        val now = clock.now()
+        val request = GateRequest(
+            route = ROUTE,
+            rank = rank,
+            deadline = now + deadline,
+            objectiveAt = now + objective,
+            objective = objective,
+            onStart = { started += name },
+            onRefused = { refused += name to it },
+        )
+        running[name] = request
+        gate.offer(request)
+        return request
+    }
+
+    private fun end(name: String) = gate.ended(running.getValue(name), completed = true)
+
+    /** Makes the gate know that runs of the route take [took]. */
+    private fun learn(took: Duration) {
+        repeat(60) {
+            offer("learn")
+            clock.advance(took)
+            end("learn")
+        }
+        started.clear()
+        refused.clear()
+        clock.advance(2.seconds)
+    }
+
+    @Nested
+    inner class `Room at the target` {
+        @Test
+        fun `Given free slots, when a request comes, then it starts at once`() {
+            offer("a")
+            expectThat(started).containsExactly("a")
+        }
+
+        @Test
+        fun `Given no free slot, when one is freed, then the most urgent request starts, whoever came first`() {
+            learn(50.milliseconds)
+            listOf("a", "b").forEach { offer(it) }
+            offer("report", rank = 2)
+            offer("booking", rank = 1)
+            offer("call", rank = -1)
+            end("a")
+            end("b")
+            expectThat(started).containsExactly("a", "b", "call", "booking")
+        }
+
+        @Test
+        fun `Given a burst beyond what can be answered in time, when it comes, then the excess is refused at once`() {
+            learn(200.milliseconds)
+            repeat(12) { offer("r$it") }
+            expectThat(gate.inFlight).isEqualTo(2)
+            expectThat(gate.queued).isLessThanOrEqualTo(4)
+            expectThat(refused.size).isGreaterThan(5)
+            expectThat(refused.map { it.second.code }.toSet()).containsExactly(ResultCode.TARGET_FULL)
+            expectThat(refused.minOf { it.second.retryAfter }).isGreaterThan(Duration.ZERO)
+        }
+
+        @Test
+        fun `Given a less urgent kind that fills the queue, when an urgent one comes, then it is not crowded out`() {
+            learn(200.milliseconds)
+            repeat(12) { offer("report$it", rank = 2) }
+            refused.clear()
+            offer("booking", rank = 1)
+            expectThat(refused).isEmpty()
+            end("report0")
+            expectThat(started.last()).isEqualTo("booking")
+        }
+
+        @Test
+        fun `Given a waiting request, when its deadline leaves no time to run, then it is refused as not run`() {
+            learn(200.milliseconds)
+            listOf("a", "b").forEach { offer(it) }
+            offer("c", deadline = 450.milliseconds)
+            clock.advance(400.milliseconds)
+            gate.serve()
+            expectThat(refused.map { it.first }).containsExactly("c")
+            end("a")
+            expectThat(started).containsExactly("a", "b")
+        }
+
+        @Test
+        fun `Given a waiting request, when its caller leaves, then it never starts`() {
+            learn(50.milliseconds)
+            listOf("a", "b").forEach { offer(it) }
+            val waiting = offer("c")
+            gate.withdraw(waiting)
+            end("a")
+            expectThat(started).containsExactly("a", "b")
+            expectThat(refused).isEmpty()
+        }
+    }
+
+    @Nested
+    inner class `Cold target` {
+        @Test
+        fun `Given a cold target, when requests press, then no sliding second holds more starts than it bears`() {
+            learn(1.milliseconds)
+            gate.coldFor(10.seconds)
+            val starts = ArrayList<Duration>()
+            repeat(400) { round ->
+                offer("r$round")
+                clock.advance(10.milliseconds)
+                gate.serve()
+                while (started.isNotEmpty()) {
+                    starts += clock.now()
+                    end(started.removeFirst())
+                }
+            }
+            val busiest = starts.maxOf { from -> starts.count { it >= from && it - from < 1.seconds } }
+            expectThat(busiest).isLessThanOrEqualTo(5)
+            expectThat(starts.size).isGreaterThan(15)
+        }
+
+        @Test
+        fun `Given a fresh gate, when nothing is known of its target, then the target counts as cold`() {
+            expectThat(TargetGate(clock).isCold()).isEqualTo(true)
+        }
+
+        @Test
+        fun `Given a cold target that has had its share, when an impatient request comes, then it is refused as cold`() {
+            learn(20.milliseconds)
+            gate.coldFor(10.seconds)
+            repeat(5) {
+                offer("r$it")
+                end("r$it")
+            }
+            offer("late", objective = 100.milliseconds)
+            expectThat(refused.map { it.second.code }).containsExactly(ResultCode.TARGET_COLD)
+        }
+    }
+
+    @Nested
+    inner class `Closed target` {
+        @Test
+        fun `Given a target that leaves, when a request comes, then it is refused and has not run`() {
+            gate.state = TargetState.LEAVING
+            offer("a")
+            expectThat(started).isEmpty()
+            expectThat(refused.single().second.code).isEqualTo(ResultCode.DRAINING)
+        }
+
+        @Test
+        fun `Given waiting requests, when the failure domain is taken out, then none of them starts any more`() {
+            learn(50.milliseconds)
+            listOf("a", "b", "c").forEach { offer(it) }
+            gate.state = TargetState.TAKEN_OUT
+            end("a")
+            gate.serve()
+            expectThat(started).containsExactly("a", "b")
+            expectThat(refused.single().second.code).isEqualTo(ResultCode.FAILURE_DOMAIN_TAKEN_OUT)
+        }
+    }
+
+    private companion object {
+        val ROUTE = RouteId("parcels")
+    }
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
@@ -0,0 +1,144 @@
+package kingcuptide.coordination.request
+
+import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.RouteId
+import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.version.KnownTarget
+import kingcuptide.coordination.version.TargetEntry
+import kingcuptide.coordination.version.TargetId
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isNull
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal class TargetPickerTest {
+    private val clock = ManualClock()
+    private val regions = mapOf("a" to "north", "b" to "north", "c" to "south")
+    private val picker = TargetPicker(
+        clock,
+        OwnPlace(FailureDomainId("a"), RegionId("north")) { regions[it.value]?.let(::RegionId) },
+        Random(1),
+    )
+    private val own = target("own", "a")
+    private val near = target("near", "b")
+    private val far = target("far", "c")
+    private val all = listOf(far, near, own)
+
+    private fun target(name: String, domain: String) = KnownTarget(
+        TargetEntry(
+            TargetId(name),
+            ServiceId("parcels"),
+            "192.0.2.1",
+            80,
+            FailureDomainId(domain),
+            "v1",
+            slots = 10,
+            leaving = false,
+            coldFor = Duration.ZERO,
+            startedAtUnixMs = 0,
+            reports = 1,
+        ),
+        revision = 1,
+        coldUntil = Duration.ZERO,
+    )
+
+    private fun request(tried: Set<TargetId> = emptySet()) =
+        PickRequest(ROUTE, 500.milliseconds, 500.milliseconds, 3.seconds, tried)
+
+    private fun burden(inFlight: Int, queued: Int = 0, wait: Duration = Duration.ZERO) =
+        GateBurden(inFlight, queued, limit = 10, wait, cold = false)
+
+    @Nested
+    inner class `Near ones first` {
+        @Test
+        fun `Given idle targets, when one is picked, then it is the one in the own failure domain`() {
+            expectThat(picker.pick(all, request())).isEqualTo(own)
+        }
+
+        @Test
+        fun `Given a long queue at the near ones, when one is picked, then it is one that can bear it`() {
+            picker.reported(own.entry.id, burden(10, 20, wait = 900.milliseconds))
+            picker.reported(near.entry.id, burden(10, 20, wait = 900.milliseconds))
+            expectThat(picker.pick(all, request())).isEqualTo(far)
+        }
+
+        @Test
+        fun `Given a report that is a second old, when one is picked, then the report says nothing more`() {
+            picker.reported(own.entry.id, burden(10, 20, wait = 900.milliseconds))
+            clock.advance(1_100.milliseconds)
+            expectThat(picker.pick(all, request())).isEqualTo(own)
+        }
+
+        @Test
+        fun `Given a target that was tried, when one is picked, then it is another`() {
+            expectThat(picker.pick(all, request(setOf(own.entry.id)))).isEqualTo(near)
+            expectThat(picker.pick(all, request(all.mapTo(HashSet()) { it.entry.id }))).isNull()
+        }
+    }
+
+    @Nested
+    inner class `Targets that fail while they look idle` {
+        @Test
+        fun `Given a target that fails half of its requests, when many are picked, then it gets few of them`() {
+            var atOwn = 0
+            repeat(200) { round ->
+                val picked = checkNotNull(picker.pick(all, request()))
+                picker.sent(picked.entry.id)
+                val failed = picked == own && round % 2 == 0
+                if (failed) picker.failed(picked.entry.id) else answered(picked, 100.milliseconds)
+                if (picked == own) atOwn++
+                clock.advance(20.milliseconds)
+            }
+            expectThat(atOwn).isLessThan(60)
+        }
+
+        @Test
+        fun `Given a target that became sound again, when time passes, then it gets requests again`() {
+            repeat(10) {
+                picker.sent(own.entry.id)
+                picker.failed(own.entry.id)
+            }
+            expectThat(picker.pick(all, request())).isEqualTo(near)
+            var atOwn = 0
+            repeat(400) {
+                clock.advance(20.milliseconds)
+                val picked = checkNotNull(picker.pick(all, request()))
+                picker.sent(picked.entry.id)
+                answered(picked, 100.milliseconds)
+                if (picked == own) atOwn++
+            }
+            expectThat(atOwn).isGreaterThan(100)
+        }
+    }
+
+    @Nested
+    inner class `Slow targets` {
+        @Test
+        fun `Given a target that runs five times as long, when one is picked, then it is another`() {
+            repeat(60) {
+                for (target in listOf(near, far)) {
+                    picker.sent(target.entry.id)
+                    answered(target, 100.milliseconds)
+                }
+                picker.sent(own.entry.id)
+                answered(own, 500.milliseconds)
+            }
+            expectThat(picker.pick(all, request())).isEqualTo(near)
+        }
+    }
+
+    private fun answered(target: KnownTarget, ran: Duration) =
+        picker.answered(target.entry.id, ROUTE, 500.milliseconds, ran, sound = true)
+
+    private companion object {
+        val ROUTE = RouteId("parcels")
+    }
+}
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
@@ -56,6 +56,7 @@
         WHOLE(PeerMessage.Whole.serializer()),
         NEWS(PeerMessage.News.serializer()),
         ASK(PeerMessage.Ask.serializer()),
+        SUSPECTS(PeerMessage.Suspects.serializer()),
     }
 
     private fun kindOf(message: PeerMessage): Kind = when (message) {
@@ -69,6 +70,7 @@
         is PeerMessage.Whole -> Kind.WHOLE
         is PeerMessage.News -> Kind.NEWS
         is PeerMessage.Ask -> Kind.ASK
+        is PeerMessage.Suspects -> Kind.SUSPECTS
     }
 
     private fun deflate(plain: ByteArray): ByteArray {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
@@ -38,8 +38,15 @@
     /** Connections that others opened. */
     val inbound: Collection<PeerSession> get() = taken
 
-    /** Connections in both directions that can be used. */
-    fun sessions(): List<PeerSession> = links.values.mapNotNull { it.session?.takeIf(PeerSession::isOpen) } + taken
+    /** One connection to each daemon that can be reached, the own one where there are two. */
+    fun distinctPeers(): Collection<PeerSession> {
+        val byHost = LinkedHashMap<String, PeerSession>()
+        (ownSessions() + taken).forEach { session -> session.peer?.let { byHost.putIfAbsent(it.host, session) } }
+        return byHost.values
+    }
+
+    /** The own connections that are open. */
+    fun ownSessions(): List<PeerSession> = links.values.mapNotNull { it.session?.takeIf(PeerSession::isOpen) }
 
     /** Returns the own connection to the daemon at [ip] if it is open. */
     fun open(ip: String): PeerSession? = links[ip]?.session?.takeIf { it.isOpen }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -1,5 +1,6 @@
 package kingcuptide.forwarder.connection
 
+import kingcuptide.coordination.connection.SuspectRecord
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.CborLabel
@@ -101,11 +102,12 @@
         @CborLabel(3) val items: List<Item>,
     ) : PeerMessage
 
-    /** Items of a section that have just changed. */
+    /** Items of a section that have just changed; [passOn] asks to tell the receiver's region. */
     @Serializable
     data class News(
         @CborLabel(1) val section: Int,
-        @CborLabel(2) val items: List<Item>,
+        @CborLabel(2) val passOn: Boolean,
+        @CborLabel(3) val items: List<Item>,
     ) : PeerMessage
 
     /** An item of the source; a null [value] says that it was removed. */
@@ -116,6 +118,12 @@
         @CborLabel(3) @ByteString val value: ByteArray?,
     )
 
+    /** What is held against requests that were in flight when a target died. */
+    @Serializable
+    data class Suspects(
+        @CborLabel(1) val records: List<SuspectRecord>,
+    ) : PeerMessage
+
     /** Asks for all that the receiver knows and the sender lacks. */
     @Serializable
     data class Ask(
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
@@ -31,9 +31,6 @@
     var lastHeardAt: Duration = clock.now()
         private set
 
-    /** When this side last asked for what it lacks. */
-    var lastAskAt: Duration = -Duration.INFINITE
-
     val isOpen: Boolean get() = peer != null && channel?.isActive == true
 
     fun send(message: PeerMessage, body: ByteArray = NO_BYTES) {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/EventLog.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/EventLog.kt
@@ -1,27 +1,39 @@
 package kingcuptide.forwarder.process
 
+import kingcuptide.coordination.process.systemClock
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
-/** Writes one line of key=value pairs for each event. Values with spaces or quotes are quoted. */
-class EventLog(
+/**
+ * Writes one line of key=value pairs for each event. Values with spaces or quotes are quoted. Lines of one event and code
+ * are bounded in each second; the next line says how many were left out.
+ */
+class EventLog internal constructor(
     private val logger: Logger,
+    private val limiter: LineLimiter,
 ) {
     fun info(event: String, vararg fields: Pair<String, Any?>) {
-        if (logger.isInfoEnabled) logger.info(formatEvent(event, fields))
+        if (logger.isInfoEnabled) limited(event, fields)?.let(logger::info)
     }
 
     fun warn(event: String, vararg fields: Pair<String, Any?>) {
-        if (logger.isWarnEnabled) logger.warn(formatEvent(event, fields))
+        if (logger.isWarnEnabled) limited(event, fields)?.let(logger::warn)
     }
 
     fun debug(event: String, vararg fields: Pair<String, Any?>) {
-        if (logger.isDebugEnabled) logger.debug(formatEvent(event, fields))
+        if (logger.isDebugEnabled) limited(event, fields)?.let(logger::debug)
+    }
+
+    private fun limited(event: String, fields: Array<out Pair<String, Any?>>): String? {
+        val code = fields.firstOrNull { it.first == "code" }?.second
+        val leftOut = limiter.tryTake("$event $code") ?: return null
+        val line = formatEvent(event, fields)
+        return if (leftOut == 0) line else "$line left_out=$leftOut"
     }
 }
 
 /** Returns the event log whose lines carry [name] as their source. */
-fun eventLog(name: String): EventLog = EventLog(LoggerFactory.getLogger(name))
+fun eventLog(name: String): EventLog = EventLog(LoggerFactory.getLogger(name), LineLimiter(systemClock()))
 
 fun formatEvent(event: String, fields: Array<out Pair<String, Any?>>): String =
     buildString {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -2,8 +2,11 @@
 
 import io.netty.channel.EventLoop
 import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.process.FailureDomainId
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.request.CrashSuspects
+import kingcuptide.coordination.request.Fingerprint
 import kingcuptide.coordination.request.OwnPlace
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.TargetGate
@@ -14,6 +17,7 @@
 import kingcuptide.coordination.version.FleetPicture
 import kingcuptide.coordination.version.ReaderClaim
 import kingcuptide.coordination.version.ReaderDuty
+import kingcuptide.coordination.version.ServiceTraits
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.CallerServer
 import kingcuptide.forwarder.connection.HttpAnswer
@@ -33,6 +37,7 @@
 import kingcuptide.forwarder.request.TargetWatch
 import kingcuptide.forwarder.request.toBurden
 import kingcuptide.forwarder.request.toMessage
+import kingcuptide.forwarder.version.Circle
 import kingcuptide.forwarder.version.SharedState
 import kingcuptide.forwarder.version.Source
 import kingcuptide.forwarder.version.SourceFollower
@@ -57,37 +62,39 @@
 
 /** One daemon: entry for the callers on its host and gate of the target beside it, on one event loop. */
 class Forwarder(
-    private val settings: ForwarderSettings,
+    firstSettings: ForwarderSettings,
     private val parts: PlatformParts,
     private val loop: EventLoop,
     private val clock: Clock,
     private val incarnation: Long,
     random: Random,
 ) {
+    private var settings = firstSettings
     private val scope = CoroutineScope(SupervisorJob() + LoopDispatcher(loop))
     private val picture = FleetPicture(clock, parts.decoder, BeliefLog())
     private val duty = ReaderDuty(settings.host.value)
     private val gate = TargetGate(clock)
+    private val suspects = CrashSuspects(settings.host, incarnation, clock)
     private val targetAddress = addressOf(settings.targetAddress)
     private val watch =
-        TargetWatch(loop, scope, clock, targetAddress, parts.names, gate) { picture.routing?.services?.get(settings.service) }
+        TargetWatch(loop, scope, clock, targetAddress, parts.names, gate, ::ownTraits, ::targetChanged)
     private val client = TargetClient(loop, clock, targetAddress)
-    private val gateService = GateService(scope, clock, gate, client, parts.names, ::currentTarget, watch::suspect)
+    private val gateService = GateService(scope, clock, gate, client, parts.names, ::currentTarget, watch, suspects)
     private val endpoint = GateEndpoint(gateService, gate::burden)
     private val mesh: PeerMesh =
         PeerMesh(loop, clock, settings.ip, settings.peerPort, greeting(), Peers(), ::ping)
     private val state =
-        SharedState(clock, parts.source.prefixes, picture, { message -> mesh.sessions().forEach { it.send(message) } }, ::changed)
-    private val follower = SourceFollower(scope, clock, parts.source, state) { duty.reads }
+        SharedState(clock, parts.source.parts.map { it.prefix }, picture, PeerCircle(), ::changed)
+    private val follower = SourceFollower(scope, clock, parts.source, state, random) { duty.reads }
     private val ways = PeerWays(settings.ip, gateService, { mesh }) { stopping }
     private val picker =
-        TargetPicker(clock, OwnPlace(settings.failureDomain, settings.region, settings.regionByDomain::get), random)
-    private val allowance = RetryAllowance(clock, settings.retries) { picture.targets.size }
+        TargetPicker(clock, OwnPlace(settings.failureDomain, settings.region) { settings.regionByDomain[it] }, random)
+    private val allowance = RetryAllowance(clock, { settings.retries }) { picture.targets.size }
     private val entry =
         EntryService(
             clock,
             parts.names,
-            EntryKnowledge(settings.service, settings.regionByDomain::get, picture, picker, allowance),
+            EntryKnowledge({ settings.service }, { settings.regionByDomain[it] }, picture, picker, allowance, suspects),
             ways,
         )
     private val callers =
@@ -118,6 +125,16 @@
         )
     }
 
+    /** Takes over changed settings; addresses stay as they were at the start. */
+    fun reload(changed: ForwarderSettings) = loop.execute {
+        if (changed == settings) return@execute
+        log.info("settings_changed", "service" to changed.service, "service_before" to settings.service)
+        val fixed = settings
+        settings = changed
+        if (changed.addresses() != fixed.addresses()) log.warn("settings_need_restart", "reason" to "an address changed")
+        updateGate()
+    }
+
     /** Stops as planned; [onStopped] is called once everything read has its answer, or the limit has passed. */
     fun stop(onStopped: () -> Unit) = loop.execute {
         if (stopping) return@execute
@@ -153,12 +170,13 @@
         callers.tick()
         readiness.tick()
         picture.tick()
+        suspects.tick()
         decideDuty()
         updateGate()
     }
 
     private fun decideDuty() {
-        val claims = mesh.sessions().filter { it.isOwn }.mapNotNull { session ->
+        val claims = mesh.ownSessions().mapNotNull { session ->
             val ping = session.lastPing ?: return@mapNotNull null
             val sinceMs = (clock.now() - session.lastPingAt).inWholeMilliseconds
             if (ping.contactAgeMs < 0) return@mapNotNull null
@@ -175,7 +193,7 @@
 
     private fun updateGate() {
         val target = currentTarget()?.let(picture::target)
-        val traits = picture.routing?.services?.get(settings.service)
+        val traits = ownTraits()
         if (traits != null) {
             gate.coldRate = (traits.coldPerSecond * settings.coldRateFactor + settings.coldSlack * COLD_SLACK_SHARE).toInt().coerceAtLeast(1)
         }
@@ -192,6 +210,24 @@
     private fun currentTarget(): TargetId? =
         watch.targetId ?: picture.targetAt(settings.targetAddress)?.entry?.id
 
+    private fun ownTraits(): ServiceTraits? = picture.routing?.services?.get(settings.service)
+
+    private fun targetChanged() {
+        updateGate()
+        if (watch.isDown) {
+            reportDeath(gateService.takeBrokenOff())
+            gateService.targetDown()
+        }
+        gate.serve()
+    }
+
+    private fun reportDeath(inFlight: List<Fingerprint>) {
+        if (inFlight.isEmpty()) return
+        log.info("target_died", "in_flight" to inFlight.size)
+        val message = PeerMessage.Suspects(suspects.targetDied(inFlight))
+        mesh.distinctPeers().forEach { it.send(message) }
+    }
+
     private fun changed() {
         mesh.retain(picture.targets.mapTo(HashSet()) { it.entry.ip })
         picker.retain(picture.targets.mapTo(HashSet()) { it.entry.id })
@@ -236,6 +272,7 @@
                 is PeerMessage.Whole -> state.received(message)
                 is PeerMessage.News -> state.received(message)
                 is PeerMessage.Ask -> state.asked(session, message)
+                is PeerMessage.Suspects -> suspects.merge(message.records)
                 is PeerMessage.Forward, is PeerMessage.Cancel -> endpoint.received(session, frame)
                 is PeerMessage.Answer, is PeerMessage.Refusal, is PeerMessage.Loss -> ways.received(session, frame)
                 is PeerMessage.Hello -> Unit
@@ -261,6 +298,15 @@
         }
     }
 
+    private inner class PeerCircle : Circle {
+        override fun sessions(): Collection<PeerSession> = mesh.distinctPeers()
+
+        override fun regionOf(session: PeerSession): RegionId? =
+            session.peer?.let { settings.regionByDomain[FailureDomainId(it.failureDomain)] }
+
+        override val ownRegion: RegionId get() = settings.region
+    }
+
     private companion object {
         /** Until the first configuration is known, callers are held to what most servers allow. */
         val FIRST_LIMITS = CallerLimits(16_384, 1_048_576, 3.seconds, 15.seconds)
@@ -272,7 +318,8 @@
 
         /** Share of the allowed slack that is used, since the last of it is for requests in transit. */
         const val COLD_SLACK_SHARE = 0.4
-        val STOP_MARGIN = 400.milliseconds
+        /** The platform excuses a target that is at work in the last sixth of the limit. */
+        val STOP_MARGIN = 1_100.milliseconds
         val STOP_CHECK = 50.milliseconds
 
         /** Time that callers need to see that this daemon is no longer ready. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
@@ -34,7 +34,10 @@
     val coldRateFactor: Double,
     val coldSlack: Int,
     val retries: RetryAllowanceSettings,
-)
+) {
+    /** What can't change while the process runs. */
+    fun addresses(): List<Any> = listOf(ip, targetAddress, callerAddress, readinessAddress, peerPort, sourceAddress)
+}
 
 /** The names of the headers that daemons, callers and targets exchange. */
 data class HeaderNames(
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -5,10 +5,13 @@
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.PickRequest
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.TargetPicker
+import kingcuptide.coordination.request.Verdict
 import kingcuptide.coordination.request.WeightedTurns
+import kingcuptide.coordination.request.fingerprintOf
 import kingcuptide.coordination.request.truthfulCode
 import kingcuptide.coordination.version.FleetPicture
 import kingcuptide.coordination.version.ForwardRoute
@@ -27,6 +30,7 @@
 import kotlin.coroutines.resume
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
 /** The ways from this daemon to the gates of targets. */
@@ -40,11 +44,12 @@
 
 /** What an entry knows of its surroundings. */
 class EntryKnowledge(
-    val service: ServiceId,
+    val service: () -> ServiceId,
     val regionOf: (FailureDomainId) -> RegionId?,
     val picture: FleetPicture,
     val picker: TargetPicker,
     val allowance: RetryAllowance,
+    val suspects: CrashSuspects,
 )
 
 /** Serves the requests of callers: finds the route, chooses targets, and repeats what may be repeated. */
@@ -67,11 +72,18 @@
         val asked = if (askedMs == null) route.timeout else askedMs.toDoubleOrNull()?.milliseconds
         if (asked == null || asked.isNegative()) return refuse(request, ResultCode.BAD_DEADLINE, null)
         val service = turns.next(route)
+        if (isQuarantined(route, request)) return refuse(request, ResultCode.QUARANTINED, QUARANTINE_WAIT)
         knowledge.allowance.recordRequest(service)
         val serving = Serving(request, requestId, route, service, minOf(asked, route.timeout))
         return serving.run()
     }
 
+    private fun isQuarantined(route: ForwardRoute, request: CallerRequest): Boolean {
+        if (knowledge.suspects.isEmpty) return false
+        val fingerprint = fingerprintOf(route.id, request.method, request.target, request.body)
+        return knowledge.suspects.verdict(fingerprint) == Verdict.QUARANTINED
+    }
+
     private inner class Serving(
         private val request: CallerRequest,
         private val requestId: String,
@@ -227,7 +239,7 @@
     private fun forwardedHeaders(headers: Headers): Headers {
         val own = setOf(names.remainingMs, names.callerService, names.expectedTarget).map { it.lowercase(Locale.ROOT) }
         return endToEnd(headers).filter { it.first.lowercase(Locale.ROOT) !in own } +
-            (names.callerService to knowledge.service.value)
+            (names.callerService to knowledge.service().value)
     }
 
     private fun endToEnd(headers: Headers): Headers {
@@ -253,12 +265,13 @@
     }
 
     private fun ownAnswer(code: ResultCode, retryAfter: Duration?): HttpAnswer {
+        val status = if (code == ResultCode.QUARANTINED) UNAVAILABLE else code.httpStatus
         val headers = ArrayList<Pair<String, String>>(2)
         headers += RESULT_CODE to code.number.toString()
-        if (retryAfter != null && code.httpStatus == UNAVAILABLE) {
+        if (retryAfter != null && status == UNAVAILABLE) {
             headers += RETRY_AFTER to String.format(Locale.ROOT, "%.3f", retryAfter.toDouble(DurationUnit.SECONDS))
         }
-        return HttpAnswer(code.httpStatus, headers, NO_BYTES)
+        return HttpAnswer(status, headers, NO_BYTES)
     }
 
     private companion object {
@@ -276,6 +289,7 @@
         /** Time that a repeat must have left to be of use. */
         val MIN_TIME_LEFT = 10.milliseconds
         val NO_CONFIGURATION_WAIT = 500.milliseconds
+        val QUARANTINE_WAIT = 30.seconds
         val NO_TARGET_WAIT = 300.milliseconds
         val CROWDED = setOf(ResultCode.TARGET_FULL, ResultCode.TARGET_COLD, ResultCode.DEADLINE_PASSED)
         val REPEATABLE = setOf(ResultCode.ANSWER_LOST, ResultCode.ANSWER_TRUNCATED, ResultCode.TARGET_DIED, ResultCode.PEER_UNREACHABLE)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
@@ -2,7 +2,10 @@
 
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.RouteId
+import kingcuptide.coordination.request.Fingerprint
 import kingcuptide.coordination.request.GateBurden
+import kingcuptide.coordination.request.Outcome
+import kingcuptide.coordination.request.fingerprintOf
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.Headers
 import kingcuptide.forwarder.connection.HttpAnswer
@@ -22,7 +25,10 @@
     val rank: Int,
     val repeatable: Boolean,
     val targetId: TargetId,
-)
+) {
+    /** The same for all requests that look the same. */
+    val fingerprint: Fingerprint by lazy(LazyThreadSafetyMode.NONE) { fingerprintOf(route, method, target, body) }
+}
 
 /** How a forwarded request ended. [burden] is what the gate has in hand, if it said so. */
 sealed interface ForwardEnd {
@@ -43,11 +49,15 @@
         override val burden: GateBurden?,
     ) : ForwardEnd
 
-    /** It may have run. */
+    /** It may have run, so that [code] must promise nothing. */
     data class Lost(
         val code: ResultCode,
         override val burden: GateBurden?,
-    ) : ForwardEnd
+    ) : ForwardEnd {
+        init {
+            require(code.outcome == Outcome.UNKNOWN) { "$code says that the request did not run" }
+        }
+    }
 }
 
 /** A request in a gate's hands. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -2,6 +2,8 @@
 
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.request.CrashSuspects
+import kingcuptide.coordination.request.Fingerprint
 import kingcuptide.coordination.request.GateRequest
 import kingcuptide.coordination.request.TargetGate
 import kingcuptide.coordination.version.TargetId
@@ -11,7 +13,6 @@
 import kingcuptide.forwarder.connection.first
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.eventLog
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
@@ -19,6 +20,18 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+/** Hears how the target bears itself. */
+interface TargetTrouble {
+    /** It answered a request. */
+    fun heard()
+
+    /** A request met trouble on its way. */
+    fun suspect(reason: String)
+
+    /** No connection to it can be opened. */
+    fun unreachable(reason: String)
+}
+
 /** Carries out what the gate decides: sends admitted requests to the target and judges its answers. */
 class GateService(
     private val scope: CoroutineScope,
@@ -27,8 +40,12 @@
     private val client: TargetClient,
     private val names: HeaderNames,
     private val currentTarget: () -> TargetId?,
-    private val onTargetTrouble: (String) -> Unit,
+    private val trouble: TargetTrouble,
+    private val suspects: CrashSuspects,
 ) {
+    private val running = LinkedHashSet<Run>()
+    private val brokenOff = ArrayDeque<Pair<Duration, Fingerprint>>()
+
     /** Takes in [call]; [onEnd] is called once, perhaps before this returns, unless the call is cancelled. */
     fun submit(call: ForwardCall, onEnd: (ForwardEnd) -> Unit): Cancellation {
         val run = Run(call, onEnd)
@@ -36,6 +53,22 @@
         return run
     }
 
+    /** Returns what was in flight when the target broke its connections just now, and forgets it. */
+    fun takeBrokenOff(): List<Fingerprint> {
+        val now = clock.now()
+        val recent = brokenOff.filter { now - it.first <= CRASH_MEMORY }.map { it.second }
+        brokenOff.clear()
+        return recent
+    }
+
+    private fun noteBroken(call: ForwardCall) {
+        if (brokenOff.size == MAX_BROKEN) brokenOff.removeFirst()
+        brokenOff.addLast(clock.now() to call.fingerprint)
+    }
+
+    /** The target is down: what may be repeated is given back at once, to be sent elsewhere. */
+    fun targetDown() = running.filter { it.repeatable }.forEach { it.breakOff() }
+
     private inner class Run(
         private val call: ForwardCall,
         private val onEnd: (ForwardEnd) -> Unit,
@@ -55,6 +88,13 @@
                 onRefused = { end(ForwardEnd.Refused(it.code, it.retryAfter, reachedTarget = false, gate.burden())) },
             )
 
+        val repeatable: Boolean get() = call.repeatable
+
+        fun breakOff() {
+            end(lost(ResultCode.ANSWER_LOST, "target down"))
+            job?.cancel()
+        }
+
         override fun cancel() {
             if (ended) return
             ended = true
@@ -65,15 +105,15 @@
         private fun start() {
             job = scope.launch {
                 var completed = false
+                running += this@Run
                 try {
                     val startedAt = clock.now()
                     val end = run(startedAt)
                     completed = end is ForwardEnd.Answered
-                    gate.ended(request, completed)
                     end(end)
-                } catch (cancelled: CancellationException) {
+                } finally {
+                    running -= this@Run
                     gate.ended(request, completed)
-                    throw cancelled
                 }
             }
         }
@@ -90,11 +130,12 @@
             return when (end) {
                 null -> ForwardEnd.Lost(ResultCode.DEADLINE_PASSED_RUNNING, gate.burden())
                 is HttpEnd.NotSent -> {
-                    onTargetTrouble(end.reason)
+                    trouble.unreachable(end.reason)
                     refused(ResultCode.TARGET_DOWN, reachedTarget = false)
                 }
                 is HttpEnd.Broken -> {
-                    if (!end.begun) onTargetTrouble(end.reason)
+                    if (!end.begun) noteBroken(call)
+                    if (!end.begun) trouble.suspect(end.reason)
                     lost(if (end.begun) ResultCode.ANSWER_TRUNCATED else ResultCode.ANSWER_LOST, end.reason)
                 }
                 is HttpEnd.Answered -> judged(end.answer, clock.now() - startedAt)
@@ -102,9 +143,10 @@
         }
 
         private fun judged(answer: HttpAnswer, ran: Duration): ForwardEnd {
+            trouble.heard()
             if (answer.headers.first(names.notRun) != null) return refused(ResultCode.TARGET_FULL, true)
             if (answer.status == MISDIRECTED) {
-                onTargetTrouble("another target answers")
+                trouble.suspect("another target answers")
                 return refused(ResultCode.TARGET_DOWN, true)
             }
             val sound =
@@ -112,6 +154,7 @@
                     answer.headers.first(CONTENT_ENCODING) == null &&
                     (answer.status !in SUCCESSES || answer.headers.first(names.proof) != null)
             if (!sound) return lost(ResultCode.ANSWER_TRUNCATED, "status=${answer.status} is not the target's own")
+            if (!suspects.isEmpty) suspects.answered(call.fingerprint)
             return ForwardEnd.Answered(answer, ran, gate.burden())
         }
 
@@ -136,6 +179,9 @@
     }
 
     private companion object {
+        /** Time between the end of connections and the proof that the target is gone. */
+        val CRASH_MEMORY = 1_000.milliseconds
+        const val MAX_BROKEN = 64
         const val MISDIRECTED = 421
         const val CONTENT_ENCODING = "Content-Encoding"
         val SUCCESSES = 200..299
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerWays.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerWays.kt
@@ -2,6 +2,7 @@
 
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.request.GateBurden
+import kingcuptide.coordination.request.Outcome
 import kingcuptide.coordination.version.KnownTarget
 import kingcuptide.forwarder.connection.Headers
 import kingcuptide.forwarder.connection.HttpAnswer
@@ -50,10 +51,10 @@
             }
             is PeerMessage.Refusal -> end(session, message.number) {
                 val after = message.retryAfterMs.milliseconds
-                ForwardEnd.Refused(codeOf(message.code), after, message.reachedTarget, message.burden.toBurden())
+                ForwardEnd.Refused(codeOf(message.code, Outcome.NOT_RUN), after, message.reachedTarget, message.burden.toBurden())
             }
             is PeerMessage.Loss -> end(session, message.number) {
-                ForwardEnd.Lost(codeOf(message.code), message.burden.toBurden())
+                ForwardEnd.Lost(codeOf(message.code, Outcome.UNKNOWN), message.burden.toBurden())
             }
             else -> Unit
         }
@@ -64,7 +65,7 @@
         val lost = pending.remove(session) ?: return
         val ends = lost.values.toList()
         lost.clear()
-        ends.forEach { it(ForwardEnd.Lost(ResultCode.PEER_UNREACHABLE, null)) }
+        ends.forEach { it(ForwardEnd.Lost(ResultCode.ANSWER_LOST, null)) }
     }
 
     private fun end(session: PeerSession, number: Long, result: () -> ForwardEnd) {
@@ -94,8 +95,11 @@
 
 private val codesByNumber = ResultCode.entries.associateBy { it.number }
 
-/** A number that this daemon does not know says no more than that the answer is lost. */
-internal fun codeOf(number: Int): ResultCode = codesByNumber[number] ?: ResultCode.ANSWER_LOST
+/** Returns the code of [number], or a plain one of the same [outcome] where this daemon knows none. */
+internal fun codeOf(number: Int, outcome: Outcome): ResultCode {
+    val plain = if (outcome == Outcome.UNKNOWN) ResultCode.ANSWER_LOST else ResultCode.TARGET_FULL
+    return codesByNumber[number]?.takeIf { it.outcome == outcome } ?: plain
+}
 
 internal fun flat(headers: Headers): List<String> = headers.flatMap { listOf(it.first, it.second) }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
@@ -15,8 +15,8 @@
 /**
  * Calls the target beside this daemon over connections that are kept.
  *
- * Nothing is sent twice but a call that may be repeated, over a new connection, where a kept one closed before the first
- * byte of an answer. Used on the event loop.
+ * Nothing is sent twice: whether a lost call is repeated is decided where the whole fleet's allowance is known. Used on
+ * the event loop.
  */
 class TargetClient(
     private val loop: EventLoop,
@@ -29,8 +29,7 @@
         val kept = takeIdle(if (repeatable) REUSE_SHARE else SURE_REUSE_SHARE)
         if (kept == null) return callAnew(call, accepts)
         val end = exchange(kept, call, accepts)
-        val untouched = end is HttpEnd.NotSent || (end is HttpEnd.Broken && !end.begun && repeatable)
-        return if (untouched) callAnew(call, accepts) else end
+        return if (end is HttpEnd.NotSent) callAnew(call, accepts) else end
     }
 
     /** Closes the connections that are kept: the target is another than before. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetWatch.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetWatch.kt
@@ -35,9 +35,11 @@
     private val names: HeaderNames,
     private val gate: TargetGate,
     private val traits: () -> ServiceTraits?,
-) {
+    private val onChange: () -> Unit,
+) : TargetTrouble {
     private var connection: HttpConnection? = null
     private var troubled = true
+    private var lastAnswerAt = clock.now()
 
     /** Which target answers at the address, or null while it is not known. */
     var targetId: TargetId? = null
@@ -57,23 +59,51 @@
         }
     }
 
+    /** The target answered a request. */
+    override fun heard() {
+        lastAnswerAt = clock.now()
+    }
+
     /** A request met trouble on its way to the target: it may be another by now. */
-    fun suspect(reason: String) {
+    override fun suspect(reason: String) {
         if (!troubled) log.info("target_suspected", "reason" to reason)
         troubled = true
         traits()?.let { gate.presumeCold(it.coldFor) }
     }
 
+    /** No connection to the target can be opened. */
+    override fun unreachable(reason: String) {
+        troubled = true
+        traits()?.let { gate.presumeCold(it.coldFor) }
+        closeConnection()
+        down(reason)
+    }
+
     private suspend fun check(traits: ServiceTraits) {
         val call = HttpCall("GET", traits.healthPath, listOf("Host" to "${address.hostString}:${address.port}"))
         val end = withTimeoutOrNull(ANSWER_LIMIT.inWholeMilliseconds) { exchange(call) }
         when (end) {
             is HttpEnd.Answered -> answered(end.answer, traits)
             is HttpEnd.NotSent -> unreachable(end.reason)
-            else -> closeConnection()
+            else -> silent()
         }
     }
 
+    /** A full target keeps this question waiting too, but goes on answering requests. */
+    private fun silent() {
+        closeConnection()
+        troubled = true
+        val silence = clock.now() - lastAnswerAt
+        if (silence > SILENCE_LIMIT) down("silent for ${silence.inWholeMilliseconds} ms")
+    }
+
+    private fun down(reason: String) {
+        if (isDown) return
+        log.info("target_down", "address" to address, "reason" to reason)
+        isDown = true
+        onChange()
+    }
+
     private suspend fun exchange(call: HttpCall): HttpEnd {
         val kept = connection?.takeIf { it.isUsable }
         val used = kept ?: HttpConnection.open(loop, address, LIMITS) ?: return HttpEnd.NotSent("connect failed")
@@ -87,20 +117,17 @@
             log.info("target_identified", "target" to id, "before" to targetId)
             targetId = id
         }
-        isDown = false
+        heard()
+        if (isDown) {
+            log.info("target_back", "address" to address)
+            isDown = false
+            onChange()
+        }
         troubled = answer.status != HEALTHY
         val coldMs = answer.headers.first(names.coldMs)?.toDoubleOrNull()
         if (coldMs != null) gate.coldFor(coldMs.milliseconds) else if (answer.status == HEALTHY) gate.coldFor(Duration.ZERO)
     }
 
-    private fun unreachable(reason: String) {
-        if (!isDown) log.info("target_down", "address" to address, "reason" to reason)
-        isDown = true
-        troubled = true
-        traits()?.let { gate.presumeCold(it.coldFor) }
-        closeConnection()
-    }
-
     private fun closeConnection() {
         connection?.close()
         connection = null
@@ -115,6 +142,9 @@
         /** Pace of questions after trouble, so that a target that is back is found soon. */
         val QUICK_PACE = 200.milliseconds
         val ANSWER_LIMIT = 1.seconds
+
+        /** Time without any answer after which a target that doesn't tell its health is held to be down. */
+        val SILENCE_LIMIT = 1_500.milliseconds
         val LIMITS = HttpClientLimits(connectTimeout = 500.milliseconds, maxAnswerBytes = 65_536)
         val log = eventLog("target")
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SharedState.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SharedState.kt
@@ -1,6 +1,7 @@
 package kingcuptide.forwarder.version
 
 import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.version.FleetPicture
 import kingcuptide.coordination.version.PublishedSection
 import kingcuptide.coordination.version.SourceItem
@@ -9,19 +10,32 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+/** The other daemons, as far as they can be reached. */
+interface Circle {
+    /** One connection to each. */
+    fun sessions(): Collection<PeerSession>
+
+    fun regionOf(session: PeerSession): RegionId?
+
+    val ownRegion: RegionId
+}
+
 /**
  * What is published, as this daemon holds it and as daemons tell each other.
  *
- * Those that read the source pass on what changes; all compare digests with each ping, and who differs asks. Nothing
- * older replaces anything newer, whoever brings it. Used on the event loop.
+ * Those that read the source pass on what changes, to one daemon of each other region, which passes it on in its own. All
+ * compare digests with each ping, and who differs asks, near ones first. Nothing older replaces anything newer, whoever
+ * brings it. Used on the event loop.
  */
 class SharedState(
     private val clock: Clock,
     prefixes: List<String>,
     private val picture: FleetPicture,
-    private val tellAll: (PeerMessage) -> Unit,
+    private val circle: Circle,
     private val onChange: () -> Unit,
 ) {
+    private var askedAt = -Duration.INFINITE
+    private var differsSince: Duration? = null
     private val sections = prefixes.map { PublishedSection(it) }
 
     /** Revisions up to which each section is complete. */
@@ -51,9 +65,18 @@
     fun pinged(session: PeerSession, ping: PeerMessage.Ping) {
         if (ping.digest == picture.digest()) return agreed(ping)
         val lacks = ping.asOf.indices.any { it < sections.size && ping.asOf[it] > sections[it].asOf }
-        if (!lacks || clock.now() - session.lastAskAt < ASK_INTERVAL) return
-        session.lastAskAt = clock.now()
-        session.send(PeerMessage.Ask(asOf()))
+        if (lacks && mayAsk(session)) session.send(PeerMessage.Ask(asOf()))
+    }
+
+    /** One question at a time; a peer of another region is asked only if none of the own one has helped. */
+    private fun mayAsk(session: PeerSession): Boolean {
+        val now = clock.now()
+        if (differsSince == null) differsSince = now
+        val since = differsSince ?: now
+        val isNear = circle.regionOf(session) == circle.ownRegion
+        if (now - askedAt < ASK_INTERVAL || (!isNear && now - since < NEAR_FIRST)) return false
+        askedAt = now
+        return true
     }
 
     /** Answers a peer that lacks something. */
@@ -74,10 +97,12 @@
     /** Takes in what a peer has just read. */
     fun received(message: PeerMessage.News) {
         val section = sections.getOrNull(message.section) ?: return
-        take(section.merge(message.items.map(::fromWire)))
+        val news = take(section.merge(message.items.map(::fromWire)))
+        if (message.passOn && news.isNotEmpty()) tellOwnRegion(newsOf(section, news))
     }
 
     private fun agreed(ping: PeerMessage.Ping) {
+        differsSince = null
         if (ping.contactAgeMs >= 0) picture.confirmed(ping.contactAgeMs.milliseconds)
         for ((index, asOf) in ping.asOf.withIndex()) {
             val section = sections.getOrNull(index) ?: continue
@@ -93,9 +118,20 @@
 
     private fun tell(section: PublishedSection, news: List<SourceItem>) {
         if (news.isEmpty()) return
-        tellAll(PeerMessage.News(sections.indexOf(section), news.map(::toWire)))
+        val message = newsOf(section, news)
+        tellOwnRegion(message)
+        val others = circle.sessions().filter { circle.regionOf(it) != circle.ownRegion }
+        for (ofRegion in others.groupBy { circle.regionOf(it) }.values) {
+            ofRegion.maxBy { it.lastHeardAt }.send(message.copy(passOn = true))
+        }
     }
 
+    private fun tellOwnRegion(message: PeerMessage.News) =
+        circle.sessions().filter { circle.regionOf(it) == circle.ownRegion }.forEach { it.send(message) }
+
+    private fun newsOf(section: PublishedSection, news: List<SourceItem>) =
+        PeerMessage.News(sections.indexOf(section), passOn = false, news.map(::toWire))
+
     private fun sectionOf(prefix: String): PublishedSection = sections.first { it.prefix == prefix }
 
     private fun toWire(item: SourceItem) = PeerMessage.Item(item.key, item.revision, item.value)
@@ -103,7 +139,10 @@
     private fun fromWire(item: PeerMessage.Item) = SourceItem(item.key, item.revision, item.value)
 
     private companion object {
-        /** Shortest time between two questions on one connection. */
+        /** Shortest time between two questions. */
         val ASK_INTERVAL = 300.milliseconds
+
+        /** Time that peers of the own region have to tell, before one of another is asked. */
+        val NEAR_FIRST = 400.milliseconds
     }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/Source.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/Source.kt
@@ -5,8 +5,8 @@
 
 /** Reads what the platform publishes. Every call is bounded in time and never throws but on cancellation. */
 interface Source {
-    /** Prefixes below which everything of use lies. */
-    val prefixes: List<String>
+    /** Where everything of use lies. */
+    val parts: List<SourcePart>
 
     /** Reads all items below [prefix]. */
     suspend fun readAll(prefix: String): SourceResult
@@ -31,3 +31,17 @@
         val reason: String,
     ) : SourceResult
 }
+
+/**
+ * All items below one prefix.
+ *
+ * @property pace shortest time between the starts of two calls
+ * @property wait longest time that a watch waits for a change
+ * @property isLarge whether a daemon that starts had better get them from a peer near it
+ */
+data class SourcePart(
+    val prefix: String,
+    val pace: Duration,
+    val wait: Duration,
+    val isLarge: Boolean,
+)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SourceFollower.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SourceFollower.kt
@@ -5,12 +5,12 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
- * Reads the source while [mayRead], at a bounded pace: at most one call for each prefix in [PACE].
+ * Reads the source while [mayRead], each part at its own pace.
  *
  * A failed call is repeated after a pause that grows. Used on the event loop.
  */
@@ -19,6 +19,7 @@
     private val clock: Clock,
     private val source: Source,
     private val state: SharedState,
+    private val random: Random,
     private val mayRead: () -> Boolean,
 ) {
     private var lost = false
@@ -35,10 +36,11 @@
         private set
 
     fun start() {
-        for (prefix in source.prefixes) scope.launch { follow(prefix) }
+        for (part in source.parts) scope.launch { follow(part) }
     }
 
-    private suspend fun follow(prefix: String) {
+    private suspend fun follow(part: SourcePart) {
+        if (part.isLarge) awaitPeers(part)
         var pause = FIRST_PAUSE
         while (true) {
             if (!mayRead()) {
@@ -46,16 +48,24 @@
                 continue
             }
             val startedAt = clock.now()
-            pause = if (readOnce(prefix)) FIRST_PAUSE else minOf(pause * 2, LONGEST_PAUSE)
-            val atLeast = if (lost) pause else PACE
-            delay((startedAt + atLeast - clock.now()).inWholeMilliseconds.coerceAtLeast(1))
+            val succeeded = readOnce(part)
+            pause = if (succeeded) FIRST_PAUSE else minOf(pause * 2, LONGEST_PAUSE)
+            val next = startedAt + if (succeeded) part.pace else pause
+            delay((next - clock.now()).inWholeMilliseconds.coerceAtLeast(1))
         }
     }
 
-    private suspend fun readOnce(prefix: String): Boolean {
+    /** Peers that are there may tell sooner, and at less cost, than the source. */
+    private suspend fun awaitPeers(part: SourcePart) {
+        val until = clock.now() + FIRST_WAIT + FIRST_WAIT * random.nextDouble()
+        while (clock.now() < until && state.asOf(part.prefix) == 0L) delay(PEER_CHECK.inWholeMilliseconds)
+    }
+
+    private suspend fun readOnce(part: SourcePart): Boolean {
+        val prefix = part.prefix
         val after = state.asOf(prefix)
         calls++
-        val result = if (after == 0L) source.readAll(prefix) else source.watch(prefix, after, WATCH_WAIT)
+        val result = if (after == 0L) source.readAll(prefix) else source.watch(prefix, after, part.wait)
         when (result) {
             is SourceResult.Items -> return took(prefix, after, result)
             SourceResult.HistoryGone -> {
@@ -101,11 +111,9 @@
     }
 
     private companion object {
-        /** Shortest time between the starts of two calls; well within the time in which a change must be in force. */
-        val PACE = 600.milliseconds
-
-        /** Longest time that a watch waits at the source; a change ends it at once. */
-        val WATCH_WAIT = 1.seconds
+        /** Time that peers have to tell a daemon that starts; up to as much again is added by chance. */
+        val FIRST_WAIT = 400.milliseconds
+        val PEER_CHECK = 20.milliseconds
 
         /** How often a daemon that doesn't read looks whether it should. */
         val DUTY_CHECK = 100.milliseconds
--- /dev/null
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/HttpConnectionTest.kt
@@ -0,0 +1,159 @@
+package kingcuptide.forwarder.connection
+
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.net.Socket
+import kotlin.concurrent.thread
+import kotlin.time.Duration.Companion.seconds
+
+/** Calls a server that sends just the bytes it is told to, whatever HTTP says. */
+internal class HttpConnectionTest {
+    private val loop = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next() as EventLoop
+    private val server = ServerSocket(0, 1, InetAddress.getLoopbackAddress())
+    private val address = InetSocketAddress(server.inetAddress, server.localPort)
+
+    @AfterEach
+    fun stop() {
+        server.close()
+        loop.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.SECONDS).sync()
+    }
+
+    /** Answers the n-th request with the n-th of [answers], then ends the connection, by a reset if [resets]. */
+    private fun script(vararg answers: String, resets: Boolean = false) {
+        thread(isDaemon = true) {
+            server.accept().use { socket ->
+                for (answer in answers) {
+                    readHead(socket)
+                    socket.getOutputStream().write(answer.toByteArray(Charsets.ISO_8859_1))
+                    socket.getOutputStream().flush()
+                }
+                if (resets) socket.setSoLinger(true, 0)
+            }
+        }
+    }
+
+    private fun readHead(socket: Socket) {
+        var matched = 0
+        while (matched < END_OF_HEAD.length) {
+            val byte = socket.getInputStream().read()
+            if (byte < 0) return
+            matched = if (byte == END_OF_HEAD[matched].code) matched + 1 else 0
+        }
+    }
+
+    private fun onLoop(block: suspend CoroutineScope.(HttpConnection) -> Unit) = runBlocking {
+        withContext(loop.asCoroutineDispatcher()) {
+            val connection = HttpConnection.open(loop, address, HttpClientLimits(1.seconds, 1_000)) { error(it) }
+            block(checkNotNull(connection))
+        }
+    }
+
+    private suspend fun HttpConnection.get(id: String = "1") =
+        exchange(HttpCall("GET", "/", listOf("Host" to "h"))) { it.first("Id") in setOf(null, id) }
+
+    private fun HttpEnd.body(): String = (this as HttpEnd.Answered).answer.body.decodeToString()
+
+    @Nested
+    inner class `Whole answers` {
+        @Test
+        fun `Given answers with a length and in chunks, when they come, then each is whole and the connection stays`() {
+            script(
+                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nde\r\n0\r\n\r\n",
+            )
+            onLoop {
+                expectThat(it.get().body()).isEqualTo("abc")
+                expectThat(it.isUsable).isTrue()
+                expectThat(it.get().body()).isEqualTo("de")
+            }
+        }
+
+        @Test
+        fun `Given an answer that ends with its connection, when it ends properly, then it is whole`() {
+            script("HTTP/1.1 200 OK\r\n\r\nabc")
+            onLoop {
+                expectThat(it.get().body()).isEqualTo("abc")
+                expectThat(it.isUsable).isFalse()
+            }
+        }
+
+        @Test
+        fun `Given an answer that closes its connection, when it has come, then no other call is sent on it`() {
+            script("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+            onLoop {
+                expectThat(it.get()).isA<HttpEnd.Answered>()
+                expectThat(it.get()).isA<HttpEnd.NotSent>()
+            }
+        }
+
+        @Test
+        fun `Given the late second answer to an earlier call, when the next call waits, then it gets its own answer`() {
+            script(
+                "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\na",
+                "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\na" +
+                    "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 1\r\n\r\nb",
+            )
+            onLoop {
+                expectThat(it.get("1").body()).isEqualTo("a")
+                expectThat(it.get("2").body()).isEqualTo("b")
+            }
+        }
+    }
+
+    @Nested
+    inner class `Answers that are not whole` {
+        private fun expectBroken(answer: String, resets: Boolean = false) {
+            script(answer, resets = resets)
+            onLoop { expectThat(it.get()).isA<HttpEnd.Broken>() }
+        }
+
+        @Test
+        fun `Given fewer bytes than the length says, when the connection ends, then the answer is broken`() =
+            expectBroken("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc")
+
+        @Test
+        fun `Given chunks without an end, when the connection ends, then the answer is broken`() =
+            expectBroken("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nde\r\n")
+
+        @Test
+        fun `Given an answer without length, when its connection is reset, then the answer is broken`() =
+            expectBroken("HTTP/1.1 200 OK\r\n\r\nabc", resets = true)
+
+        @Test
+        fun `Given bytes that are no answer, when they come, then the answer is broken`() =
+            expectBroken("\u0000\u0001garbage\r\n\r\n")
+
+        @Test
+        fun `Given an answer beyond the limit, when it comes, then it is broken`() =
+            expectBroken("HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n" + "x".repeat(1_001))
+
+        @Test
+        fun `Given bytes after a whole answer, when they have come, then the connection is used no more`() {
+            script("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb")
+            onLoop {
+                expectThat(it.get().body()).isEqualTo("a")
+                expectThat(it.get()).isA<HttpEnd.NotSent>()
+            }
+        }
+    }
+
+    private companion object {
+        const val END_OF_HEAD = "\r\n\r\n"
+    }
+}
--- /dev/null
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerCodecTest.kt
@@ -0,0 +1,52 @@
+package kingcuptide.forwarder.connection
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.DecoderException
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.assertThrows
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+import strikt.assertions.isNull
+
+internal class PeerCodecTest {
+    private val forward =
+        PeerMessage.Forward(7, "id", "POST", "/a", listOf("Host", "h"), 1_000, 500, 600, "r", 1, false, "t")
+
+    private fun encoded(message: PeerMessage, body: ByteArray = NO_BYTES): ByteBuf {
+        val channel = EmbeddedChannel(PeerCodec())
+        channel.writeOutbound(PeerFrame(message, body))
+        return channel.readOutbound()
+    }
+
+    @Test
+    fun `Given a request with a body, when it comes byte by byte, then it is read whole`() {
+        val bytes = encoded(forward, "body".encodeToByteArray())
+        val channel = EmbeddedChannel(PeerCodec())
+        while (bytes.readableBytes() > 1) channel.writeInbound(bytes.readRetainedSlice(1))
+        expectThat(channel.readInbound<PeerFrame>()).isNull()
+        channel.writeInbound(bytes)
+        val frame = channel.readInbound<PeerFrame>()
+        expectThat(frame.message).isEqualTo(forward)
+        expectThat(frame.body.decodeToString()).isEqualTo("body")
+    }
+
+    @Test
+    fun `Given a large section, when it is sent, then it is packed and read back`() {
+        val value = "route ".repeat(5_000).encodeToByteArray()
+        val bytes = encoded(PeerMessage.Whole(0, 9, listOf(PeerMessage.Item("k", 3, value))))
+        expectThat(bytes.readableBytes()).isLessThan(value.size / 10)
+        val channel = EmbeddedChannel(PeerCodec())
+        channel.writeInbound(bytes)
+        val whole = channel.readInbound<PeerFrame>().message as PeerMessage.Whole
+        expectThat(whole.items.single().value?.decodeToString()).isEqualTo(value.decodeToString())
+    }
+
+    @Test
+    fun `Given a length that no frame has, when it comes, then the connection's reader fails`() {
+        val channel = EmbeddedChannel(PeerCodec())
+        val bytes = io.netty.buffer.Unpooled.buffer().writeInt(Int.MAX_VALUE)
+        assertThrows<DecoderException> { channel.writeInbound(bytes) }
+    }
+}
