--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/RetryAllowance.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/RetryAllowance.kt
@@ -53,7 +53,7 @@
 
     private companion object {
         /** Part of the ratio that is used; the rest is for calls that a repeated request makes again. */
-        const val RATIO_SHARE = 0.6
+        const val RATIO_SHARE = 0.4
 
         /** Part of the extra ones that is used, since daemons may miscount each other. */
         const val EXTRA_SHARE = 0.8
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -138,7 +138,8 @@
         val onTime = chanceBefore(finish, request.untilObjective)
         val atAll = chanceBefore(finish, request.untilDeadline)
         val credit = onTime * (1 - LATE_WORTH) + atAll * LATE_WORTH
-        return credit * (1 - failuresOf(record, now)).pow(FAILURE_SHARPNESS) - way.cost - finish / request.objective * HURRY
+        return credit * (1 - failuresOf(record, now)).pow(FAILURE_SHARPNESS) - way.cost -
+            finish / request.objective * HURRY
     }
 
     private fun waitAt(target: KnownTarget, record: TargetRecord, run: Duration, now: Duration): Duration {
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/FleetPicture.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/FleetPicture.kt
@@ -79,7 +79,12 @@
     public fun digest(): Long {
         var sum = routing?.number ?: 0L
         for ((key, target) in targetsByKey) {
-            if (key !in lapsing) sum += mixed(31L * key.hashCode() + target.entry.copy(coldFor = Duration.ZERO, reports = 0).hashCode())
+            if (key !in
+                lapsing
+            ) {
+                sum +=
+                    mixed(31L * key.hashCode() + target.entry.copy(coldFor = Duration.ZERO, reports = 0).hashCode())
+            }
         }
         for (key in takenOutByKey.keys) sum += mixed(key.hashCode().toLong())
         return sum
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedSection.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedSection.kt
@@ -9,6 +9,7 @@
     public val prefix: String,
 ) {
     private val items = LinkedHashMap<String, SourceItem>()
+    private val before = HashMap<String, SourceItem>()
 
     /** Revision up to which the copy is complete; 0 while nothing is known. */
     public var asOf: Long = 0
@@ -44,6 +45,14 @@
     /** Takes single [items], whatever else may have changed; returns those that were news. */
     public fun merge(items: List<SourceItem>): List<SourceItem> = items.filter { put(it) }
 
+    /** Returns the large item that [item] has just replaced, from which it may be told as a delta; or null. */
+    public fun replacedBy(item: SourceItem): SourceItem? = before[item.key]?.takeIf { items[item.key] === item }
+
+    /** Returns the item of [key] if it is there. */
+    public fun item(key: String): SourceItem? = items[key]?.takeIf { it.value != null }
+
+    private fun isLarge(item: SourceItem): Boolean = (item.value?.size ?: 0) >= LARGE_BYTES
+
     /** Returns all items that are there. */
     public fun present(): List<SourceItem> = items.values.filter { it.value != null }
 
@@ -52,6 +61,7 @@
         if (held != null && held.revision >= item.revision) return false
         if (held == null && item.value == null) return false
         items[item.key] = item
+        if (held != null && isLarge(held) && isLarge(item)) before[item.key] = held else before.remove(item.key)
         return true
     }
 
@@ -66,5 +76,8 @@
     private companion object {
         /** Removals that are remembered, so that an older copy of the item is not taken for news. */
         const val MAX_REMOVALS = 512
+
+        /** Size from which the replaced item is kept. */
+        const val LARGE_BYTES = 4_096
     }
 }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/CrashSuspectsTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/CrashSuspectsTest.kt
@@ -27,7 +27,7 @@
     }
 
     @Test
-    fun `Given a request that was in flight by chance, when a target answers it, then nothing is held against it there`() {
+    fun `Given a request in flight by chance, when a target answers it, then nothing is held against it there`() {
         die(0, listOf(crashing))
         daemons[1].answered(crashing)
         expectThat(daemons[1].verdict(crashing)).isEqualTo(Verdict.CLEAR)
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetGateTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetGateTest.kt
@@ -153,7 +153,7 @@
         }
 
         @Test
-        fun `Given a cold target that has had its share, when an impatient request comes, then it is refused as cold`() {
+        fun `Given a cold target that had its share, when an impatient request comes, then it is refused as cold`() {
             learn(20.milliseconds)
             gate.coldFor(10.seconds)
             repeat(5) {
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/PublishedStateTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/PublishedStateTest.kt
@@ -20,7 +20,11 @@
     private val clock = ManualClock()
     private val picture = FleetPicture(clock, ::decode)
 
-    private fun item(key: String, revision: Long, value: String?) = SourceItem(key, revision, value?.encodeToByteArray())
+    private fun item(key: String, revision: Long, value: String?) = SourceItem(
+        key,
+        revision,
+        value?.encodeToByteArray(),
+    )
 
     /** Values are `config:N`, `out:DOMAIN`, `target:SERVICE:STATE:REPORTS` or anything else. */
     private fun decode(item: SourceItem): PublishedFact {
@@ -77,7 +81,9 @@
         fun `Given changes that a peer told already, when the source tells them again, then they are no news`() {
             section.replace(emptyList(), 9)
             section.merge(listOf(item("t/a", 11, "x")))
-            expectThat(section.advance(9, listOf(item("t/a", 10, "old"), item("t/a", 11, "x")), 11)).isEqualTo(emptyList())
+            expectThat(
+                section.advance(9, listOf(item("t/a", 10, "old"), item("t/a", 11, "x")), 11),
+            ).isEqualTo(emptyList())
         }
 
         @Test
@@ -116,7 +122,7 @@
         }
 
         @Test
-        fun `Given a source that was away, when entries are gone on its return, then they stay for the time of grace`() {
+        fun `Given a source that was away, when entries are gone on its return, then they stay for a grace`() {
             picture.confirmed(Duration.ZERO)
             picture.apply(listOf(item("t", 5, "target:s:ready:1")))
             clock.advance(5.seconds)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
@@ -19,7 +19,7 @@
  * The connections to other daemons: one opened to each host that has a target, and those that others opened.
  *
  * Requests go out on the own ones and come in on the others'; what is published goes both ways. A connection that is
- * silent for longer than [SILENCE_LIMIT] is replaced. Used on the event loop.
+ * silent for longer than [SILENCE_LIMIT], or some pings more to another region, is replaced. Used on the event loop.
  */
 class PeerMesh(
     private val loop: EventLoop,
@@ -28,12 +28,14 @@
     private val port: Int,
     private val greeting: PeerMessage.Hello,
     private val listener: PeerListener,
+    private val isNear: (PeerSession) -> Boolean,
     private val ping: () -> PeerMessage.Ping,
 ) {
     private val links = LinkedHashMap<String, Link>()
     private val taken = LinkedHashSet<PeerSession>()
     private var server: Channel? = null
     private var pingedAt = clock.now()
+    private var pings = 0
 
     /** Connections that others opened. */
     val inbound: Collection<PeerSession> get() = taken
@@ -80,7 +82,8 @@
         if (now - pingedAt >= PING_INTERVAL) {
             pingedAt = now
             val message = ping()
-            taken.forEach { if (it.isOpen) it.send(message) }
+            val toAll = ++pings % FAR_PINGS == 0
+            taken.forEach { if (it.isOpen && (toAll || isNear(it))) it.send(message) }
         }
         for (link in links.values) checkLink(link, now)
     }
@@ -95,8 +98,12 @@
     private fun checkLink(link: Link, now: Duration) {
         val session = link.session
         if (session != null) {
-            if (now - session.lastHeardAt > SILENCE_LIMIT) {
-                log.info("peer_silent", "peer" to link.ip, "silent_ms" to (now - session.lastHeardAt).inWholeMilliseconds)
+            if (now - session.lastHeardAt > silenceLimit(session)) {
+                log.info(
+                    "peer_silent",
+                    "peer" to link.ip,
+                    "silent_ms" to (now - session.lastHeardAt).inWholeMilliseconds,
+                )
                 session.close()
             }
             return
@@ -104,6 +111,9 @@
         if (now >= link.retryAt && !link.connecting) connect(link)
     }
 
+    private fun silenceLimit(session: PeerSession): Duration =
+        if (isNear(session)) SILENCE_LIMIT else SILENCE_LIMIT + PING_INTERVAL * (FAR_PINGS - 1)
+
     private fun connect(link: Link) {
         link.connecting = true
         val session = PeerSession(clock, listenerOf(link), greeting, isOwn = true)
@@ -168,9 +178,12 @@
         /** Longest time between two calls of [tick]. */
         val TICK: Duration = 100.milliseconds
 
-        /** Pace of pings to those who opened a connection. */
+        /** Pace of pings to those in the own region who opened a connection. */
         val PING_INTERVAL: Duration = 1.seconds
 
+        /** Every how many pings one goes to other regions too: these are many, and their bytes cost most. */
+        const val FAR_PINGS = 3
+
         /** Silence after which a connection is held to be dead: two pings and a half. */
         val SILENCE_LIMIT: Duration = 2_500.milliseconds
         private val CONNECT_TIMEOUT = 1.seconds
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -110,12 +110,21 @@
         @CborLabel(3) val items: List<Item>,
     ) : PeerMessage
 
-    /** An item of the source; a null [value] says that it was removed. */
+    /** An item of the source. Without [value] and [delta] it was removed. */
     @Serializable
     class Item(
         @CborLabel(1) val key: String,
         @CborLabel(2) val revision: Long,
-        @CborLabel(3) @ByteString val value: ByteArray?,
+        @CborLabel(3) @ByteString val value: ByteArray? = null,
+        @CborLabel(4) val delta: Delta? = null,
+    )
+
+    /** What makes an item out of the one that it replaced, which had the revision [baseRevision]. */
+    @Serializable
+    class Delta(
+        @CborLabel(1) val baseRevision: Long,
+        @CborLabel(2) val copies: List<Int>,
+        @CborLabel(3) val additions: List<String>,
     )
 
     /** What is held against requests that were in flight when a target died. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -82,10 +82,11 @@
     private val gateService = GateService(scope, clock, gate, client, parts.names, ::currentTarget, watch, suspects)
     private val endpoint = GateEndpoint(gateService, gate::burden)
     private val mesh: PeerMesh =
-        PeerMesh(loop, clock, settings.ip, settings.peerPort, greeting(), Peers(), ::ping)
+        PeerMesh(loop, clock, settings.ip, settings.peerPort, greeting(), Peers(), ::isNear, ::ping)
     private val state =
         SharedState(clock, parts.source.parts.map { it.prefix }, picture, PeerCircle(), ::changed)
-    private val follower = SourceFollower(scope, clock, parts.source, state, random) { duty.reads }
+    private val follower =
+        SourceFollower(scope, clock, parts.source, state, random, settings.isFirstStart) { duty.reads }
     private val ways = PeerWays(settings.ip, gateService, { mesh }) { stopping }
     private val picker =
         TargetPicker(clock, OwnPlace(settings.failureDomain, settings.region) { settings.regionByDomain[it] }, random)
@@ -98,9 +99,13 @@
             ways,
         )
     private val callers =
-        CallerServer(loop, scope, clock, settings.callerAddress, { picture.routing?.callerLimits ?: FIRST_LIMITS }, entry::serve)
+        CallerServer(loop, scope, clock, settings.callerAddress, {
+            picture.routing?.callerLimits ?: FIRST_LIMITS
+        }, entry::serve)
     private val readiness =
-        CallerServer(loop, scope, clock, settings.readinessAddress, { FIRST_LIMITS }) { request -> readinessAnswer(request.path) }
+        CallerServer(loop, scope, clock, settings.readinessAddress, {
+            FIRST_LIMITS
+        }) { request -> readinessAnswer(request.path) }
     private var stopping = false
     private var wasReady = false
 
@@ -131,7 +136,11 @@
         log.info("settings_changed", "service" to changed.service, "service_before" to settings.service)
         val fixed = settings
         settings = changed
-        if (changed.addresses() != fixed.addresses()) log.warn("settings_need_restart", "reason" to "an address changed")
+        if (changed.addresses() !=
+            fixed.addresses()
+        ) {
+            log.warn("settings_need_restart", "reason" to "an address changed")
+        }
         updateGate()
     }
 
@@ -180,7 +189,12 @@
             val ping = session.lastPing ?: return@mapNotNull null
             val sinceMs = (clock.now() - session.lastPingAt).inWholeMilliseconds
             if (ping.contactAgeMs < 0) return@mapNotNull null
-            ReaderClaim(session.peer?.host.orEmpty(), ping.readerRank, (ping.contactAgeMs + sinceMs - PING_ALLOWANCE_MS).milliseconds)
+            val allowanceMs = if (isNear(session)) PING_ALLOWANCE_MS else PING_ALLOWANCE_MS * PeerMesh.FAR_PINGS
+            ReaderClaim(
+                session.peer?.host.orEmpty(),
+                ping.readerRank,
+                (ping.contactAgeMs + sinceMs - allowanceMs).milliseconds,
+            )
         }
         val before = duty.reads
         if (duty.decide(claims, ownReaderRank(), picture.age()) != before) {
@@ -189,13 +203,15 @@
     }
 
     /** Readers near the source come first: their reads cross no region. */
-    private fun ownReaderRank(): Int = follower.readTime?.inWholeMilliseconds?.div(READ_TIME_STEP_MS)?.toInt() ?: UNKNOWN_RANK
+    private fun ownReaderRank(): Int =
+        follower.readTime?.inWholeMilliseconds?.div(READ_TIME_STEP_MS)?.toInt() ?: UNKNOWN_RANK
 
     private fun updateGate() {
         val target = currentTarget()?.let(picture::target)
         val traits = ownTraits()
         if (traits != null) {
-            gate.coldRate = (traits.coldPerSecond * settings.coldRateFactor + settings.coldSlack * COLD_SLACK_SHARE).toInt().coerceAtLeast(1)
+            val perSecond = traits.coldPerSecond * settings.coldRateFactor + settings.coldSlack * COLD_SLACK_SHARE
+            gate.coldRate = perSecond.toInt().coerceAtLeast(1)
         }
         if (target != null) gate.slots = target.entry.slots
         gate.state = when {
@@ -245,6 +261,11 @@
         return HttpAnswer(if (ready) 200 else ResultCode.NO_CONFIGURATION.httpStatus, emptyList(), NO_BYTES)
     }
 
+    private fun isNear(session: PeerSession): Boolean = regionOf(session) == settings.region
+
+    private fun regionOf(session: PeerSession): RegionId? =
+        session.peer?.let { settings.regionByDomain[FailureDomainId(it.failureDomain)] }
+
     private fun greeting() =
         PeerMessage.Hello(PeerCodec.PROTOCOL, settings.host.value, settings.failureDomain.value, incarnation)
 
@@ -280,7 +301,11 @@
         }
 
         override fun closed(session: PeerSession, reason: String) {
-            if (session.peer != null) log.info("peer_closed", "peer" to session.peer?.host, "own" to session.isOwn, "reason" to reason)
+            if (session.peer !=
+                null
+            ) {
+                log.info("peer_closed", "peer" to session.peer?.host, "own" to session.isOwn, "reason" to reason)
+            }
             endpoint.closed(session)
             ways.closed(session)
         }
@@ -301,8 +326,7 @@
     private inner class PeerCircle : Circle {
         override fun sessions(): Collection<PeerSession> = mesh.distinctPeers()
 
-        override fun regionOf(session: PeerSession): RegionId? =
-            session.peer?.let { settings.regionByDomain[FailureDomainId(it.failureDomain)] }
+        override fun regionOf(session: PeerSession): RegionId? = this@Forwarder.regionOf(session)
 
         override val ownRegion: RegionId get() = settings.region
     }
@@ -318,6 +342,7 @@
 
         /** Share of the allowed slack that is used, since the last of it is for requests in transit. */
         const val COLD_SLACK_SHARE = 0.4
+
         /** The platform excuses a target that is at work in the last sixth of the limit. */
         val STOP_MARGIN = 1_100.milliseconds
         val STOP_CHECK = 50.milliseconds
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
@@ -14,6 +14,7 @@
  * @property service service of the target beside this daemon
  * @property callerAddress where callers and the own target send requests
  * @property peerPort port at which the daemon of every host is reached by the others
+ * @property isFirstStart whether the whole fleet starts for the first time, so that no traffic waits for it yet
  * @property stopLimit longest time from the request to stop until the process ends
  * @property drainLimit time within which nothing more may reach a target that leaves
  */
@@ -29,6 +30,7 @@
     val readinessAddress: InetSocketAddress,
     val peerPort: Int,
     val sourceAddress: InetSocketAddress,
+    val isFirstStart: Boolean,
     val stopLimit: Duration,
     val drainLimit: Duration,
     val coldRateFactor: Double,
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/SettingsFile.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/SettingsFile.kt
@@ -15,12 +15,6 @@
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 
-/** Why settings were refused. */
-data class ForwarderSettingsFault(
-    val code: ResultCode,
-    val reason: String,
-)
-
 /**
  * Reads the settings of a forwarder from JSON with comments. Times are strings of a number and its unit, as `1500ms` or
  * `2.5s`; addresses are `ip:port`. Fields that are not known are ignored, since newer settings may have more.
@@ -47,6 +41,7 @@
     val readinessAddress: String,
     val peerPort: Int,
     val sourceAddress: String,
+    val isFirstStart: Boolean = false,
     val stopLimit: String,
     val drainLimit: String,
     val coldRateFactor: Double,
@@ -58,7 +53,9 @@
     fun toSettings(): ForwarderSettings {
         require(peerPort in PORTS) { "peerPort: $peerPort is no port" }
         require(coldRateFactor > 0) { "coldRateFactor: must be greater than 0" }
-        require(coldSlack >= 0 && extraRetries >= 0 && retryRatio >= 0) { "coldSlack, extraRetries, retryRatio: must not be negative" }
+        require(coldSlack >= 0 && extraRetries >= 0 && retryRatio >= 0) {
+            "coldSlack, extraRetries, retryRatio: must not be negative"
+        }
         addressOf("targetAddress", targetAddress)
         return ForwarderSettings(
             host = HostId(host),
@@ -72,6 +69,7 @@
             readinessAddress = addressOf("readinessAddress", readinessAddress),
             peerPort = peerPort,
             sourceAddress = addressOf("sourceAddress", sourceAddress),
+            isFirstStart = isFirstStart,
             stopLimit = durationOf("stopLimit", stopLimit),
             drainLimit = durationOf("drainLimit", drainLimit),
             coldRateFactor = coldRateFactor,
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -63,7 +63,8 @@
 
     /** Returns the final answer to [request]; cancellation breaks off what was sent. */
     suspend fun serve(request: CallerRequest): HttpAnswer {
-        val routing = knowledge.picture.routing ?: return refuse(request, ResultCode.NO_CONFIGURATION, NO_CONFIGURATION_WAIT)
+        val routing =
+            knowledge.picture.routing ?: return refuse(request, ResultCode.NO_CONFIGURATION, NO_CONFIGURATION_WAIT)
         val requestId = request.headers.first(names.requestId)
         if (requestId.isNullOrEmpty()) return refuse(request, ResultCode.MALFORMED_REQUEST, null)
         val host = request.headers.first("Host").orEmpty().substringBefore(':').lowercase(Locale.ROOT)
@@ -104,7 +105,13 @@
             val limitMs = (deadline - clock.now()).inWholeMilliseconds
             val answer = if (limitMs > 0) withTimeoutOrNull(limitMs) { attempts() } else null
             if (answer != null) return answer
-            val code = if (mayHaveRun || inFlightAt != null) ResultCode.DEADLINE_PASSED_RUNNING else ResultCode.DEADLINE_PASSED
+            val code = if (mayHaveRun ||
+                inFlightAt != null
+            ) {
+                ResultCode.DEADLINE_PASSED_RUNNING
+            } else {
+                ResultCode.DEADLINE_PASSED
+            }
             return giveUp(code, null, "time is up")
         }
 
@@ -177,7 +184,14 @@
                 noteRepeat(target, "status ${end.answer.status}")
                 return null
             }
-            if (!sound) log.info("request_failed_by_target", "request" to requestId, "target" to target.entry.id, "status" to end.answer.status)
+            if (!sound) {
+                log.info(
+                    "request_failed_by_target",
+                    "request" to requestId,
+                    "target" to target.entry.id,
+                    "status" to end.answer.status,
+                )
+            }
             return HttpAnswer(end.answer.status, endToEnd(end.answer.headers), end.answer.body)
         }
 
@@ -292,7 +306,13 @@
         val QUARANTINE_WAIT = 30.seconds
         val NO_TARGET_WAIT = 300.milliseconds
         val CROWDED = setOf(ResultCode.TARGET_FULL, ResultCode.TARGET_COLD, ResultCode.DEADLINE_PASSED)
-        val REPEATABLE = setOf(ResultCode.ANSWER_LOST, ResultCode.ANSWER_TRUNCATED, ResultCode.TARGET_DIED, ResultCode.PEER_UNREACHABLE)
+        val REPEATABLE =
+            setOf(
+                ResultCode.ANSWER_LOST,
+                ResultCode.ANSWER_TRUNCATED,
+                ResultCode.TARGET_DIED,
+                ResultCode.PEER_UNREACHABLE,
+            )
         val ONE_CONNECTION =
             setOf(
                 "connection",
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -167,7 +167,13 @@
             ForwardEnd.Refused(code, TARGET_RETRY_AFTER, reachedTarget, gate.burden())
 
         private fun lost(code: ResultCode, reason: String): ForwardEnd {
-            log.info("target_lost", "request" to call.requestId, "target" to call.targetId, "code" to code.number, "reason" to reason)
+            log.info(
+                "target_lost",
+                "request" to call.requestId,
+                "target" to call.targetId,
+                "code" to code.number,
+                "reason" to reason,
+            )
             return ForwardEnd.Lost(code, gate.burden())
         }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerWays.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerWays.kt
@@ -51,7 +51,12 @@
             }
             is PeerMessage.Refusal -> end(session, message.number) {
                 val after = message.retryAfterMs.milliseconds
-                ForwardEnd.Refused(codeOf(message.code, Outcome.NOT_RUN), after, message.reachedTarget, message.burden.toBurden())
+                ForwardEnd.Refused(
+                    codeOf(message.code, Outcome.NOT_RUN),
+                    after,
+                    message.reachedTarget,
+                    message.burden.toBurden(),
+                )
             }
             is PeerMessage.Loss -> end(session, message.number) {
                 ForwardEnd.Lost(codeOf(message.code, Outcome.UNKNOWN), message.burden.toBurden())
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetWatch.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetWatch.kt
@@ -125,7 +125,13 @@
         }
         troubled = answer.status != HEALTHY
         val coldMs = answer.headers.first(names.coldMs)?.toDoubleOrNull()
-        if (coldMs != null) gate.coldFor(coldMs.milliseconds) else if (answer.status == HEALTHY) gate.coldFor(Duration.ZERO)
+        if (coldMs !=
+            null
+        ) {
+            gate.coldFor(coldMs.milliseconds)
+        } else if (answer.status == HEALTHY) {
+            gate.coldFor(Duration.ZERO)
+        }
     }
 
     private fun closeConnection() {
@@ -137,7 +143,7 @@
         const val HEALTHY = 200
 
         /** Pace of questions while the target answers as it should. */
-        val SLOW_PACE = 1.seconds
+        val SLOW_PACE = 1_500.milliseconds
 
         /** Pace of questions after trouble, so that a target that is back is found soon. */
         val QUICK_PACE = 200.milliseconds
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SharedState.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SharedState.kt
@@ -5,6 +5,7 @@
 import kingcuptide.coordination.version.FleetPicture
 import kingcuptide.coordination.version.PublishedSection
 import kingcuptide.coordination.version.SourceItem
+import kingcuptide.coordination.version.TextDelta
 import kingcuptide.forwarder.connection.PeerMessage
 import kingcuptide.forwarder.connection.PeerSession
 import kotlin.time.Duration
@@ -97,7 +98,7 @@
     /** Takes in what a peer has just read. */
     fun received(message: PeerMessage.News) {
         val section = sections.getOrNull(message.section) ?: return
-        val news = take(section.merge(message.items.map(::fromWire)))
+        val news = take(section.merge(message.items.mapNotNull { fromWire(section, it) }))
         if (message.passOn && news.isNotEmpty()) tellOwnRegion(newsOf(section, news))
     }
 
@@ -130,12 +131,35 @@
         circle.sessions().filter { circle.regionOf(it) == circle.ownRegion }.forEach { it.send(message) }
 
     private fun newsOf(section: PublishedSection, news: List<SourceItem>) =
-        PeerMessage.News(sections.indexOf(section), passOn = false, news.map(::toWire))
+        PeerMessage.News(sections.indexOf(section), passOn = false, news.map { toNews(section, it) })
 
     private fun sectionOf(prefix: String): PublishedSection = sections.first { it.prefix == prefix }
 
     private fun toWire(item: SourceItem) = PeerMessage.Item(item.key, item.revision, item.value)
 
+    /** Large items go as deltas: the peers mostly hold what this daemon held, and the others ask. */
+    private fun toNews(section: PublishedSection, item: SourceItem): PeerMessage.Item {
+        val base = section.replacedBy(item)
+        val baseValue = base?.value
+        val value = item.value
+        if (baseValue == null || value == null) return toWire(item)
+        val delta = TextDelta.between(baseValue, value)
+        val additions = delta.additions.map { String(it, Charsets.ISO_8859_1) }
+        return PeerMessage.Item(
+            item.key,
+            item.revision,
+            delta = PeerMessage.Delta(base.revision, delta.copies, additions),
+        )
+    }
+
+    private fun fromWire(section: PublishedSection, item: PeerMessage.Item): SourceItem? {
+        val delta = item.delta ?: return fromWire(item)
+        val base = section.item(item.key)?.takeIf { it.revision == delta.baseRevision } ?: return null
+        val additions = delta.additions.map { it.toByteArray(Charsets.ISO_8859_1) }
+        val value = base.value?.let { TextDelta(delta.copies, additions).applyTo(it) } ?: return null
+        return SourceItem(item.key, item.revision, value)
+    }
+
     private fun fromWire(item: PeerMessage.Item) = SourceItem(item.key, item.revision, item.value)
 
     private companion object {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SourceFollower.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SourceFollower.kt
@@ -20,6 +20,7 @@
     private val source: Source,
     private val state: SharedState,
     private val random: Random,
+    private val isFirstStart: Boolean,
     private val mayRead: () -> Boolean,
 ) {
     private var lost = false
@@ -57,7 +58,8 @@
 
     /** Peers that are there may tell sooner, and at less cost, than the source. */
     private suspend fun awaitPeers(part: SourcePart) {
-        val until = clock.now() + FIRST_WAIT + FIRST_WAIT * random.nextDouble()
+        val wait = if (isFirstStart) FIRST_START_WAIT else RESTART_WAIT
+        val until = clock.now() + wait + wait * random.nextDouble()
         while (clock.now() < until && state.asOf(part.prefix) == 0L) delay(PEER_CHECK.inWholeMilliseconds)
     }
 
@@ -111,8 +113,12 @@
     }
 
     private companion object {
-        /** Time that peers have to tell a daemon that starts; up to as much again is added by chance. */
-        val FIRST_WAIT = 400.milliseconds
+        /**
+         * Time that peers have to tell a daemon that starts; up to as much again is added by chance. A daemon that starts
+         * again has callers that wait.
+         */
+        val FIRST_START_WAIT = 800.milliseconds
+        val RESTART_WAIT = 80.milliseconds
         val PEER_CHECK = 20.milliseconds
 
         /** How often a daemon that doesn't read looks whether it should. */
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
@@ -24,14 +24,20 @@
 
 internal class CallerConnectionTest {
     private val clock = ManualClock()
-    private val limits = CallerLimits(maxHeadBytes = 512, maxBodyBytes = 64, headTimeout = 3.seconds, idleTimeout = 15.seconds)
+    private val limits =
+        CallerLimits(maxHeadBytes = 512, maxBodyBytes = 64, headTimeout = 3.seconds, idleTimeout = 15.seconds)
     private val served = ArrayList<CallerRequest>()
     private var gate: CompletableDeferred<HttpAnswer>? = null
     private var cancelled = false
     private val connection =
         CallerConnection(CoroutineScope(Dispatchers.Unconfined), clock, limits, false, ::serve) { }
     private val channel =
-        EmbeddedChannel(connection.byteWatch, StrictRequestDecoder(limits.maxHeadBytes), HttpResponseEncoder(), connection)
+        EmbeddedChannel(
+            connection.byteWatch,
+            StrictRequestDecoder(limits.maxHeadBytes),
+            HttpResponseEncoder(),
+            connection,
+        )
 
     private suspend fun serve(request: CallerRequest): HttpAnswer {
         served += request
@@ -83,7 +89,7 @@
         }
 
         @Test
-        fun `Given a daemon that stops, when a request is answered, then the caller is told that the connection closes`() {
+        fun `Given a daemon that stops, when it answers, then the caller is told that the connection closes`() {
             connection.closesAfterAnswer = true
             send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
             expectThat(received()).contains("connection: close")
@@ -107,7 +113,8 @@
         @Test
         fun `Given a length and chunks, when the request comes, then it is refused`() = expectRefused(
             400,
-            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n",
+            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                "0\r\n\r\nGET /x HTTP/1.1\r\n\r\n",
         )
 
         @Test
@@ -153,7 +160,7 @@
         }
 
         @Test
-        fun `Given an idle connection, when it is idle for four fifths of the limit, then it stays, and goes after it`() {
+        fun `Given an idle connection, when idle below its limit, then it stays, and goes after it`() {
             send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
             clock.advance(12.seconds)
             connection.checkTime(limits)
