--- a/bench/src/main/kotlin/kingcuptide/bench/DaemonsCommand.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/DaemonsCommand.kt
@@ -12,11 +12,11 @@
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.process.ServiceId
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import kingcuptide.coordination.version.ConfigDocument
 import kingcuptide.coordination.version.RouteSpec
 import kingcuptide.coordination.version.ServiceSpec
-import kingcuptide.coordination.version.TenantSpec
+import kingcuptide.coordination.version.WorkspaceSpec
 import kingcuptide.standins.fleet.DomainShape
 import kingcuptide.standins.fleet.FleetShape
 import kingcuptide.standins.fleet.LocalFleet
@@ -34,7 +34,7 @@
     private val seed by option("--seed").long().default(1)
     private val perDomain by option("--hosts-per-domain").int().default(4)
     private val domains by option("--domains").int().default(7)
-    private val tenants by option("--tenants").int().default(1_000)
+    private val workspaces by option("--workspaces").int().default(1_000)
     private val windowSeconds by option("--window-seconds").int().default(30)
     private val changes by option("--changes").int().default(10)
 
@@ -42,7 +42,7 @@
 
     override fun run() {
         echo(
-            "seed=$seed hosts=${perDomain * domains} failure_domains=$domains tenants=$tenants window_s=$windowSeconds",
+            "seed=$seed hosts=${perDomain * domains} failure_domains=$domains workspaces=$workspaces window_s=$windowSeconds",
         )
         LocalFleet(shape(), Files.createTempDirectory("daemons")).use { fleet ->
             fleet.startPlatform()
@@ -98,7 +98,7 @@
     }
 
     private fun change(fleet: LocalFleet): Duration {
-        val next = document.copy(version = document.version + 1, tenants = document.tenants + changedTenant())
+        val next = document.copy(version = document.version + 1, workspaces = document.workspaces + changedWorkspace())
         document = next
         val started = TimeSource.Monotonic.markNow()
         fleet.publish(next)
@@ -112,8 +112,8 @@
         return checkNotNull(Regex("\"hostsInForce\":(\\d+)").find(body)).groupValues[1].toInt()
     }
 
-    private fun changedTenant() = mapOf(
-        TenantId("tenant-${random.nextInt(tenants)}") to TenantSpec(setOf(REGIONS.random(random))),
+    private fun changedWorkspace() = mapOf(
+        WorkspaceId("workspace-${random.nextInt(workspaces)}") to WorkspaceSpec(setOf(REGIONS.random(random))),
     )
 
     private fun usages(fleet: LocalFleet): List<ProcessUsage> = fleet.shape.hosts.map {
@@ -140,9 +140,9 @@
     private fun shape(): FleetShape {
         document =
             document.copy(
-                tenants = (0 until tenants).associate {
-                    TenantId("tenant-$it") to
-                        TenantSpec(setOf(REGIONS[it % 2]))
+                workspaces = (0 until workspaces).associate {
+                    WorkspaceId("workspace-$it") to
+                        WorkspaceSpec(setOf(REGIONS[it % 2]))
                 },
             )
         val shapes =
--- a/bench/src/main/kotlin/kingcuptide/bench/keys/KeyCosts.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/keys/KeyCosts.kt
@@ -19,7 +19,7 @@
 import kingcuptide.coordination.process.HostId
 import kingcuptide.coordination.process.Incarnation
 import kingcuptide.coordination.process.RouteId
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import kingcuptide.coordination.request.KeySettings
 import kingcuptide.coordination.request.keyHash
 import kingcuptide.coordination.request.keyWitness
@@ -58,7 +58,7 @@
     fun claims() {
         val cluster = KeyCluster(shape, settings, time)
         cluster.passHoldOff()
-        val hashes = List(rounds) { keyHash(TenantId("tenant"), RouteId("route"), "key-$it") }
+        val hashes = List(rounds) { keyHash(WorkspaceId("workspace"), RouteId("route"), "key-$it") }
         var granted = 0
         repeat(WARM_UP_ROUNDS) { cluster.claim(hashes[it % rounds] + it) { granted++ } }
         cluster.resetCounts()
@@ -84,7 +84,7 @@
         val slots = single.witnesses("k", emptySet())
         val before = usedBytes()
         repeat(REMEMBERED) {
-            val hash = keyHash(TenantId("tenant"), RouteId("route"), "key-$it")
+            val hash = keyHash(WorkspaceId("workspace"), RouteId("route"), "key-$it")
             val claim = ClaimId(HostId("host-${it % 1_100}".intern()), Incarnation(1), it.toLong())
             val inOrder = single.witnesses(hash, emptySet())
             witness.receive(claim.gate, KeyClaim(hash, claim, inOrder, emptySet(), remainingMs = 5_000))
@@ -122,7 +122,7 @@
     )
 
     private fun sampleMessages(): Map<String, KeyMessage> {
-        val hash = keyHash(TenantId("tenant"), RouteId("route"), "key")
+        val hash = keyHash(WorkspaceId("workspace"), RouteId("route"), "key")
         val claim = ClaimId(HostId("host-1000"), Incarnation(1_700_000_000_000), 123_456)
         return mapOf(
             "key_claim" to KeyClaim(hash, claim, view.witnesses(hash, emptySet()), emptySet(), remainingMs = 4_900),
@@ -136,7 +136,7 @@
         remainingMs = 4_900,
         version = 1_234,
         route = RouteId("storting"),
-        tenant = TenantId("school-12"),
+        workspace = WorkspaceId("school-12"),
         method = "POST",
         pathAndQuery = "/storting/2024?class=3b",
         headers = headers(8),
--- a/cli/src/main/kotlin/kingcuptide/cli/DaemonClient.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/DaemonClient.kt
@@ -44,8 +44,8 @@
         ask("/v1/status", emptyMap()).flatMap { decode(it, StatusReport.serializer()) }
 
     /** Asks where a request could go. */
-    suspend fun explain(method: String, path: String, tenant: String?): Result<ExplainReport, DaemonFailure> {
-        val parameters = mapOf("method" to method, "path" to path, "tenant" to tenant)
+    suspend fun explain(method: String, path: String, workspace: String?): Result<ExplainReport, DaemonFailure> {
+        val parameters = mapOf("method" to method, "path" to path, "workspace" to workspace)
         return ask("/v1/explain", parameters).flatMap { decode(it, ExplainReport.serializer()) }
     }
 
--- a/cli/src/main/kotlin/kingcuptide/cli/ExplainCommand.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/ExplainCommand.kt
@@ -10,7 +10,7 @@
 internal class ExplainCommand : DaemonCommand("explain") {
     private val method by argument(help = "such as GET")
     private val path by argument(help = "such as /parcels/7")
-    private val tenant by option("--tenant", help = "the tenant of the request")
+    private val workspace by option("--workspace", help = "the workspace of the request")
 
     /** A path with a query would be taken for an option. A mistyped option still fails, as one argument too many. */
     override val treatUnknownOptionsAsArgs: Boolean = true
@@ -19,7 +19,7 @@
         "Shows which hosts could take a request that came in at the daemon now, and why the others could not."
 
     override suspend fun ask(client: DaemonClient) {
-        val report = client.explain(method, path, tenant).getOrElse { fail(it) }
+        val report = client.explain(method, path, workspace).getOrElse { fail(it) }
         echo(if (json) OUTPUT_JSON.encodeToString(ExplainReport.serializer(), report) else explainText(report))
         val isRefused = report.refusal != null || report.candidates.none { it.refusal == null }
         if (isRefused) exitWith(ExitCode.REFUSED)
--- a/cli/src/test/kotlin/kingcuptide/cli/DaemonCommandsTest.kt
+++ b/cli/src/test/kotlin/kingcuptide/cli/DaemonCommandsTest.kt
@@ -110,7 +110,8 @@
         @Test
         fun `when a host could take the request, then it ends with 0`() {
             FakeDaemon(explanation(null).toAnswer()).use { daemon ->
-                val arguments = listOf("explain", "POST", "/book it?x=1&y", "--tenant", "farm", "--daemon", daemon.url)
+                val arguments =
+                    listOf("explain", "POST", "/book it?x=1&y", "--workspace", "farm", "--daemon", daemon.url)
                 val result = kingcuptideCommand().test(arguments)
                 expectThat(result.stdout)
                     .contains("route book to service parcels")
@@ -119,7 +120,7 @@
                     .contains("b     n1              north   alive  no: 204 DRAINING")
                 expectThat(result.statusCode).isEqualTo(0)
                 expectThat(daemon.requests.toList())
-                    .isEqualTo(listOf("/v1/explain?method=POST&path=%2Fbook+it%3Fx%3D1%26y&tenant=farm"))
+                    .isEqualTo(listOf("/v1/explain?method=POST&path=%2Fbook+it%3Fx%3D1%26y&workspace=farm"))
             }
         }
 
--- a/coordination/src/main/kotlin/kingcuptide/coordination/connection/KeyMessage.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/connection/KeyMessage.kt
@@ -9,7 +9,7 @@
 /** Messages by which a gate claims an idempotency key from the key's witnesses. */
 @Serializable
 public sealed interface KeyMessage : ControlMessage {
-    /** Digest of tenant, route and idempotency key. */
+    /** Digest of workspace, route and idempotency key. */
     public val keyHash: String
 
     /** The claim that the message belongs to. */
--- a/coordination/src/main/kotlin/kingcuptide/coordination/connection/RequestFrame.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/connection/RequestFrame.kt
@@ -3,7 +3,7 @@
 import kingcuptide.coordination.process.HostId
 import kingcuptide.coordination.process.Incarnation
 import kingcuptide.coordination.process.RouteId
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import kingcuptide.coordination.request.Outcome
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -50,7 +50,7 @@
  *   waited anywhere shows its age
  * @property remainingMs time left until the deadline, at the moment of sending
  * @property version number of the document under which the entry chose this target
- * @property keyHash digest of tenant, route and idempotency key, or null if the caller sent no key
+ * @property keyHash digest of workspace, route and idempotency key, or null if the caller sent no key
  * @property hasBody whether [BodyChunk] frames follow
  * @property suspect whether a target died with an earlier attempt of this request
  */
@@ -62,7 +62,7 @@
     @SerialName("d") val remainingMs: Long,
     @SerialName("v") val version: Long,
     @SerialName("r") val route: RouteId,
-    @SerialName("t") val tenant: TenantId?,
+    @SerialName("t") val workspace: WorkspaceId?,
     @SerialName("m") val method: String,
     @SerialName("p") val pathAndQuery: String,
     @SerialName("h") val headers: List<Header>,
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/Identifiers.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/Identifiers.kt
@@ -49,10 +49,10 @@
     override fun toString(): String = value
 }
 
-/** Name of a tenant. */
+/** Name of a workspace. */
 @JvmInline
 @Serializable
-public value class TenantId(
+public value class WorkspaceId(
     public val value: String,
 ) {
     override fun toString(): String = value
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
@@ -21,8 +21,8 @@
     // 1xx: the request itself is at fault
     MALFORMED_REQUEST(100, 400, Outcome.NOT_RUN),
     UNKNOWN_ROUTE(101, 404, Outcome.NOT_RUN),
-    UNKNOWN_TENANT(102, 403, Outcome.NOT_RUN),
-    TENANT_MISSING(103, 400, Outcome.NOT_RUN),
+    UNKNOWN_WORKSPACE(102, 403, Outcome.NOT_RUN),
+    WORKSPACE_MISSING(103, 400, Outcome.NOT_RUN),
     BODY_TOO_LARGE(104, 413, Outcome.NOT_RUN),
     HEADERS_TOO_LARGE(105, 431, Outcome.NOT_RUN),
     WRONG_REGION(106, 421, Outcome.NOT_RUN),
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/HomeRegionCheck.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/HomeRegionCheck.kt
@@ -1,7 +1,7 @@
 package kingcuptide.coordination.request
 
 import kingcuptide.coordination.process.RegionId
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import kingcuptide.coordination.version.ConfigDocument
 import kingcuptide.coordination.version.RouteSpec
 
@@ -15,7 +15,7 @@
         val regions: List<RegionId>,
     ) : HomeRegionCheck
 
-    /** Route and tenant have no home region in common, so that no place may serve the request. */
+    /** Route and workspace have no home region in common, so that no place may serve the request. */
     public data object Nowhere : HomeRegionCheck
 }
 
@@ -31,17 +31,17 @@
 }
 
 /**
- * Returns where a request of [tenant] on [route] may be served: at home for both of them. A tenant that the document does
+ * Returns where a request of [workspace] on [route] may be served: at home for both of them. A workspace that the document does
  * not have is at home nowhere.
  */
-public fun homeRegionsOf(route: RouteSpec, tenant: TenantId?, document: ConfigDocument): HomeRegions {
-    if (tenant != null && tenant !in document.tenants) return HomeRegions.Only(emptySet())
-    val tenantRegions = tenant?.let { document.tenants[it]?.homeRegions }.orEmpty()
+public fun homeRegionsOf(route: RouteSpec, workspace: WorkspaceId?, document: ConfigDocument): HomeRegions {
+    if (workspace != null && workspace !in document.workspaces) return HomeRegions.Only(emptySet())
+    val workspaceRegions = workspace?.let { document.workspaces[it]?.homeRegions }.orEmpty()
     return when {
-        route.homeRegions.isEmpty() && tenantRegions.isEmpty() -> HomeRegions.Anywhere
-        route.homeRegions.isEmpty() -> HomeRegions.Only(tenantRegions)
-        tenantRegions.isEmpty() -> HomeRegions.Only(route.homeRegions)
-        else -> HomeRegions.Only(route.homeRegions intersect tenantRegions)
+        route.homeRegions.isEmpty() && workspaceRegions.isEmpty() -> HomeRegions.Anywhere
+        route.homeRegions.isEmpty() -> HomeRegions.Only(workspaceRegions)
+        workspaceRegions.isEmpty() -> HomeRegions.Only(route.homeRegions)
+        else -> HomeRegions.Only(route.homeRegions intersect workspaceRegions)
     }
 }
 
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/RunTimes.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/RunTimes.kt
@@ -2,6 +2,7 @@
 
 import kingcuptide.coordination.process.RouteId
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Moving averages of how long requests of each route run. Used from one thread. */
 public class RunTimes {
@@ -15,11 +16,15 @@
     }
 
     /** Returns the average of [route], or a third of [objective] while none is known. */
-    public fun expected(route: RouteId, objective: Duration): Duration = averages[route] ?: (objective / 3)
+    public fun expected(route: RouteId, objective: Duration): Duration =
+        maxOf(averages[route] ?: (objective / 3), SHORTEST)
 
     private companion object {
         const val SMOOTHING = 0.1
 
+        /** Run times come in whole milliseconds, and are divided by. */
+        val SHORTEST = 1.milliseconds
+
         /** Routes whose average is kept; the one not recorded for longest goes first. */
         const val MAX_ROUTES = 1_000
     }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -139,7 +139,7 @@
         val atAll = chanceBefore(finish, request.untilDeadline)
         val credit = onTime * (1 - LATE_WORTH) + atAll * LATE_WORTH
         return credit * (1 - failuresOf(record, now)).pow(FAILURE_SHARPNESS) - way.cost -
-            finish / request.objective * HURRY
+            finish / maxOf(request.objective, SHORTEST_OBJECTIVE) * HURRY
     }
 
     private fun waitAt(target: KnownTarget, record: TargetRecord, run: Duration, now: Duration): Duration {
@@ -191,6 +191,7 @@
 
         /** Part of a request's worth that a wait of one objective costs, to prefer the quicker of two sure targets. */
         const val HURRY = 0.05
+        val SHORTEST_OBJECTIVE = 1.milliseconds
 
         /** Expected time over the limit up to which an answer is held to be sure, and from which there is no hope. */
         const val SURELY_ON_TIME = 0.6
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ConfigDocument.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ConfigDocument.kt
@@ -4,7 +4,7 @@
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.process.ServiceId
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import kotlinx.serialization.Serializable
 
 /** The console's document: everything that a daemon needs to route and admit requests, under one [version] number. */
@@ -15,7 +15,7 @@
     val takenOutFailureDomains: Set<FailureDomainId> = emptySet(),
     val services: Map<ServiceId, ServiceSpec> = emptyMap(),
     val routes: Map<RouteId, RouteSpec> = emptyMap(),
-    val tenants: Map<TenantId, TenantSpec> = emptyMap(),
+    val workspaces: Map<WorkspaceId, WorkspaceSpec> = emptyMap(),
     val limits: FleetLimits = FleetLimits(),
 )
 
@@ -48,16 +48,16 @@
     val methods: Set<String> = emptySet(),
     val nonRepeatableMethods: Set<String> = setOf("POST", "PATCH"),
     val timeoutMs: Long = 5_000,
-    val tenantRequired: Boolean = false,
+    val workspaceRequired: Boolean = false,
     val homeRegions: Set<RegionId> = emptySet(),
     val maxBodyBytes: Long = 1_048_576,
     val maxRetries: Int = 2,
     val retryBudgetPercent: Int = 20,
 )
 
-/** A tenant's requests are served, sent and stored only in [homeRegions]; empty means anywhere. */
+/** A workspace's requests are served, sent and stored only in [homeRegions]; empty means anywhere. */
 @Serializable
-public data class TenantSpec(
+public data class WorkspaceSpec(
     val homeRegions: Set<RegionId> = emptySet(),
 )
 
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/DocumentContent.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/DocumentContent.kt
@@ -8,11 +8,11 @@
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.process.ServiceId
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import kotlinx.serialization.builtins.ListSerializer
 
 /**
- * Returns this document in canonical form: one entry for each failure domain, service, route and tenant, one for the
+ * Returns this document in canonical form: one entry for each failure domain, service, route and workspace, one for the
  * failure domains taken out and one for the limits.
  *
  * Equal documents give equal digests, in whatever order their maps and sets are. Fields that have their default are
@@ -23,7 +23,7 @@
     failureDomains.forEach { (id, spec) -> entries.put(FAILURE_DOMAIN, id.value, FailureDomainSpec.serializer(), spec) }
     services.forEach { (id, spec) -> entries.put(SERVICE, id.value, ServiceSpec.serializer(), spec) }
     routes.forEach { (id, spec) -> entries.put(ROUTE, id.value, RouteSpec.serializer(), spec.sorted()) }
-    tenants.forEach { (id, spec) -> entries.put(TENANT, id.value, TenantSpec.serializer(), spec.sorted()) }
+    workspaces.forEach { (id, spec) -> entries.put(WORKSPACE, id.value, WorkspaceSpec.serializer(), spec.sorted()) }
     entries[TAKEN_OUT] =
         CANONICAL_JSON.encodeToString(TAKEN_OUT_SERIALIZER, takenOutFailureDomains.sortedBy { it.value })
     entries[LIMITS] = CANONICAL_JSON.encodeToString(FleetLimits.serializer(), limits)
@@ -43,7 +43,7 @@
             takenOutFailureDomains = takenOut.orEmpty().toSet(),
             services = reader.readAll(SERVICE, ServiceSpec.serializer(), ::ServiceId),
             routes = reader.readAll(ROUTE, RouteSpec.serializer(), ::RouteId),
-            tenants = reader.readAll(TENANT, TenantSpec.serializer(), ::TenantId),
+            workspaces = reader.readAll(WORKSPACE, WorkspaceSpec.serializer(), ::WorkspaceId),
             limits = limits ?: FleetLimits(),
         )
     val faults = reader.finish()
@@ -56,7 +56,7 @@
     homeRegions = homeRegions.sorted(),
 )
 
-private fun TenantSpec.sorted(): TenantSpec = copy(homeRegions = homeRegions.sorted())
+private fun WorkspaceSpec.sorted(): WorkspaceSpec = copy(homeRegions = homeRegions.sorted())
 
 private fun Set<RegionId>.sorted(): Set<RegionId> = sortedBy { it.value }.toSet()
 
@@ -64,6 +64,6 @@
 private const val FAILURE_DOMAIN = "failure-domain"
 private const val SERVICE = "service"
 private const val ROUTE = "route"
-private const val TENANT = "tenant"
+private const val WORKSPACE = "workspace"
 private const val TAKEN_OUT = "taken-out"
 private const val LIMITS = "limits"
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/DocumentWarnings.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/DocumentWarnings.kt
@@ -12,8 +12,10 @@
     val takenOut = document.takenOutRegions()
     if (takenOut.isEmpty()) return emptyList()
     val routes = document.routes.map { (id, route) -> "routes.$id.homeRegions" to route.homeRegions }
-    val tenants = document.tenants.map { (id, tenant) -> "tenants.$id.homeRegions" to tenant.homeRegions }
-    return (routes + tenants).flatMap { (path, homeRegions) ->
+    val workspaces = document.workspaces.map { (id, workspace) ->
+        "workspaces.$id.homeRegions" to workspace.homeRegions
+    }
+    return (routes + workspaces).flatMap { (path, homeRegions) ->
         homeRegions.filter { it in takenOut }.map { takenOutWarning(path, it) }
     }
 }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/Snapshot.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/Snapshot.kt
@@ -4,7 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import kingcuptide.coordination.process.FailureDomainId
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 
 /**
  * A valid document in the form in which requests use it. A request takes one snapshot and keeps it to its end.
@@ -26,8 +26,8 @@
      */
     public fun match(method: String, path: String): RouteMatch = index.match(method, path)
 
-    /** Returns the tenant, or null if the document does not have it. */
-    public fun tenant(id: TenantId): TenantSpec? = document.tenants[id]
+    /** Returns the workspace, or null if the document does not have it. */
+    public fun workspace(id: WorkspaceId): WorkspaceSpec? = document.workspaces[id]
 
     /** Whether operators have taken out [failureDomain]. */
     public fun isTakenOut(failureDomain: FailureDomainId): Boolean = failureDomain in document.takenOutFailureDomains
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ValidateDocument.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ValidateDocument.kt
@@ -18,7 +18,7 @@
     validateServices(document, collector)
     document.routes.forEach { (id, route) -> validateRoute(id, route, document, collector) }
     validatePrefixes(document.routes, collector)
-    validateTenants(document, collector)
+    validateWorkspaces(document, collector)
     validateLimits(document.limits, collector)
     return collector.faults
 }
@@ -111,11 +111,11 @@
     reason = "route $other has the same prefix for a method of this route",
 )
 
-private fun validateTenants(document: ConfigDocument, collector: FaultCollector) {
+private fun validateWorkspaces(document: ConfigDocument, collector: FaultCollector) {
     val known = document.regions()
-    for ((id, tenant) in document.tenants) {
-        collector.requireName("tenants.$id", id.value)
-        validateHomeRegions("tenants.$id.homeRegions", tenant.homeRegions, known, collector)
+    for ((id, workspace) in document.workspaces) {
+        collector.requireName("workspaces.$id", id.value)
+        validateHomeRegions("workspaces.$id.homeRegions", workspace.homeRegions, known, collector)
     }
 }
 
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ValidateHostList.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ValidateHostList.kt
@@ -19,14 +19,14 @@
 }
 
 /**
- * Compares [document] with [hostList] and returns, as warnings, the routes and tenants that have no live target where
+ * Compares [document] with [hostList] and returns, as warnings, the routes and workspaces that have no live target where
  * they must run, and the hosts that contradict the document about regions.
  *
  * A host list lags behind the truth, so nothing in it is a reason to refuse a document.
  */
 public fun validateAgainstHosts(document: ConfigDocument, hostList: HostList): List<DocumentFault> {
     val targets = LiveTargets(hostList)
-    return routeWarnings(document, targets) + tenantWarnings(document, targets) + hostWarnings(document, hostList)
+    return routeWarnings(document, targets) + workspaceWarnings(document, targets) + hostWarnings(document, hostList)
 }
 
 private fun validateHost(path: String, host: HostEntry, collector: FaultCollector) {
@@ -51,17 +51,20 @@
         }
     }
 
-private fun tenantWarnings(document: ConfigDocument, targets: LiveTargets): List<DocumentFault> {
+private fun workspaceWarnings(document: ConfigDocument, targets: LiveTargets): List<DocumentFault> {
     val unservedByHome = mutableMapOf<Set<RegionId>, List<String>>()
-    return document.tenants.mapNotNull { (id, tenant) ->
-        val home = tenant.homeRegions
+    return document.workspaces.mapNotNull { (id, workspace) ->
+        val home = workspace.homeRegions
         val unserved = unservedByHome.getOrPut(home) { unservedRoutes(document, home, targets) }
         if (unserved.isEmpty()) return@mapNotNull null
-        noTarget("tenants.$id.homeRegions", "no live target in the home regions for routes ${unserved.joinToString()}")
+        noTarget(
+            "workspaces.$id.homeRegions",
+            "no live target in the home regions for routes ${unserved.joinToString()}",
+        )
     }
 }
 
-/** Routes that a tenant with [home] could use if only there were a target in the regions that both allow. */
+/** Routes that a workspace with [home] could use if only there were a target in the regions that both allow. */
 private fun unservedRoutes(document: ConfigDocument, home: Set<RegionId>, targets: LiveTargets): List<String> {
     if (home.isEmpty()) return emptyList()
     return document.routes
--- a/coordination/src/test/kotlin/kingcuptide/coordination/connection/FrameSamples.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/connection/FrameSamples.kt
@@ -5,7 +5,7 @@
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.RouteId
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import kingcuptide.coordination.request.Outcome
 
 internal val sampleHead = RequestHead(
@@ -14,7 +14,7 @@
     remainingMs = 4_900,
     version = 1_234,
     route = RouteId("storting"),
-    tenant = TenantId("school-12"),
+    workspace = WorkspaceId("school-12"),
     method = "POST",
     pathAndQuery = "/storting/2024?class=3b",
     headers = List(8) { Header("X-Header-$it", "value $it of a header") },
@@ -30,7 +30,7 @@
     Stamp(42),
     StampRequest,
     sampleHead,
-    sampleHead.copy(tenant = null, keyHash = null, headers = emptyList()),
+    sampleHead.copy(workspace = null, keyHash = null, headers = emptyList()),
     BodyChunk(4_711, ByteArray(300) { it.toByte() }, last = true),
     BodyChunk(4_711, ByteArray(0), last = true),
     Window(4_711, MAX_CHUNK_BYTES),
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/HomeRegionCheckTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/HomeRegionCheckTest.kt
@@ -2,10 +2,10 @@
 
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.ServiceId
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import kingcuptide.coordination.version.ConfigDocument
 import kingcuptide.coordination.version.RouteSpec
-import kingcuptide.coordination.version.TenantSpec
+import kingcuptide.coordination.version.WorkspaceSpec
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -15,13 +15,13 @@
 internal class HomeRegionCheckTest {
     private val north = RegionId("north")
     private val south = RegionId("south")
-    private val tenant = TenantId("school")
+    private val workspace = WorkspaceId("school")
 
     @Nested
     inner class `Regions of a request` {
         @Test
-        fun `Given neither route nor tenant has a home, when asked, then it may be anywhere`() {
-            expectThat(homeOf(route = emptySet(), tenant = emptySet())).isEqualTo(HomeRegions.Anywhere)
+        fun `Given neither route nor workspace has a home, when asked, then it may be anywhere`() {
+            expectThat(homeOf(route = emptySet(), workspace = emptySet())).isEqualTo(HomeRegions.Anywhere)
         }
 
         @Test
@@ -31,15 +31,15 @@
         }
 
         @Test
-        fun `Given a tenant that the document does not have, when asked, then it is at home nowhere`() {
-            val home = homeRegionsOf(routeOf(emptySet()), TenantId("unknown"), ConfigDocument(version = 1))
+        fun `Given a workspace that the document does not have, when asked, then it is at home nowhere`() {
+            val home = homeRegionsOf(routeOf(emptySet()), WorkspaceId("unknown"), ConfigDocument(version = 1))
             expectThat(checkHomeRegion(north, home)).isEqualTo(HomeRegionCheck.Nowhere)
         }
 
-        private fun homeOf(route: Set<RegionId>, tenant: Set<RegionId>): HomeRegions {
-            val tenants = mapOf(this@HomeRegionCheckTest.tenant to TenantSpec(tenant))
-            val document = ConfigDocument(version = 1, tenants = tenants)
-            return homeRegionsOf(routeOf(route), this@HomeRegionCheckTest.tenant, document)
+        private fun homeOf(route: Set<RegionId>, workspace: Set<RegionId>): HomeRegions {
+            val workspaces = mapOf(this@HomeRegionCheckTest.workspace to WorkspaceSpec(workspace))
+            val document = ConfigDocument(version = 1, workspaces = workspaces)
+            return homeRegionsOf(routeOf(route), this@HomeRegionCheckTest.workspace, document)
         }
 
         private fun routeOf(homes: Set<RegionId>) =
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/HomeRegionsTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/HomeRegionsTest.kt
@@ -2,10 +2,10 @@
 
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.ServiceId
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import kingcuptide.coordination.version.ConfigDocument
 import kingcuptide.coordination.version.RouteSpec
-import kingcuptide.coordination.version.TenantSpec
+import kingcuptide.coordination.version.WorkspaceSpec
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -21,16 +21,16 @@
     private val document =
         ConfigDocument(
             version = 1,
-            tenants =
+            workspaces =
                 mapOf(
-                    TenantId("farm") to TenantSpec(),
-                    TenantId("both") to TenantSpec(setOf(north, south)),
-                    TenantId("southern") to TenantSpec(setOf(south)),
+                    WorkspaceId("farm") to WorkspaceSpec(),
+                    WorkspaceId("both") to WorkspaceSpec(setOf(north, south)),
+                    WorkspaceId("southern") to WorkspaceSpec(setOf(south)),
                 ),
         )
 
     @Nested
-    inner class `Given a route and a tenant` {
+    inner class `Given a route and a workspace` {
         @Test
         fun `when one of them is restricted, then it alone decides`() {
             expectThat(home(northern, null)).isEqualTo(HomeRegions.Only(setOf(north)))
@@ -58,11 +58,11 @@
         }
 
         @Test
-        fun `when the tenant is unknown, then nowhere is allowed`() {
+        fun `when the workspace is unknown, then nowhere is allowed`() {
             expectThat(checkHomeRegion(north, home(anywhere, "nobody"))).isEqualTo(HomeRegionCheck.Nowhere)
         }
     }
 
-    private fun home(route: RouteSpec, tenant: String?): HomeRegions =
-        homeRegionsOf(route, tenant?.let(::TenantId), document)
+    private fun home(route: RouteSpec, workspace: String?): HomeRegions =
+        homeRegionsOf(route, workspace?.let(::WorkspaceId), document)
 }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
@@ -135,6 +135,25 @@
         }
     }
 
+    @Nested
+    inner class `Figures at their limits` {
+        @Test
+        fun `Given runs that took no whole millisecond, when a target is picked, then there is one`() {
+            repeat(200) {
+                val picked = checkNotNull(picker.pick(all, request()))
+                picker.sent(picked.entry.id)
+                answered(picked, Duration.ZERO)
+            }
+            expectThat(picker.pick(all, request())).isEqualTo(own)
+        }
+
+        @Test
+        fun `Given a route without objective, when a target is picked, then there is one`() {
+            val hurried = PickRequest(ROUTE, Duration.ZERO, Duration.ZERO, Duration.ZERO, emptySet())
+            expectThat(picker.pick(all, hurried)).isEqualTo(own)
+        }
+    }
+
     private fun answered(target: KnownTarget, ran: Duration) =
         picker.answered(target.entry.id, ROUTE, 500.milliseconds, ran, sound = true)
 
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/WitnessViewTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/WitnessViewTest.kt
@@ -6,7 +6,7 @@
 import kingcuptide.coordination.process.HostList
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.RouteId
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import kingcuptide.coordination.version.FailureDomainSpec
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -20,7 +20,7 @@
         FailureDomainId("d$it") to FailureDomainSpec(RegionId(if (it <= 4) "north" else "south"))
     }
     private val entries = (1..70).map { hostEntry("h$it", "d${it % 7 + 1}", if (it % 7 < 4) "north" else "south") }
-    private val keys = (1..500).map { keyHash(TenantId("t"), RouteId("r"), "key$it") }
+    private val keys = (1..500).map { keyHash(WorkspaceId("t"), RouteId("r"), "key$it") }
 
     private fun domainOf(host: HostId?) = entries.first { it.host == host }.failureDomain
 
@@ -81,12 +81,12 @@
     }
 
     @Test
-    fun `Given tenant, route and key, when any differs, then the hash differs`() {
-        val hash = keyHash(TenantId("t"), RouteId("r"), "k")
+    fun `Given workspace, route and key, when any differs, then the hash differs`() {
+        val hash = keyHash(WorkspaceId("t"), RouteId("r"), "k")
 
         expectThat(hash.length).isEqualTo(32)
-        expectThat(hash).isNotEqualTo(keyHash(TenantId("u"), RouteId("r"), "k"))
-        expectThat(hash).isNotEqualTo(keyHash(TenantId("t"), RouteId("s"), "k"))
-        expectThat(hash).isNotEqualTo(keyHash(TenantId("t"), RouteId("r"), "l"))
+        expectThat(hash).isNotEqualTo(keyHash(WorkspaceId("u"), RouteId("r"), "k"))
+        expectThat(hash).isNotEqualTo(keyHash(WorkspaceId("t"), RouteId("s"), "k"))
+        expectThat(hash).isNotEqualTo(keyHash(WorkspaceId("t"), RouteId("r"), "l"))
     }
 }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/DocumentContentTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/DocumentContentTest.kt
@@ -35,7 +35,7 @@
                     document.copy(version = 2),
                     document.copy(takenOutFailureDomains = emptySet()),
                     document.copy(limits = FleetLimits(quarantineMs = 5_000)),
-                    document.copy(tenants = document.tenants - document.tenants.keys.first()),
+                    document.copy(workspaces = document.workspaces - document.workspaces.keys.first()),
                 )
             for (other in changed) {
                 expectThat(other.toContent().version.digest).isNotEqualTo(document.toContent().version.digest)
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/ExampleDocumentsTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/ExampleDocumentsTest.kt
@@ -72,7 +72,7 @@
                     FailureDomainSpec.serializer(),
                     ServiceSpec.serializer(),
                     RouteSpec.serializer(),
-                    TenantSpec.serializer(),
+                    WorkspaceSpec.serializer(),
                     FleetLimits.serializer(),
                     HostList.serializer(),
                     HostEntry.serializer(),
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/FindDocumentFaultsTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/FindDocumentFaultsTest.kt
@@ -26,7 +26,7 @@
                     .replace("\"slots\": 10", "\"slots\": 0")
                     .replace("\"timeoutMs\": 100", "\"timeoutMs\": \"100\"")
                     .replace("\"/a\", \"methods\": [\"GET\"]", "\"a\"")
-                    .replace("\"tenants\"", "\"colour\": 1, \"tenants\"")
+                    .replace("\"workspaces\"", "\"colour\": 1, \"workspaces\"")
                     .replace("\"maxRetries\": 1", "\"maxRetries\": 9, \"retries\": 1")
             expectThat(find(broken)).containsExactlyInAnyOrder(
                 ResultCode.DOCUMENT_UNKNOWN_FIELD to "colour",
@@ -51,7 +51,7 @@
                 ResultCode.DOCUMENT_UNREADABLE to "services.parcels.slots",
                 ResultCode.DOCUMENT_BROKEN_REFERENCE to "routes.a.service",
                 ResultCode.DOCUMENT_UNREADABLE to "routes.b.timeoutMs",
-                ResultCode.DOCUMENT_BROKEN_REFERENCE to "tenants.t.homeRegions",
+                ResultCode.DOCUMENT_BROKEN_REFERENCE to "workspaces.t.homeRegions",
             )
         }
     }
@@ -89,7 +89,7 @@
                 "a": {"service": "parcels", "pathPrefix": "/a", "methods": ["GET"]},
                 "b": {"service": "parcels", "pathPrefix": "/a", "methods": ["PUT"], "timeoutMs": 100, "maxRetries": 1}
               },
-              "tenants": {"t": {"homeRegions": ["north"]}}
+              "workspaces": {"t": {"homeRegions": ["north"]}}
             }
             """.trimIndent()
     }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/PayloadPackingTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/PayloadPackingTest.kt
@@ -64,7 +64,7 @@
         @Test
         fun `when they are mutated, then decoding never throws`() {
             val small = sampleDocument().toContent()
-            val delta = small.deltaTo(sampleDocument(2).copy(tenants = emptyMap()).toContent())
+            val delta = small.deltaTo(sampleDocument(2).copy(workspaces = emptyMap()).toContent())
             val random = Random(SEED)
             println("seed=$SEED")
             repeat(ROUNDS) {
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/ReadDocumentTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/ReadDocumentTest.kt
@@ -39,7 +39,7 @@
                   "colour": 1,
                   "services": {"parcels": {"slots": 99999999999, "maxConnections": 5, "slot": 1}},
                   "routes": {"lookup": {"pathPrefix": "/parcels", "methods": ["GET", 5]}},
-                  "tenants": []
+                  "workspaces": []
                 }
                 """
             expectThat(faultsOf(text)).containsExactlyInAnyOrder(
@@ -49,7 +49,7 @@
                 ResultCode.DOCUMENT_UNKNOWN_FIELD to "services.parcels.slot",
                 ResultCode.DOCUMENT_UNREADABLE to "routes.lookup.service",
                 ResultCode.DOCUMENT_UNREADABLE to "routes.lookup.methods[1]",
-                ResultCode.DOCUMENT_UNREADABLE to "tenants",
+                ResultCode.DOCUMENT_UNREADABLE to "workspaces",
             )
         }
 
@@ -69,9 +69,9 @@
 
         @Test
         fun `when a field or entry stands twice, then it is unreadable`() {
-            val text = """{"version": 1, "tenants": {"a": {}, "\u0061": {}}, "version": 2}"""
+            val text = """{"version": 1, "workspaces": {"a": {}, "\u0061": {}}, "version": 2}"""
             expectThat(faultsOf(text)).containsExactlyInAnyOrder(
-                ResultCode.DOCUMENT_UNREADABLE to "tenants.a",
+                ResultCode.DOCUMENT_UNREADABLE to "workspaces.a",
                 ResultCode.DOCUMENT_UNREADABLE to "version",
             )
         }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/SampleDocuments.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/SampleDocuments.kt
@@ -8,7 +8,7 @@
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.process.ServiceId
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import kotlin.random.Random
 
 internal val NORTH = RegionId("north")
@@ -32,11 +32,11 @@
             RouteId("book") to
                 RouteSpec(PARCELS, "/parcels/visits", methods = setOf("POST"), homeRegions = setOf(NORTH)),
         ),
-    tenants =
+    workspaces =
         mapOf(
-            TenantId("farm") to TenantSpec(),
-            TenantId("north-farm") to TenantSpec(setOf(NORTH)),
-            TenantId("south-farm") to TenantSpec(setOf(SOUTH)),
+            WorkspaceId("farm") to WorkspaceSpec(),
+            WorkspaceId("north-farm") to WorkspaceSpec(setOf(NORTH)),
+            WorkspaceId("south-farm") to WorkspaceSpec(setOf(SOUTH)),
         ),
 )
 
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/SnapshotTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/SnapshotTest.kt
@@ -4,7 +4,7 @@
 import com.github.michaelbull.result.unwrap
 import kingcuptide.coordination.process.FailureDomainId
 import kingcuptide.coordination.process.RouteId
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -121,9 +121,9 @@
         }
 
         @Test
-        fun `when a tenant is not in it, then the snapshot has none`() {
-            expectThat(snapshot.tenant(TenantId("nobody"))).isNull()
-            expectThat(snapshot.tenant(TenantId("farm"))).isEqualTo(TenantSpec())
+        fun `when a workspace is not in it, then the snapshot has none`() {
+            expectThat(snapshot.workspace(WorkspaceId("nobody"))).isNull()
+            expectThat(snapshot.workspace(WorkspaceId("farm"))).isEqualTo(WorkspaceSpec())
         }
     }
 }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/ValidateDocumentTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/ValidateDocumentTest.kt
@@ -7,7 +7,7 @@
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.process.ServiceId
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -32,13 +32,13 @@
                     routes = mapOf(
                         RouteId("r") to RouteSpec(ServiceId("gone"), "/r", homeRegions = setOf(nowhere, NORTH)),
                     ),
-                    tenants = mapOf(TenantId("t") to TenantSpec(setOf(nowhere))),
+                    workspaces = mapOf(WorkspaceId("t") to WorkspaceSpec(setOf(nowhere))),
                 )
             expectThat(findings(validateDocument(document))).containsExactlyInAnyOrder(
                 ResultCode.DOCUMENT_BROKEN_REFERENCE to "takenOutFailureDomains",
                 ResultCode.DOCUMENT_BROKEN_REFERENCE to "routes.r.service",
                 ResultCode.DOCUMENT_BROKEN_REFERENCE to "routes.r.homeRegions",
-                ResultCode.DOCUMENT_BROKEN_REFERENCE to "tenants.t.homeRegions",
+                ResultCode.DOCUMENT_BROKEN_REFERENCE to "workspaces.t.homeRegions",
             )
         }
     }
@@ -88,12 +88,12 @@
         fun `when they are in version, names and limits, then each is named`() {
             val document =
                 sampleDocument(version = 0).copy(
-                    tenants = mapOf(TenantId("a/b") to TenantSpec()),
+                    workspaces = mapOf(WorkspaceId("a/b") to WorkspaceSpec()),
                     limits = FleetLimits(quarantineMs = 86_400_001),
                 )
             expectThat(findings(validateDocument(document))).containsExactlyInAnyOrder(
                 outOfRange("version"),
-                outOfRange("tenants.a/b"),
+                outOfRange("workspaces.a/b"),
                 outOfRange("limits.quarantineMs"),
             )
         }
@@ -141,7 +141,7 @@
             expectThat(validateDocument(document)).isEmpty()
             expectThat(documentWarnings(document).map { it.severity }).isEqualTo(listOf(Severity.WARNING))
             expectThat(findings(documentWarnings(document))).isEqualTo(
-                listOf(ResultCode.HOME_REGION_TAKEN_OUT to "tenants.south-farm.homeRegions"),
+                listOf(ResultCode.HOME_REGION_TAKEN_OUT to "workspaces.south-farm.homeRegions"),
             )
         }
 
@@ -159,7 +159,7 @@
         }
 
         @Test
-        fun `when a region has only leaving targets, then routes and tenants bound to it are warned of`() {
+        fun `when a region has only leaving targets, then routes and workspaces bound to it are warned of`() {
             val hosts = sampleHostList().hosts.map {
                 if (it.region ==
                     NORTH
@@ -172,7 +172,7 @@
             val warnings = validateAgainstHosts(sampleDocument(), sampleHostList().copy(hosts = hosts))
             expectThat(findings(warnings)).containsExactlyInAnyOrder(
                 ResultCode.NO_TARGET_IN_HOME_REGION to "routes.book.homeRegions",
-                ResultCode.NO_TARGET_IN_HOME_REGION to "tenants.north-farm.homeRegions",
+                ResultCode.NO_TARGET_IN_HOME_REGION to "workspaces.north-farm.homeRegions",
             )
             expectThat(warnings.map { it.severity }.toSet()).isEqualTo(setOf(Severity.WARNING))
         }
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/AdminHandler.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/AdminHandler.kt
@@ -7,7 +7,7 @@
 import io.ktor.server.response.respondText
 import kingcuptide.coordination.process.ExplainReport
 import kingcuptide.coordination.process.StatusReport
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import kingcuptide.coordination.version.ResourceKind
 import kotlinx.serialization.SerializationStrategy
 import kotlinx.serialization.builtins.ListSerializer
@@ -58,7 +58,11 @@
         if (method == null || path == null) {
             return call.respondText("method and path are required\n", status = HttpStatusCode.BadRequest)
         }
-        respondJson(call, ExplainReport.serializer(), explainer.explain(method, path, query["tenant"]?.let(::TenantId)))
+        respondJson(
+            call,
+            ExplainReport.serializer(),
+            explainer.explain(method, path, query["workspace"]?.let(::WorkspaceId)),
+        )
     }
 
     private suspend fun respondRejected(call: ApplicationCall) {
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/Daemon.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/Daemon.kt
@@ -49,9 +49,6 @@
 import kingcuptide.daemon.version.validDocument
 import kingcuptide.daemon.version.validHostList
 import kingcuptide.forwarder.process.eventLog
-import kotlin.random.Random
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -60,6 +57,9 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** One kingcuptide daemon: everything that lives as long as the process. */
 class Daemon(
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/Explainer.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/Explainer.kt
@@ -5,7 +5,7 @@
 import kingcuptide.coordination.process.HostId
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.ResultCode
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import kingcuptide.coordination.process.toReportedCode
 import kingcuptide.coordination.request.ChoiceRequest
 import kingcuptide.coordination.request.HomeRegionCheck
@@ -24,22 +24,22 @@
     private val chooser: TargetChooser,
     private val snapshot: () -> Snapshot?,
 ) {
-    fun explain(method: String, path: String, tenant: TenantId?): ExplainReport {
+    fun explain(method: String, path: String, workspace: WorkspaceId?): ExplainReport {
         val current = snapshot() ?: return refused(ResultCode.NO_CONFIGURATION, version = null)
         return when (val match = current.match(method, path)) {
-            is RouteMatch.Found -> explainFound(current, match, tenant)
+            is RouteMatch.Found -> explainFound(current, match, workspace)
             is RouteMatch.MethodNotAllowed -> refused(ResultCode.METHOD_NOT_ALLOWED, current.version)
             RouteMatch.UnknownRoute -> refused(ResultCode.UNKNOWN_ROUTE, current.version)
         }
     }
 
-    private fun explainFound(current: Snapshot, match: RouteMatch.Found, tenant: TenantId?): ExplainReport {
-        val home = homeRegionsOf(match.route, tenant, current.document)
+    private fun explainFound(current: Snapshot, match: RouteMatch.Found, workspace: WorkspaceId?): ExplainReport {
+        val home = homeRegionsOf(match.route, workspace, current.document)
         val choice = ChoiceRequest(match.route.service, match.service.slots, home, current::isTakenOut)
         return ExplainReport(
             answeredBy = host,
             version = current.version,
-            refusal = refusalOf(current, match, tenant, home)?.toReportedCode(),
+            refusal = refusalOf(current, match, workspace, home)?.toReportedCode(),
             route = match.routeId,
             service = match.route.service,
             repeatable = match.repeatable,
@@ -51,12 +51,12 @@
     private fun refusalOf(
         current: Snapshot,
         match: RouteMatch.Found,
-        tenant: TenantId?,
+        workspace: WorkspaceId?,
         home: HomeRegions,
     ): ResultCode? =
         when {
-            tenant == null && match.route.tenantRequired -> ResultCode.TENANT_MISSING
-            tenant != null && current.tenant(tenant) == null -> ResultCode.UNKNOWN_TENANT
+            workspace == null && match.route.workspaceRequired -> ResultCode.WORKSPACE_MISSING
+            workspace != null && current.workspace(workspace) == null -> ResultCode.UNKNOWN_WORKSPACE
             checkHomeRegion(region, home) != HomeRegionCheck.Allowed -> ResultCode.WRONG_REGION
             else -> null
         }
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/TargetWatcher.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/TargetWatcher.kt
@@ -4,8 +4,8 @@
 import kingcuptide.coordination.request.AdmissionGate
 import kingcuptide.daemon.request.TargetClient
 import kingcuptide.forwarder.process.eventLog
-import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.delay
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Asks after the target's health. Only a target that comes back from being down counts for something: the gate's ramp
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryHandler.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryHandler.kt
@@ -200,14 +200,14 @@
             remainingMs = 0,
             version = request.snapshot.version,
             route = request.routeId,
-            tenant = request.tenant,
+            workspace = request.workspace,
             method = request.method,
             pathAndQuery = request.pathAndQuery,
             headers = call.request.headers.endToEnd(),
             repeatable = request.repeatable,
             keyHash = request.idempotencyKey?.takeUnless {
                 request.repeatable
-            }?.let { keyHash(request.tenant, request.routeId, it) },
+            }?.let { keyHash(request.workspace, request.routeId, it) },
             hasBody = body.isPresent,
         )
 
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryRequest.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryRequest.kt
@@ -13,7 +13,7 @@
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.RouteId
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import kingcuptide.coordination.request.HomeRegionCheck
 import kingcuptide.coordination.request.HomeRegions
 import kingcuptide.coordination.request.MAX_IDEMPOTENCY_KEY_CHARS
@@ -31,7 +31,7 @@
     val routeId: RouteId,
     val route: RouteSpec,
     val slots: Int,
-    val tenant: TenantId?,
+    val workspace: WorkspaceId?,
     val home: HomeRegions,
     val method: String,
     val pathAndQuery: String,
@@ -60,9 +60,9 @@
             is RouteMatch.MethodNotAllowed -> return refused(ResultCode.METHOD_NOT_ALLOWED)
             RouteMatch.UnknownRoute -> return refused(ResultCode.UNKNOWN_ROUTE)
         }
-    val tenant = call.request.headers[KingcuptideHeaders.TENANT]?.let(::TenantId)
-    tenantFault(tenant, found.route, snapshot)?.let { return refused(it) }
-    val home = homeRegionsOf(found.route, tenant, snapshot.document)
+    val workspace = call.request.headers[KingcuptideHeaders.WORKSPACE]?.let(::WorkspaceId)
+    workspaceFault(workspace, found.route, snapshot)?.let { return refused(it) }
+    val home = homeRegionsOf(found.route, workspace, snapshot.document)
     val elsewhere = checkHomeRegion(region, home)
     if (elsewhere is HomeRegionCheck.Elsewhere) return Err(EntryRefusal(ResultCode.WRONG_REGION, elsewhere.regions))
     if (elsewhere is HomeRegionCheck.Nowhere) return refused(ResultCode.WRONG_REGION)
@@ -76,7 +76,7 @@
             routeId = found.routeId,
             route = found.route,
             slots = found.service.slots,
-            tenant = tenant,
+            workspace = workspace,
             home = home,
             method = method,
             pathAndQuery = call.request.uri,
@@ -87,10 +87,10 @@
     )
 }
 
-private fun tenantFault(tenant: TenantId?, route: RouteSpec, snapshot: Snapshot): ResultCode? =
+private fun workspaceFault(workspace: WorkspaceId?, route: RouteSpec, snapshot: Snapshot): ResultCode? =
     when {
-        tenant == null -> ResultCode.TENANT_MISSING.takeIf { route.tenantRequired }
-        snapshot.tenant(tenant) == null -> ResultCode.UNKNOWN_TENANT
+        workspace == null -> ResultCode.WORKSPACE_MISSING.takeIf { route.workspaceRequired }
+        snapshot.workspace(workspace) == null -> ResultCode.UNKNOWN_WORKSPACE
         else -> null
     }
 
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/GateHandler.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/GateHandler.kt
@@ -43,7 +43,7 @@
     suspend fun handle(exchange: GateExchange) {
         val document = snapshot()?.document ?: return refuse(exchange, ResultCode.NO_CONFIGURATION)
         val route = document.routes[exchange.head.route] ?: return refuse(exchange, ResultCode.VERSION_BEHIND)
-        val home = homeRegionsOf(route, exchange.head.tenant, document)
+        val home = homeRegionsOf(route, exchange.head.workspace, document)
         if (checkHomeRegion(region, home) != HomeRegionCheck.Allowed) return refuse(exchange, ResultCode.WRONG_REGION)
         val body = exchange.body?.let { StartedBody(it, exchange) }
         val fingerprint = fingerprintOf(exchange.head, body?.first() ?: ByteArray(0), home)
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/HeaderRules.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/HeaderRules.kt
@@ -6,8 +6,8 @@
 
 /** Names of the headers that kingcuptide reads or writes. */
 object KingcuptideHeaders {
-    /** Caller's tenant. */
-    const val TENANT = "Kingcuptide-Tenant"
+    /** Caller's workspace. */
+    const val WORKSPACE = "Kingcuptide-Workspace"
 
     /** Time the caller will wait, in milliseconds; also sent on to the target, as the time left. */
     const val TIMEOUT_MS = "Kingcuptide-Timeout-Ms"
--- a/daemon/src/test/kotlin/kingcuptide/daemon/request/RequestHeads.kt
+++ b/daemon/src/test/kotlin/kingcuptide/daemon/request/RequestHeads.kt
@@ -11,7 +11,7 @@
         remainingMs = 5_000,
         version = 1,
         route = RouteId("parcels"),
-        tenant = null,
+        workspace = null,
         method = method,
         pathAndQuery = "/parcels/1",
         headers = emptyList(),
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
@@ -20,6 +20,7 @@
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.version.CallerLimits
 import kingcuptide.forwarder.process.eventLog
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
@@ -156,11 +157,27 @@
                 clock.now(),
                 fromTarget,
             )
-        val serving = scope.launch { answer(serve(callerRequest), keepAlive) }
+        val serving = scope.launch { answer(served(callerRequest), keepAlive) }
         if (serving.isActive) job = serving
         if (!serving.isActive) served()
     }
 
+    /** A fault of this daemon is answered like any other lost request: it may have run. */
+    private suspend fun served(request: CallerRequest): HttpAnswer =
+        try {
+            serve(request)
+        } catch (exception: IllegalStateException) {
+            faulty(request, exception)
+        } catch (exception: IllegalArgumentException) {
+            faulty(request, exception)
+        }
+
+    private fun faulty(request: CallerRequest, exception: RuntimeException): HttpAnswer {
+        if (exception is CancellationException) throw exception
+        log.error("request_faulty", exception, "method" to request.method, "path" to request.path)
+        return HttpAnswer(ResultCode.ANSWER_LOST.httpStatus, emptyList(), NO_BYTES)
+    }
+
     private fun answer(answer: HttpAnswer, keepAlive: Boolean) {
         val stays = keepAlive && !closesAfterAnswer
         val response = responseOf(answer, stays)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/EventLog.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/EventLog.kt
@@ -20,6 +20,11 @@
         if (logger.isWarnEnabled) limited(event, fields)?.let(logger::warn)
     }
 
+    /** Writes the line with the stack of [cause], which is a fault of the program. */
+    fun error(event: String, cause: Throwable, vararg fields: Pair<String, Any?>) {
+        limited(event, fields)?.let { logger.error(it, cause) }
+    }
+
     fun debug(event: String, vararg fields: Pair<String, Any?>) {
         if (logger.isDebugEnabled) limited(event, fields)?.let(logger::debug)
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -41,6 +41,7 @@
 import kingcuptide.forwarder.version.SharedState
 import kingcuptide.forwarder.version.Source
 import kingcuptide.forwarder.version.SourceFollower
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.delay
@@ -70,7 +71,7 @@
     random: Random,
 ) {
     private var settings = firstSettings
-    private val scope = CoroutineScope(SupervisorJob() + LoopDispatcher(loop))
+    private val scope = CoroutineScope(SupervisorJob() + LoopDispatcher(loop) + faultHandler)
     private val picture = FleetPicture(clock, parts.decoder, BeliefLog())
     private val duty = ReaderDuty(settings.host.value)
     private val gate = TargetGate(clock)
@@ -169,7 +170,7 @@
 
     private suspend fun repeat(interval: Duration, action: () -> Unit) {
         while (true) {
-            action()
+            runCatching(action).onFailure { log.error("task_failed", it) }
             delay(interval.inWholeMilliseconds)
         }
     }
@@ -352,6 +353,9 @@
         val LAST_BYTES = 100.milliseconds
         val log = eventLog("daemon")
 
+        /** A task that fails is a fault of the program; it ends alone and is told. */
+        val faultHandler = CoroutineExceptionHandler { _, cause -> log.error("task_failed", cause) }
+
         fun addressOf(address: String): InetSocketAddress =
             InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
     }
--- a/system-tests/src/test/kotlin/kingcuptide/systemtests/BadInputTest.kt
+++ b/system-tests/src/test/kotlin/kingcuptide/systemtests/BadInputTest.kt
@@ -26,13 +26,13 @@
     fun stop() = fleet.close()
 
     @Nested
-    inner class `Given a request that no route or tenant fits` {
+    inner class `Given a request that no route or workspace fits` {
         @Test
         fun `when the route is unknown, then the answer is 404 with code 101`() = expectRefusal("/nowhere", 404, 101)
 
         @Test
-        fun `when the tenant is unknown, then the answer is 403 with code 102`() =
-            expectRefusal("/parcels/1", 403, 102, "Kingcuptide-Tenant" to "nobody")
+        fun `when the workspace is unknown, then the answer is 403 with code 102`() =
+            expectRefusal("/parcels/1", 403, 102, "Kingcuptide-Workspace" to "nobody")
 
         @Test
         fun `when the timeout is no number, then the answer is 400 with code 108`() =
--- a/system-tests/src/test/kotlin/kingcuptide/systemtests/RequestFaultsTest.kt
+++ b/system-tests/src/test/kotlin/kingcuptide/systemtests/RequestFaultsTest.kt
@@ -56,13 +56,13 @@
     }
 
     @Nested
-    inner class `Given a tenant whose home is the south` {
+    inner class `Given a workspace whose home is the south` {
         @Test
         fun `when its request comes to the north, then it is refused before anything runs, with its home named`() {
             val answer = fleet.post(
                 fleet.entryUrl(entry, "/parcels/1"),
                 "{}",
-                "Kingcuptide-Tenant" to "southern",
+                "Kingcuptide-Workspace" to "southern",
                 "Request-Id" to "home",
             )
             expectThat(answer.statusCode()).isEqualTo(421)
@@ -77,7 +77,7 @@
                 val answer = fleet.post(
                     fleet.entryUrl(southParcels, "/parcels/1"),
                     "{}",
-                    "Kingcuptide-Tenant" to "southern",
+                    "Kingcuptide-Workspace" to "southern",
                     "Request-Id" to "s$it",
                 )
                 expectThat(answer.statusCode()).isEqualTo(200)
--- a/system-tests/src/test/kotlin/kingcuptide/systemtests/SmallFleet.kt
+++ b/system-tests/src/test/kotlin/kingcuptide/systemtests/SmallFleet.kt
@@ -5,11 +5,11 @@
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.process.ServiceId
-import kingcuptide.coordination.process.TenantId
+import kingcuptide.coordination.process.WorkspaceId
 import kingcuptide.coordination.version.ConfigDocument
 import kingcuptide.coordination.version.RouteSpec
 import kingcuptide.coordination.version.ServiceSpec
-import kingcuptide.coordination.version.TenantSpec
+import kingcuptide.coordination.version.WorkspaceSpec
 import kingcuptide.standins.fleet.DomainShape
 import kingcuptide.standins.fleet.FleetShape
 import kingcuptide.standins.fleet.LocalFleet
@@ -36,7 +36,7 @@
                 RouteId("parcels") to RouteSpec(PARCELS, "/parcels"),
                 RouteId("dispatch") to RouteSpec(DISPATCH, "/dispatch"),
             ),
-        tenants = mapOf(TenantId("southern") to TenantSpec(setOf(SOUTH))),
+        workspaces = mapOf(WorkspaceId("southern") to WorkspaceSpec(setOf(SOUTH))),
     )
 
 /** Three failure domains in two regions: parcels in the first and third, dispatch in the second. */
