--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/RunTimes.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/RunTimes.kt
@@ -4,9 +4,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Moving averages of how long requests of each route run. Used from one thread. */
+/** Moving averages of how long requests of each route run, and how long their answers are. Used from one thread. */
 public class RunTimes {
     private val averages = LinkedHashMap<RouteId, Duration>()
+    private val averageBytes = LinkedHashMap<RouteId, Double>()
 
     /** Records that a request of [route] ran for [took]. */
     public fun record(route: RouteId, took: Duration) {
@@ -19,7 +20,20 @@
     public fun expected(route: RouteId, objective: Duration): Duration =
         maxOf(averages[route] ?: (objective / 3), SHORTEST)
 
+    /** Records that an answer of [route] had [bytes]. */
+    public fun recordBytes(route: RouteId, bytes: Int) {
+        val held = averageBytes.remove(route) ?: bytes.toDouble()
+        averageBytes[route] = held + (bytes - held) * SMOOTHING
+        if (averageBytes.size > MAX_ROUTES) averageBytes.remove(averageBytes.keys.first())
+    }
+
+    /** Returns the average length of an answer of [route]; a usual one while none is known. */
+    public fun expectedBytes(route: RouteId): Double = averageBytes[route] ?: USUAL_ANSWER_BYTES
+
     private companion object {
+        /** Length of an answer of which nothing is known. */
+        const val USUAL_ANSWER_BYTES = 3_000.0
+
         const val SMOOTHING = 0.1
 
         /** Run times come in whole milliseconds, and are divided by. */
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -80,7 +80,14 @@
     }
 
     /** A request ended with the target's own answer after running [ran]; [sound] says whether it did its work. */
-    public fun answered(id: TargetId, route: RouteId, objective: Duration, ran: Duration, sound: Boolean) {
+    public fun answered(
+        id: TargetId,
+        route: RouteId,
+        objective: Duration,
+        ran: Duration,
+        bytes: Int,
+        sound: Boolean,
+    ) {
         val record = recordOf(id)
         record.outstanding--
         noteFailure(record, if (sound) 0.0 else 1.0)
@@ -89,6 +96,7 @@
         val ratio = (ran / usual).coerceIn(MIN_RATIO, MAX_RATIO)
         record.slowness += (ratio - record.slowness) * SMOOTHING
         runTimes.record(route, ran)
+        runTimes.recordBytes(route, bytes)
     }
 
     /** A gate refused a request before it ran: its target is full, cold or closed. */
@@ -138,8 +146,10 @@
         val onTime = chanceBefore(finish, request.untilObjective)
         val atAll = chanceBefore(finish, request.untilDeadline)
         val credit = onTime * (1 - LATE_WORTH) + atAll * LATE_WORTH
-        return credit * (1 - failuresOf(record, now)).pow(FAILURE_SHARPNESS) - way.cost -
-            finish / maxOf(request.objective, SHORTEST_OBJECTIVE) * HURRY
+        val sound = credit * (1 - failuresOf(record, now)).pow(FAILURE_SHARPNESS)
+        val bytes = runTimes.expectedBytes(request.route) + HEAD_BYTES
+        val hurry = finish / maxOf(request.objective, SHORTEST_OBJECTIVE) * HURRY
+        return sound - way.costPerByte * bytes - hurry
     }
 
     private fun waitAt(target: KnownTarget, record: TargetRecord, run: Duration, now: Duration): Duration {
@@ -167,15 +177,18 @@
     private fun recordOf(id: TargetId): TargetRecord =
         records.getOrPut(id) { TargetRecord().also { it.firstSeenAt = clock.now() } }
 
-    /** The way to a target: its usual time, and its cost as a share of a request's worth. */
-    private enum class Way(val roundTrip: Duration, val cost: Double) {
+    /** The way to a target: its usual time, and what a byte on it costs as a share of a request's worth. */
+    private enum class Way(val roundTrip: Duration, val costPerByte: Double) {
         SAME_DOMAIN(1.milliseconds, 0.0),
-        SAME_REGION(3.milliseconds, 0.08),
-        OTHER_REGION(25.milliseconds, 0.35),
+        SAME_REGION(3.milliseconds, 2e-5),
+        OTHER_REGION(25.milliseconds, 8e-5),
     }
 
     private companion object {
         const val TIE_BREAK = 0.02
+
+        /** Bytes of a request and of both heads, beside the answer's body. */
+        const val HEAD_BYTES = 500.0
         const val SMOOTHING = 0.1
         const val FAILURE_SMOOTHING = 0.15
         const val FAILURE_SHARPNESS = 1.5
--- a/daemon/src/main/kotlin/kingcuptide/daemon/connection/ControlTransport.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/connection/ControlTransport.kt
@@ -20,8 +20,8 @@
 import kingcuptide.coordination.connection.Outbound
 import kingcuptide.coordination.process.HostId
 import kingcuptide.coordination.process.RegionId
-import kingcuptide.daemon.process.DaemonMetrics
-import kingcuptide.daemon.process.Direction
+import kingcuptide.forwarder.process.DaemonMetrics
+import kingcuptide.forwarder.process.Direction
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/AdminHandler.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/AdminHandler.kt
@@ -9,6 +9,7 @@
 import kingcuptide.coordination.process.StatusReport
 import kingcuptide.coordination.process.WorkspaceId
 import kingcuptide.coordination.version.ResourceKind
+import kingcuptide.forwarder.process.DaemonMetrics
 import kotlinx.serialization.SerializationStrategy
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/Daemon.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/Daemon.kt
@@ -48,6 +48,7 @@
 import kingcuptide.daemon.version.SourceCaller
 import kingcuptide.daemon.version.validDocument
 import kingcuptide.daemon.version.validHostList
+import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.eventLog
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/MeteredRequestCounters.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/MeteredRequestCounters.kt
@@ -5,6 +5,7 @@
 import kingcuptide.coordination.request.LimitCutReason
 import kingcuptide.coordination.request.RequestCounters
 import kingcuptide.coordination.request.Verdict
+import kingcuptide.forwarder.process.DaemonMetrics
 
 /** Turns what the request decisions count into metrics. Refusals and retries are counted where they are answered. */
 class MeteredRequestCounters(
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/WatchDecisions.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/WatchDecisions.kt
@@ -3,6 +3,7 @@
 import kingcuptide.coordination.connection.KeyRefusalReason
 import kingcuptide.coordination.version.ResourceKind
 import kingcuptide.coordination.version.VersionEvent
+import kingcuptide.forwarder.process.DaemonMetrics
 import kotlin.time.DurationUnit
 
 /** Shows in [metrics] what the control decisions count themselves. */
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryHandler.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/EntryHandler.kt
@@ -38,8 +38,8 @@
 import kingcuptide.daemon.connection.AttemptResult
 import kingcuptide.daemon.connection.BodyBrokenException
 import kingcuptide.daemon.connection.PeerLinks
-import kingcuptide.daemon.process.DaemonMetrics
-import kingcuptide.daemon.process.Side
+import kingcuptide.forwarder.process.DaemonMetrics
+import kingcuptide.forwarder.process.Side
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/GateHandler.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/GateHandler.kt
@@ -19,8 +19,8 @@
 import kingcuptide.coordination.request.homeRegionsOf
 import kingcuptide.coordination.version.Snapshot
 import kingcuptide.daemon.connection.GateExchange
-import kingcuptide.daemon.process.DaemonMetrics
-import kingcuptide.daemon.process.Side
+import kingcuptide.forwarder.process.DaemonMetrics
+import kingcuptide.forwarder.process.Side
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
--- a/daemon/src/main/kotlin/kingcuptide/daemon/version/SourceCaller.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/version/SourceCaller.kt
@@ -12,7 +12,7 @@
 import kingcuptide.coordination.version.readDocument
 import kingcuptide.coordination.version.readHostList
 import kingcuptide.coordination.version.toContent
-import kingcuptide.daemon.process.DaemonMetrics
+import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.eventLog
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
--- a/daemon/src/test/kotlin/kingcuptide/daemon/connection/ControlTransportTest.kt
+++ b/daemon/src/test/kotlin/kingcuptide/daemon/connection/ControlTransportTest.kt
@@ -8,8 +8,8 @@
 import kingcuptide.coordination.process.FailureDomainId
 import kingcuptide.coordination.process.HostId
 import kingcuptide.coordination.process.RegionId
-import kingcuptide.daemon.process.DaemonMetrics
 import kingcuptide.daemon.process.SeedPeer
+import kingcuptide.forwarder.process.DaemonMetrics
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
@@ -1,5 +1,6 @@
 package kingcuptide.forwarder.connection
 
+import java.util.Locale
 import kotlin.time.Duration
 
 /** Headers in order, names as they came. */
@@ -8,6 +9,32 @@
 /** Returns the first value of [name], or null. */
 fun Headers.first(name: String): String? = firstOrNull { it.first.equals(name, ignoreCase = true) }?.second
 
+/** Returns those that concern more than one connection. */
+fun endToEnd(headers: Headers): Headers {
+    val named =
+        headers
+            .filter { it.first.equals("Connection", ignoreCase = true) }
+            .flatMap { it.second.split(',') }
+            .map { it.trim().lowercase(Locale.ROOT) }
+    return headers.filter { (name, _) ->
+        val lower = name.lowercase(Locale.ROOT)
+        lower !in ONE_CONNECTION && lower !in named
+    }
+}
+
+private val ONE_CONNECTION =
+    setOf(
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    )
+
 /** A request as it is sent. [headers] frame no body: that is done when it is written. */
 class HttpCall(
     val method: String,
--- /dev/null
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/DaemonMetrics.kt
@@ -0,0 +1,133 @@
+package kingcuptide.forwarder.process
+
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.DistributionSummary
+import io.micrometer.core.instrument.FunctionCounter
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kingcuptide.coordination.process.ResultCode
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** All counters of the daemon, as Prometheus text. Names end in their unit; each refusal and retry has its code. */
+class DaemonMetrics {
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val counters = ConcurrentHashMap<CounterKey, Counter>()
+    private val addedLatency = histogram("kingcuptide_request_duration_ms")
+    private val gateWait = histogram("kingcuptide_gate_wait_ms")
+    private val targetRun = histogram("kingcuptide_target_run_ms")
+
+    /** Counts a refusal that a caller of this daemon, or a peer, got from it. */
+    fun refused(
+        side: Side,
+        code: ResultCode,
+    ) = increment("kingcuptide_refusals", Label("side", side.label), codeLabel(code))
+
+    /** Counts a retry of this entry daemon, by the code of the attempt before it. */
+    fun retried(code: ResultCode) = increment("kingcuptide_retries", codeLabel(code))
+
+    /** Counts a fault that no caller sees, such as a malformed frame or a refused document. */
+    fun fault(code: ResultCode) = increment("kingcuptide_faults", codeLabel(code))
+
+    /** Counts a request that is not tried again, by the reason and the code of the last attempt. */
+    fun gaveUp(
+        reason: String,
+        code: ResultCode,
+    ) = increment("kingcuptide_give_ups", Label("reason", reason), codeLabel(code))
+
+    /** Counts a cut of the gate's limit. */
+    fun limitCut(reason: String) = increment("kingcuptide_limit_cuts", Label("reason", reason))
+
+    /** Counts a host that the entry set aside for a while. */
+    fun hostSetAside() = increment("kingcuptide_hosts_set_aside", Label("side", Side.ENTRY.label))
+
+    /** Counts a change of what is held against a fingerprint. */
+    fun verdict(verdict: String) = increment("kingcuptide_verdict_changes", Label("verdict", verdict))
+
+    /** Counts an answer by its HTTP status class. */
+    fun answered(status: Int) = increment("kingcuptide_answers", Label("status_class", "${status / 100}xx"))
+
+    /** Counts a call to the platform. */
+    fun sourceCall(kind: String) = increment("kingcuptide_source_calls", Label("kind", kind))
+
+    /** Counts control bytes by direction and by whether they crossed to or from another region. */
+    fun controlBytes(direction: Direction, crossRegion: Boolean, count: Int) {
+        val key =
+            CounterKey(
+                "kingcuptide_control_bytes",
+                Label("direction", direction.label),
+                Label("cross_region", "$crossRegion"),
+            )
+        counter(key).increment(count.toDouble())
+    }
+
+    /** Records the time that a request spent in this entry daemon and beyond. */
+    fun requestTook(duration: Duration) = addedLatency.record(duration.toDouble(DurationUnit.MILLISECONDS))
+
+    /** Records how long a request waited at this gate before it was sent to the target. */
+    fun gateWaited(duration: Duration) = gateWait.record(duration.toDouble(DurationUnit.MILLISECONDS))
+
+    /** Records how long the target beside this daemon worked on a request. */
+    fun targetRan(duration: Duration) = targetRun.record(duration.toDouble(DurationUnit.MILLISECONDS))
+
+    /** Shows a counter that a decision keeps itself, under [name] with the label [label]. */
+    fun watchCount(name: String, label: String, value: String, count: () -> Number) {
+        FunctionCounter.builder(name, this) { count().toDouble() }.tag(label, value).register(registry)
+    }
+
+    /** Shows a value that may rise and fall. */
+    fun watchValue(name: String, value: () -> Number) {
+        Gauge.builder(name, this) { value().toDouble() }.register(registry)
+    }
+
+    /** Returns all metrics in the Prometheus text format. */
+    fun scrape(): String = registry.scrape()
+
+    private fun histogram(name: String): DistributionSummary =
+        DistributionSummary
+            .builder(name)
+            .serviceLevelObjectives(1.0, 2.0, 5.0, 10.0, 50.0, 100.0, 500.0, 1_000.0, 5_000.0)
+            .register(registry)
+
+    private fun codeLabel(code: ResultCode) = Label("code", code.number.toString())
+
+    private fun increment(name: String, first: Label, second: Label? = null) = counter(
+        CounterKey(name, first, second),
+    ).increment()
+
+    private fun counter(key: CounterKey): Counter =
+        counters.computeIfAbsent(key) {
+            val builder = Counter.builder(it.name).tag(it.first.name, it.first.value)
+            it.second?.let { label -> builder.tag(label.name, label.value) }
+            builder.register(registry)
+        }
+
+    private data class Label(
+        val name: String,
+        val value: String,
+    )
+
+    private data class CounterKey(
+        val name: String,
+        val first: Label,
+        val second: Label? = null,
+    )
+}
+
+/** The side on which a refusal was made. */
+enum class Side(
+    val label: String,
+) {
+    ENTRY("entry"),
+    GATE("gate"),
+}
+
+/** Direction of control bytes. */
+enum class Direction(
+    val label: String,
+) {
+    RECEIVED("received"),
+    SENT("sent"),
+}
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -75,12 +75,14 @@
     private val picture = FleetPicture(clock, parts.decoder, BeliefLog())
     private val duty = ReaderDuty(settings.host.value)
     private val gate = TargetGate(clock)
+    private val metrics = DaemonMetrics()
     private val suspects = CrashSuspects(settings.host, incarnation, clock)
     private val targetAddress = addressOf(settings.targetAddress)
     private val watch =
         TargetWatch(loop, scope, clock, targetAddress, parts.names, gate, ::ownTraits, ::targetChanged)
     private val client = TargetClient(loop, clock, targetAddress)
-    private val gateService = GateService(scope, clock, gate, client, parts.names, ::currentTarget, watch, suspects)
+    private val gateService =
+        GateService(scope, clock, gate, client, parts.names, ::currentTarget, watch, suspects, metrics)
     private val endpoint = GateEndpoint(gateService, gate::burden)
     private val mesh: PeerMesh =
         PeerMesh(loop, clock, settings.ip, settings.peerPort, greeting(), Peers(), ::isNear, ::ping)
@@ -98,11 +100,10 @@
             parts.names,
             EntryKnowledge({ settings.service }, { settings.regionByDomain[it] }, picture, picker, allowance, suspects),
             ways,
+            metrics,
         )
     private val callers =
-        CallerServer(loop, scope, clock, settings.callerAddress, {
-            picture.routing?.callerLimits ?: FIRST_LIMITS
-        }, entry::serve)
+        CallerServer(loop, scope, clock, settings.callerAddress, ::callerLimits, entry::serve)
     private val readiness =
         CallerServer(loop, scope, clock, settings.readinessAddress, {
             FIRST_LIMITS
@@ -110,6 +111,15 @@
     private var stopping = false
     private var wasReady = false
 
+    init {
+        metrics.watchValue("kingcuptide_entry_requests_in_flight") { callers.inFlight }
+        metrics.watchValue("kingcuptide_gate_requests_in_flight") { gate.inFlight }
+        metrics.watchValue("kingcuptide_gate_requests_waiting") { gate.queued }
+        metrics.watchValue("kingcuptide_configuration_version") { picture.routing?.number ?: 0L }
+        metrics.watchValue("kingcuptide_knowledge_age_ms") { knowledgeAgeMs() }
+        metrics.watchValue("kingcuptide_source_calls_made") { follower.calls }
+    }
+
     /** Binds all ports and starts to work; called once, off the event loop. */
     fun start() {
         mesh.listen()
@@ -252,7 +262,10 @@
         gate.serve()
     }
 
+    private fun callerLimits(): CallerLimits = picture.routing?.callerLimits ?: FIRST_LIMITS
+
     private fun readinessAnswer(path: String): HttpAnswer {
+        if (path == METRICS_PATH) return HttpAnswer(200, METRICS_HEADERS, metrics.scrape().encodeToByteArray())
         if (path != parts.readinessPath) return HttpAnswer(ResultCode.UNKNOWN_ROUTE.httpStatus, emptyList(), NO_BYTES)
         val ready = !stopping && picture.routing != null
         if (ready != wasReady) {
@@ -270,11 +283,13 @@
     private fun greeting() =
         PeerMessage.Hello(PeerCodec.PROTOCOL, settings.host.value, settings.failureDomain.value, incarnation)
 
+    /** Age of what is believed, or -1 while nothing is known. */
+    private fun knowledgeAgeMs(): Long = picture.age().let { if (it.isFinite()) it.inWholeMilliseconds else -1 }
+
     private fun ping(): PeerMessage.Ping {
-        val age = picture.age()
         return PeerMessage.Ping(
             state.asOf(),
-            if (age.isFinite()) age.inWholeMilliseconds else -1,
+            knowledgeAgeMs(),
             if (duty.reads && follower.isInContact) ownReaderRank() else -1,
             stopping,
             gate.burden().toMessage(),
@@ -336,6 +351,9 @@
         /** Until the first configuration is known, callers are held to what most servers allow. */
         val FIRST_LIMITS = CallerLimits(16_384, 1_048_576, 3.seconds, 15.seconds)
 
+        const val METRICS_PATH = "/metrics"
+        val METRICS_HEADERS = listOf("Content-Type" to "text/plain; version=0.0.4")
+
         /** A ping is up to this old when the next one comes. */
         const val PING_ALLOWANCE_MS = 1_000L
         const val READ_TIME_STEP_MS = 10L
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -21,8 +21,11 @@
 import kingcuptide.forwarder.connection.Headers
 import kingcuptide.forwarder.connection.HttpAnswer
 import kingcuptide.forwarder.connection.NO_BYTES
+import kingcuptide.forwarder.connection.endToEnd
 import kingcuptide.forwarder.connection.first
+import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
+import kingcuptide.forwarder.process.Side
 import kingcuptide.forwarder.process.eventLog
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
@@ -58,11 +61,19 @@
     private val names: HeaderNames,
     private val knowledge: EntryKnowledge,
     private val ways: Ways,
+    private val metrics: DaemonMetrics,
 ) {
     private val turns = WeightedTurns()
 
     /** Returns the final answer to [request]; cancellation breaks off what was sent. */
     suspend fun serve(request: CallerRequest): HttpAnswer {
+        val answer = answer(request)
+        metrics.answered(answer.status)
+        metrics.requestTook(clock.now() - request.receivedAt)
+        return answer
+    }
+
+    private suspend fun answer(request: CallerRequest): HttpAnswer {
         val routing =
             knowledge.picture.routing ?: return refuse(request, ResultCode.NO_CONFIGURATION, NO_CONFIGURATION_WAIT)
         val requestId = request.headers.first(names.requestId)
@@ -177,11 +188,12 @@
 
         private fun answered(target: KnownTarget, end: ForwardEnd.Answered): HttpAnswer? {
             val sound = end.answer.status < FIRST_SERVER_ERROR
-            knowledge.picker.answered(target.entry.id, route.id, route.objective, end.ran, sound)
+            val bytes = end.answer.body.size
+            knowledge.picker.answered(target.entry.id, route.id, route.objective, end.ran, bytes, sound)
             reached++
             if (!sound && route.repeatable && mayRepeat()) {
                 mayHaveRun = true
-                noteRepeat(target, "status ${end.answer.status}")
+                noteRepeat(target, ResultCode.TARGET_OVERLOADED, "status ${end.answer.status}")
                 return null
             }
             if (!sound) {
@@ -205,7 +217,7 @@
             }
             val goesOn = if (end.reachedTarget) mayRepeat() else hops < MAX_HOPS
             if (goesOn) {
-                noteRepeat(target, "refused code=${end.code.number}")
+                noteRepeat(target, end.code, "refused")
                 return null
             }
             return giveUp(truthful(end.code), end.retryAfter, "refused by ${target.entry.id}")
@@ -216,7 +228,7 @@
             mayHaveRun = true
             knowledge.picker.failed(target.entry.id)
             if (route.repeatable && end.code in REPEATABLE && mayRepeat()) {
-                noteRepeat(target, "lost code=${end.code.number}")
+                noteRepeat(target, end.code, "lost")
                 return null
             }
             return giveUp(end.code, null, "lost at ${target.entry.id}")
@@ -227,8 +239,15 @@
 
         private fun truthful(code: ResultCode): ResultCode = truthfulCode(code, mayHaveRun)
 
-        private fun noteRepeat(target: KnownTarget, reason: String) {
-            log.info("request_repeated", "request" to requestId, "target" to target.entry.id, "reason" to reason)
+        private fun noteRepeat(target: KnownTarget, code: ResultCode, reason: String) {
+            metrics.retried(code)
+            log.info(
+                "request_repeated",
+                "request" to requestId,
+                "target" to target.entry.id,
+                "code" to code.number,
+                "reason" to reason,
+            )
         }
 
         private fun giveUp(code: ResultCode, retryAfter: Duration?, reason: String): HttpAnswer {
@@ -256,16 +275,6 @@
             (names.callerService to knowledge.service().value)
     }
 
-    private fun endToEnd(headers: Headers): Headers {
-        val named = headers.filter { it.first.equals("Connection", ignoreCase = true) }
-            .flatMap { it.second.split(',') }
-            .map { it.trim().lowercase(Locale.ROOT) }
-        return headers.filter { (name, _) ->
-            val lower = name.lowercase(Locale.ROOT)
-            lower !in ONE_CONNECTION && lower !in named
-        }
-    }
-
     private fun refuse(request: CallerRequest, code: ResultCode, retryAfter: Duration?): HttpAnswer {
         log.info(
             "request_refused",
@@ -279,6 +288,7 @@
     }
 
     private fun ownAnswer(code: ResultCode, retryAfter: Duration?): HttpAnswer {
+        metrics.refused(Side.ENTRY, code)
         val status = if (code == ResultCode.QUARANTINED) UNAVAILABLE else code.httpStatus
         val headers = ArrayList<Pair<String, String>>(2)
         headers += RESULT_CODE to code.number.toString()
@@ -313,18 +323,6 @@
                 ResultCode.TARGET_DIED,
                 ResultCode.PEER_UNREACHABLE,
             )
-        val ONE_CONNECTION =
-            setOf(
-                "connection",
-                "keep-alive",
-                "proxy-connection",
-                "te",
-                "trailer",
-                "transfer-encoding",
-                "upgrade",
-                "content-length",
-                "expect",
-            )
         val log = eventLog("entry")
     }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateEndpoint.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateEndpoint.kt
@@ -6,6 +6,7 @@
 import kingcuptide.forwarder.connection.PeerFrame
 import kingcuptide.forwarder.connection.PeerMessage
 import kingcuptide.forwarder.connection.PeerSession
+import kingcuptide.forwarder.connection.endToEnd
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Takes requests that other daemons send to the target on this host. */
@@ -46,7 +47,10 @@
             is ForwardEnd.Answered -> {
                 val answer = end.answer
                 val ranMs = end.ran.inWholeMilliseconds
-                session.send(PeerMessage.Answer(number, answer.status, flat(answer.headers), ranMs, has), answer.body)
+                session.send(
+                    PeerMessage.Answer(number, answer.status, flat(endToEnd(answer.headers)), ranMs, has),
+                    answer.body,
+                )
             }
             is ForwardEnd.Refused -> {
                 val afterMs = end.retryAfter.inWholeMilliseconds
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -4,6 +4,7 @@
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.Fingerprint
+import kingcuptide.coordination.request.GateRefusal
 import kingcuptide.coordination.request.GateRequest
 import kingcuptide.coordination.request.TargetGate
 import kingcuptide.coordination.version.TargetId
@@ -11,7 +12,9 @@
 import kingcuptide.forwarder.connection.HttpCall
 import kingcuptide.forwarder.connection.HttpEnd
 import kingcuptide.forwarder.connection.first
+import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
+import kingcuptide.forwarder.process.Side
 import kingcuptide.forwarder.process.eventLog
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -42,6 +45,7 @@
     private val currentTarget: () -> TargetId?,
     private val trouble: TargetTrouble,
     private val suspects: CrashSuspects,
+    private val metrics: DaemonMetrics,
 ) {
     private val running = LinkedHashSet<Run>()
     private val brokenOff = ArrayDeque<Pair<Duration, Fingerprint>>()
@@ -85,7 +89,7 @@
                 objectiveAt = arrivedAt + call.untilObjective,
                 objective = call.objective,
                 onStart = ::start,
-                onRefused = { end(ForwardEnd.Refused(it.code, it.retryAfter, reachedTarget = false, gate.burden())) },
+                onRefused = ::refusedByGate,
             )
 
         val repeatable: Boolean get() = call.repeatable
@@ -102,7 +106,26 @@
             job?.cancel()
         }
 
+        private fun refusedByGate(refusal: GateRefusal) {
+            val burden = gate.burden()
+            metrics.refused(Side.GATE, refusal.code)
+            log.info(
+                "gate_refused",
+                "request" to call.requestId,
+                "target" to call.targetId,
+                "code" to refusal.code.number,
+                "waited_ms" to (clock.now() - arrivedAt).inWholeMilliseconds,
+                "in_flight" to burden.inFlight,
+                "queued" to burden.queued,
+                "limit" to burden.limit,
+                "cold" to burden.cold,
+                "retry_after_ms" to refusal.retryAfter.inWholeMilliseconds,
+            )
+            end(ForwardEnd.Refused(refusal.code, refusal.retryAfter, reachedTarget = false, burden))
+        }
+
         private fun start() {
+            metrics.gateWaited(clock.now() - arrivedAt)
             job = scope.launch {
                 var completed = false
                 running += this@Run
@@ -144,6 +167,7 @@
 
         private fun judged(answer: HttpAnswer, ran: Duration): ForwardEnd {
             trouble.heard()
+            metrics.targetRan(ran)
             if (answer.headers.first(names.notRun) != null) return refused(ResultCode.TARGET_FULL, true)
             if (answer.status == MISDIRECTED) {
                 trouble.suspect("another target answers")
