Leave room for the calls of repeated parents, prove that a break is no crash, and answer everything at a stop

Change: a quarter of the ratio; requests still at work at the limit of a stop are answered as lost; a lone lost answer no longer makes a target count as cold for long; what has not run gets 503, not 504; a second reader at half the pace.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/RetryAllowance.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/RetryAllowance.kt
@@ -52,11 +52,11 @@
     }
 
     private companion object {
-        /** Part of the ratio that is used; the rest is for calls that a repeated request makes again. */
-        const val RATIO_SHARE = 0.4
+        /** Part of the ratio that is used; the rest is for the calls that a repeated request makes again, two or more. */
+        const val RATIO_SHARE = 0.25
 
-        /** Part of the extra ones that is used, since daemons may miscount each other. */
-        const val EXTRA_SHARE = 0.8
+        /** Part of the extra ones that is used, for the same reason, and since daemons may miscount each other. */
+        const val EXTRA_SHARE = 0.4
         const val MAX_COUNTED = 20_000
     }
 }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
@@ -27,7 +27,7 @@
     internal var arrivedAt: Duration = Duration.ZERO
 }
 
-/** A refusal: the request has not run and will not. [retryAfter] is when a place is expected to be free. */
+/** A refusal: the request has not run and will not. [retryAfter] is when what waits now is expected to have gone. */
 public data class GateRefusal(
     val code: ResultCode,
     val retryAfter: Duration,
@@ -70,7 +70,8 @@
     private val waiting = ArrayList<GateRequest>()
     private val starts = SlidingCount(COLD_WINDOW, MAX_STARTS)
     private val runTimes = RunTimes()
-    private var coldUntil = Duration.INFINITE
+    private var knownColdUntil = Duration.INFINITE
+    private var presumedColdUntil = Duration.ZERO
     private var serving = false
 
     /** Requests that the target works on at once. */
@@ -89,18 +90,26 @@
     public val queued: Int get() = waiting.size
 
     /** Whether the target is held to be cold. */
-    public fun isCold(): Boolean = clock.now() < coldUntil
+    public fun isCold(): Boolean = isCold(clock.now())
 
-    /** The target says, or is presumed, to be cold for [remaining] from now. */
+    /** The target says that it is cold for [remaining] from now; nothing else is presumed any more. */
     public fun coldFor(remaining: Duration) {
-        coldUntil = clock.now() + remaining
+        knownColdUntil = clock.now() + remaining
+        presumedColdUntil = Duration.ZERO
     }
 
-    /** The target may have turned cold: presumed so for [remaining], unless it is held to be cold for longer. */
+    /** The target may have turned cold: presumed so for [remaining], until it says or proves otherwise. */
     public fun presumeCold(remaining: Duration) {
-        if (coldUntil != Duration.INFINITE) coldUntil = maxOf(coldUntil, clock.now() + remaining)
+        presumedColdUntil = clock.now() + remaining
     }
 
+    /** The target has proved that it did not start again. */
+    public fun presumeNothing() {
+        presumedColdUntil = Duration.ZERO
+    }
+
+    private fun isCold(now: Duration): Boolean = now < knownColdUntil || now < presumedColdUntil
+
     /** Takes in [request]: it starts or is refused before this returns, or waits. */
     public fun offer(request: GateRequest) {
         val now = clock.now()
@@ -137,7 +146,7 @@
     /** What the gate has in hand. */
     public fun burden(): GateBurden {
         val now = clock.now()
-        return GateBurden(running.size, waiting.size, limitNow(), expectedWait(waiting.size, now), now < coldUntil)
+        return GateBurden(running.size, waiting.size, limitNow(), expectedWait(waiting.size, now), isCold(now))
     }
 
     private fun refusalOf(request: GateRequest, now: Duration): GateRefusal? {
@@ -149,7 +158,7 @@
         if (wait == Duration.ZERO) return null
         val patience = patienceOf(request, run, now)
         if (wait <= patience) return null
-        return GateRefusal(fullCode(now), wait - patience + MIN_RETRY_AFTER)
+        return GateRefusal(fullCode(now), wait + MIN_RETRY_AFTER)
     }
 
     /** How long [request] may wait: so that it makes its objective, or is at least not much later than it is already. */
@@ -191,7 +200,7 @@
 
     private fun hasRoom(now: Duration): Boolean {
         if (running.size >= limitNow()) return false
-        return now >= coldUntil || starts.count(now) < coldRate
+        return !isCold(now) || starts.count(now) < coldRate
     }
 
     private fun limitNow(): Int = if (state == TargetState.OPEN) slots else 0
@@ -199,7 +208,7 @@
     private fun expectedWait(ahead: Int, now: Duration): Duration {
         val forSlot =
             if (running.size + ahead < slots) Duration.ZERO else meanRun(now) * ((ahead + 1).toDouble() / slots)
-        if (now >= coldUntil) return forSlot
+        if (!isCold(now)) return forSlot
         val forRate = starts.timeUntilBelow(coldRate, now) + 1.seconds * (ahead.toDouble() / coldRate)
         return maxOf(forSlot, if (starts.count(now) + ahead < coldRate) Duration.ZERO else forRate)
     }
@@ -213,7 +222,7 @@
     }
 
     private fun fullCode(now: Duration): ResultCode =
-        if (now < coldUntil) ResultCode.TARGET_COLD else ResultCode.TARGET_FULL
+        if (isCold(now)) ResultCode.TARGET_COLD else ResultCode.TARGET_FULL
 
     private fun isBefore(first: GateRequest, second: GateRequest): Boolean =
         first.rank < second.rank || (first.rank == second.rank && first.objectiveAt < second.objectiveAt)
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ReaderDuty.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ReaderDuty.kt
@@ -28,12 +28,17 @@
     public var reads: Boolean = true
         private set
 
+    /** Whether this daemon reads at the full pace; a second one keeps in contact at half of it. */
+    public var isFirst: Boolean = true
+        private set
+
     /** Decides anew from the [claims] of live peers, this daemon's own rank and the [age] of what it knows. */
     public fun decide(claims: List<ReaderClaim>, ownRank: Int, age: Duration): Boolean {
         val readers = claims.filter { it.rank >= 0 && it.contactAge <= FRESH_CONTACT }
         val better = readers.count { it.rank < ownRank || (it.rank == ownRank && it.host < ownHost) }
         val enough = if (reads) better >= READERS else readers.size >= READERS
         reads = !enough || age > STALE
+        isFirst = reads && (better == 0 || age > STALE)
         return reads
     }
 
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetGateTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetGateTest.kt
@@ -165,6 +165,25 @@
         }
     }
 
+    @Nested
+    inner class `Target that may have crashed` {
+        @Test
+        fun `Given a break, when nothing more is known, then the target is cold, and not after it proved otherwise`() {
+            gate.presumeCold(3.seconds)
+            expectThat(gate.isCold()).isEqualTo(true)
+            gate.presumeNothing()
+            expectThat(gate.isCold()).isEqualTo(false)
+        }
+
+        @Test
+        fun `Given a target that says it is cold, when a break proves to be none, then it is cold all the same`() {
+            gate.coldFor(5.seconds)
+            gate.presumeCold(3.seconds)
+            gate.presumeNothing()
+            expectThat(gate.isCold()).isEqualTo(true)
+        }
+    }
+
     @Nested
     inner class `Closed target` {
         @Test
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/ReaderDutyTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/ReaderDutyTest.kt
@@ -18,6 +18,7 @@
         val claims = duties.keys.map { ReaderClaim(it, 0, fresh) }
         duties.forEach { (host, duty) -> duty.decide(claims.filter { it.host != host }, 0, fresh) }
         expectThat(duties.count { it.value.reads }).isEqualTo(ReaderDuty.READERS)
+        expectThat(duties.count { it.value.isFirst }).isEqualTo(1)
     }
 
     @Test
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
@@ -65,6 +65,15 @@
         context?.close()
     }
 
+    /** Answers the request at work at once: its end is not known. */
+    fun giveUp() {
+        val serving = job ?: return
+        job = null
+        serving.cancel()
+        closesAfterAnswer = true
+        answer(HttpAnswer(ResultCode.ANSWER_LOST.httpStatus, emptyList(), NO_BYTES), keepAlive = false)
+    }
+
     /** Ends the connection if its caller takes too long. */
     fun checkTime(limits: CallerLimits) {
         if (job != null || refused) return
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
@@ -57,10 +57,12 @@
         closing = true
     }
 
-    /** Takes no further connections and closes the idle ones. */
+    /** Takes no further connections, closes the idle ones and answers what is still at work as lost. */
     fun close() {
         server?.close()
-        connections.toList().filter { !it.isServing }.forEach { it.close() }
+        val open = connections.toList()
+        open.filter { !it.isServing }.forEach { it.close() }
+        open.forEach { it.giveUp() }
     }
 
     private var closing = false
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -89,7 +89,7 @@
     private val state =
         SharedState(clock, parts.source.parts.map { it.prefix }, picture, PeerCircle(), ::changed)
     private val follower =
-        SourceFollower(scope, clock, parts.source, state, random, settings.isFirstStart) { duty.reads }
+        SourceFollower(scope, clock, parts.source, state, random, settings.isFirstStart, duty)
     private val ways = PeerWays(settings.ip, gateService, { mesh }) { stopping }
     private val picker =
         TargetPicker(clock, OwnPlace(settings.failureDomain, settings.region) { settings.regionByDomain[it] }, random)
@@ -218,6 +218,7 @@
         follower.readTime?.inWholeMilliseconds?.div(READ_TIME_STEP_MS)?.toInt() ?: UNKNOWN_RANK
 
     private fun updateGate() {
+        val stateBefore = gate.state
         val target = currentTarget()?.let(picture::target)
         val traits = ownTraits()
         if (traits != null) {
@@ -231,6 +232,7 @@
             watch.isDown -> TargetState.DOWN
             else -> TargetState.OPEN
         }
+        if (stateBefore == TargetState.TAKEN_OUT && gate.state == TargetState.OPEN) watch.suspect("taken back")
     }
 
     /** The target that answers at the address, or else the newest that is published there. */
@@ -363,7 +365,7 @@
         const val COLD_SLACK_SHARE = 0.4
 
         /** The platform excuses a target that is at work in the last sixth of the limit. */
-        val STOP_MARGIN = 1_100.milliseconds
+        val STOP_MARGIN = 800.milliseconds
         val STOP_CHECK = 50.milliseconds
 
         /** Time that callers need to see that this daemon is no longer ready. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -6,6 +6,7 @@
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.CrashSuspects
+import kingcuptide.coordination.request.Outcome
 import kingcuptide.coordination.request.PickRequest
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.TargetPicker
@@ -258,7 +259,7 @@
                 "route" to route.id,
                 "service" to service,
                 "code" to code.number,
-                "status" to code.httpStatus,
+                "status" to statusOf(code),
                 "reason" to reason,
                 "took_ms" to tookMs,
                 "reached" to reached,
@@ -280,7 +281,7 @@
             "request_refused",
             "request" to request.headers.first(names.requestId),
             "code" to code.number,
-            "status" to code.httpStatus,
+            "status" to statusOf(code),
             "version" to knowledge.picture.routing?.number,
             "path" to request.path,
         )
@@ -289,7 +290,7 @@
 
     private fun ownAnswer(code: ResultCode, retryAfter: Duration?): HttpAnswer {
         metrics.refused(Side.ENTRY, code)
-        val status = if (code == ResultCode.QUARANTINED) UNAVAILABLE else code.httpStatus
+        val status = statusOf(code)
         val headers = ArrayList<Pair<String, String>>(2)
         headers += RESULT_CODE to code.number.toString()
         if (retryAfter != null && status == UNAVAILABLE) {
@@ -298,6 +299,12 @@
         return HttpAnswer(status, headers, NO_BYTES)
     }
 
+    /** What has not run is worth coming back with, unless the request itself is at fault. */
+    private fun statusOf(code: ResultCode): Int {
+        val mayComeBack = code.outcome == Outcome.NOT_RUN && code.httpStatus >= FIRST_SERVER_ERROR
+        return if (mayComeBack || code == ResultCode.QUARANTINED) UNAVAILABLE else code.httpStatus
+    }
+
     private companion object {
         const val RETRY_AFTER = "Retry-After"
         const val RESULT_CODE = "Kingcuptide-Code"
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -25,8 +25,8 @@
 
 /** Hears how the target bears itself. */
 interface TargetTrouble {
-    /** It answered a request. */
-    fun heard()
+    /** It answered a request that it got at [startedAt]. */
+    fun heard(startedAt: Duration)
 
     /** A request met trouble on its way. */
     fun suspect(reason: String)
@@ -166,7 +166,7 @@
         }
 
         private fun judged(answer: HttpAnswer, ran: Duration): ForwardEnd {
-            trouble.heard()
+            trouble.heard(clock.now() - ran)
             metrics.targetRan(ran)
             if (answer.headers.first(names.notRun) != null) return refused(ResultCode.TARGET_FULL, true)
             if (answer.status == MISDIRECTED) {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetWatch.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetWatch.kt
@@ -14,6 +14,7 @@
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.eventLog
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -40,6 +41,8 @@
     private var connection: HttpConnection? = null
     private var troubled = true
     private var lastAnswerAt = clock.now()
+    private var suspectedAt = Duration.ZERO
+    private val wake = Channel<Unit>(Channel.CONFLATED)
 
     /** Which target answers at the address, or null while it is not known. */
     var targetId: TargetId? = null
@@ -54,21 +57,26 @@
             while (true) {
                 val known = traits()
                 if (known != null) check(known)
-                delay((if (troubled || known == null) QUICK_PACE else SLOW_PACE).inWholeMilliseconds)
+                delay(SHORTEST_PAUSE.inWholeMilliseconds)
+                val pace = if (troubled || known == null) QUICK_PACE else SLOW_PACE
+                withTimeoutOrNull((pace - SHORTEST_PAUSE).inWholeMilliseconds) { wake.receive() }
             }
         }
     }
 
-    /** The target answered a request. */
-    override fun heard() {
+    /** The target answered a request that it got at [startedAt]; one from before a break proves that it did not crash. */
+    override fun heard(startedAt: Duration) {
         lastAnswerAt = clock.now()
+        if (startedAt < suspectedAt) gate.presumeNothing()
     }
 
     /** A request met trouble on its way to the target: it may be another by now. */
     override fun suspect(reason: String) {
         if (!troubled) log.info("target_suspected", "reason" to reason)
         troubled = true
+        suspectedAt = clock.now()
         traits()?.let { gate.presumeCold(it.coldFor) }
+        wake.trySend(Unit)
     }
 
     /** No connection to the target can be opened. */
@@ -117,7 +125,7 @@
             log.info("target_identified", "target" to id, "before" to targetId)
             targetId = id
         }
-        heard()
+        lastAnswerAt = clock.now()
         if (isDown) {
             log.info("target_back", "address" to address)
             isDown = false
@@ -147,6 +155,7 @@
 
         /** Pace of questions after trouble, so that a target that is back is found soon. */
         val QUICK_PACE = 200.milliseconds
+        val SHORTEST_PAUSE = 100.milliseconds
         val ANSWER_LIMIT = 1.seconds
 
         /** Time without any answer after which a target that doesn't tell its health is held to be down. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SourceFollower.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SourceFollower.kt
@@ -1,6 +1,7 @@
 package kingcuptide.forwarder.version
 
 import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.version.ReaderDuty
 import kingcuptide.forwarder.process.eventLog
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -10,7 +11,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Reads the source while [mayRead], each part at its own pace.
+ * Reads the source while it is this daemon's [duty], each part at its own pace.
  *
  * A failed call is repeated after a pause that grows. Used on the event loop.
  */
@@ -21,7 +22,7 @@
     private val state: SharedState,
     private val random: Random,
     private val isFirstStart: Boolean,
-    private val mayRead: () -> Boolean,
+    private val duty: ReaderDuty,
 ) {
     private var lost = false
 
@@ -44,14 +45,15 @@
         if (part.isLarge) awaitPeers(part)
         var pause = FIRST_PAUSE
         while (true) {
-            if (!mayRead()) {
+            if (!duty.reads) {
                 delay(DUTY_CHECK.inWholeMilliseconds)
                 continue
             }
             val startedAt = clock.now()
             val succeeded = readOnce(part)
             pause = if (succeeded) FIRST_PAUSE else minOf(pause * 2, LONGEST_PAUSE)
-            val next = startedAt + if (succeeded) part.pace else pause
+            val pace = if (duty.isFirst) part.pace else part.pace * SECOND_READER_PACES
+            val next = startedAt + if (succeeded) pace else pause
             delay((next - clock.now()).inWholeMilliseconds.coerceAtLeast(1))
         }
     }
@@ -121,6 +123,9 @@
         val RESTART_WAIT = 80.milliseconds
         val PEER_CHECK = 20.milliseconds
 
+        /** Paces between two calls of a reader that is only there in case the first one ends. */
+        const val SECOND_READER_PACES = 2
+
         /** How often a daemon that doesn't read looks whether it should. */
         val DUTY_CHECK = 100.milliseconds
         val FIRST_PAUSE = 100.milliseconds
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
@@ -151,6 +151,16 @@
             expectThat(cancelled).isTrue()
         }
 
+        @Test
+        fun `Given a stop that can't wait any longer, when a request is at work, then it gets a final answer`() {
+            gate = CompletableDeferred()
+            send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            connection.giveUp()
+            expectThat(received()).startsWith("HTTP/1.1 502 ").contains("connection: close")
+            expectThat(cancelled).isTrue()
+            expectThat(channel.isOpen).isFalse()
+        }
+
         @Test
         fun `Given half a head, when its time has passed, then the caller is told that it has not run`() {
             send("GET / HT")
