Take no request that a stop can't finish, and test what an entry repeats

Ruled out: requests from before the word to stop, which had ended. Change: from 3 s after it requests are refused as not run and may go elsewhere.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -19,6 +19,7 @@
 import kingcuptide.coordination.version.ReaderDuty
 import kingcuptide.coordination.version.ServiceTraits
 import kingcuptide.coordination.version.TargetId
+import kingcuptide.forwarder.connection.CallerRequest
 import kingcuptide.forwarder.connection.CallerServer
 import kingcuptide.forwarder.connection.HttpAnswer
 import kingcuptide.forwarder.connection.NO_BYTES
@@ -103,12 +104,13 @@
             metrics,
         )
     private val callers =
-        CallerServer(loop, scope, clock, settings.callerAddress, ::callerLimits, entry::serve)
+        CallerServer(loop, scope, clock, settings.callerAddress, ::callerLimits, ::serveCaller)
     private val readiness =
         CallerServer(loop, scope, clock, settings.readinessAddress, {
             FIRST_LIMITS
         }) { request -> readinessAnswer(request.path) }
-    private var stopping = false
+    private var stopBegunAt: Duration? = null
+    private val stopping: Boolean get() = stopBegunAt != null
     private var wasReady = false
 
     init {
@@ -158,7 +160,7 @@
     /** Stops as planned; [onStopped] is called once everything read has its answer, or the limit has passed. */
     fun stop(onStopped: () -> Unit) = loop.execute {
         if (stopping) return@execute
-        stopping = true
+        stopBegunAt = clock.now()
         log.info("stop_begun", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
         callers.closeAfterAnswers()
         updateGate()
@@ -264,6 +266,12 @@
         gate.serve()
     }
 
+    /** What comes so late in a stop that it could not end before it is refused, and may go elsewhere. */
+    private suspend fun serveCaller(request: CallerRequest): HttpAnswer {
+        val since = stopBegunAt ?: return entry.serve(request)
+        return if (request.receivedAt - since > LAST_REQUESTS) entry.refuseAtStop(request) else entry.serve(request)
+    }
+
     private fun callerLimits(): CallerLimits = picture.routing?.callerLimits ?: FIRST_LIMITS
 
     private fun readinessAnswer(path: String): HttpAnswer {
@@ -370,6 +378,9 @@
 
         /** Time that callers need to see that this daemon is no longer ready. */
         val STOP_NOTICE = 2_500.milliseconds
+
+        /** Time after the word to stop in which requests are still taken: callers may know of no other daemon. */
+        val LAST_REQUESTS = 3_000.milliseconds
         val LAST_BYTES = 100.milliseconds
         val log = eventLog("daemon")
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -74,6 +74,9 @@
         return answer
     }
 
+    /** Refuses [request], since this daemon ends before it could be answered. */
+    fun refuseAtStop(request: CallerRequest): HttpAnswer = refuse(request, ResultCode.DRAINING, STOP_WAIT)
+
     private suspend fun answer(request: CallerRequest): HttpAnswer {
         val routing =
             knowledge.picture.routing ?: return refuse(request, ResultCode.NO_CONFIGURATION, NO_CONFIGURATION_WAIT)
@@ -321,6 +324,7 @@
         val MIN_TIME_LEFT = 10.milliseconds
         val NO_CONFIGURATION_WAIT = 500.milliseconds
         val QUARANTINE_WAIT = 30.seconds
+        val STOP_WAIT = 200.milliseconds
         val NO_TARGET_WAIT = 300.milliseconds
         val CROWDED = setOf(ResultCode.TARGET_FULL, ResultCode.TARGET_COLD, ResultCode.DEADLINE_PASSED)
         val REPEATABLE =
--- /dev/null
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -0,0 +1,260 @@
+package kingcuptide.forwarder.request
+
+import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.process.RouteId
+import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.request.CrashSuspects
+import kingcuptide.coordination.request.OwnPlace
+import kingcuptide.coordination.request.RetryAllowance
+import kingcuptide.coordination.request.RetryAllowanceSettings
+import kingcuptide.coordination.request.TargetPicker
+import kingcuptide.coordination.version.CallerLimits
+import kingcuptide.coordination.version.FleetPicture
+import kingcuptide.coordination.version.ForwardRoute
+import kingcuptide.coordination.version.KnownTarget
+import kingcuptide.coordination.version.PublishedFact
+import kingcuptide.coordination.version.RoutingVersion
+import kingcuptide.coordination.version.ServiceTraits
+import kingcuptide.coordination.version.SourceItem
+import kingcuptide.coordination.version.TargetEntry
+import kingcuptide.coordination.version.TargetId
+import kingcuptide.coordination.version.WeightedService
+import kingcuptide.forwarder.ManualClock
+import kingcuptide.forwarder.connection.CallerRequest
+import kingcuptide.forwarder.connection.HttpAnswer
+import kingcuptide.forwarder.connection.NO_BYTES
+import kingcuptide.forwarder.connection.first
+import kingcuptide.forwarder.process.DaemonMetrics
+import kingcuptide.forwarder.process.HeaderNames
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** One entry with three targets whose gates answer as a test says. */
+internal class EntryServiceTest {
+    private val clock = ManualClock()
+    private val names = HeaderNames("Id", "Left", "Caller", "Expected", "Not-Run", "Proof", "Target", "Cold")
+    private val facts = HashMap<String, PublishedFact>()
+    private val picture = FleetPicture(clock, { facts.getValue(it.key) })
+    private val place = OwnPlace(FailureDomainId("a"), RegionId("north")) {
+        RegionId(
+            if (it.value ==
+                "c"
+            ) {
+                "south"
+            } else {
+                "north"
+            },
+        )
+    }
+    private val ends = ArrayDeque<ForwardEnd>()
+    private val sent = ArrayList<Pair<String, ForwardCall>>()
+    private val ways = object : Ways {
+        override fun isOpen(target: KnownTarget) = true
+
+        override fun submit(target: KnownTarget, call: ForwardCall, onEnd: (ForwardEnd) -> Unit): Cancellation {
+            sent += target.entry.id.value to call
+            onEnd(ends.removeFirst())
+            return Cancellation { }
+        }
+    }
+    private val allowance = RetryAllowance(clock, { RetryAllowanceSettings(0.2, 100, 10.seconds) }) { 1 }
+    private val entry =
+        EntryService(
+            clock,
+            names,
+            EntryKnowledge(
+                { ServiceId("own") },
+                place.regionOf,
+                picture,
+                TargetPicker(clock, place, Random(1)),
+                allowance,
+                CrashSuspects(HostId("h"), 1, clock),
+            ),
+            ways,
+            DaemonMetrics(),
+        )
+
+    private fun publish(key: String, fact: PublishedFact) {
+        facts[key] = fact
+        picture.apply(listOf(SourceItem(key, facts.size.toLong(), NO_BYTES)))
+    }
+
+    private fun start(homeRegions: Set<RegionId> = emptySet()) {
+        val routes = listOf(route("/read/", true, homeRegions), route("/book/", false, homeRegions))
+        val traits = ServiceTraits("/health", 10, 1.seconds, 10.0)
+        val limits = CallerLimits(1_000, 1_000, 1.seconds, 1.seconds)
+        publish(
+            "config",
+            PublishedFact.Configuration(RoutingVersion(1, routes, mapOf(ServiceId("s") to traits), limits)),
+        )
+        for (domain in listOf("a", "b", "c")) publish("t-$domain", PublishedFact.Target(target(domain)))
+    }
+
+    private fun route(prefix: String, repeatable: Boolean, homeRegions: Set<RegionId>) = ForwardRoute(
+        RouteId(prefix),
+        "h",
+        prefix,
+        repeatable,
+        1,
+        2.seconds,
+        500.milliseconds,
+        2,
+        listOf(WeightedService(ServiceId("s"), 1)),
+        homeRegions,
+    )
+
+    private fun target(domain: String) = TargetEntry(
+        TargetId("t-$domain"),
+        ServiceId("s"),
+        "192.0.2.1",
+        80,
+        FailureDomainId(domain),
+        "v1",
+        10,
+        leaving = false,
+        coldFor = Duration.ZERO,
+        startedAtUnixMs = 0,
+        reports = 1,
+    )
+
+    private fun serve(path: String, vararg headers: Pair<String, String>): HttpAnswer = runBlocking {
+        val all = listOf("Host" to "h:80", "Id" to "7", "Left" to "3000") + headers
+        entry.serve(CallerRequest("GET", path, all, NO_BYTES, clock.now(), fromTarget = false))
+    }
+
+    private fun answered(status: Int) = ForwardEnd.Answered(
+        HttpAnswer(status, emptyList(), NO_BYTES),
+        5.milliseconds,
+        null,
+    )
+
+    private fun refused(reachedTarget: Boolean) =
+        ForwardEnd.Refused(ResultCode.TARGET_FULL, 300.milliseconds, reachedTarget, null)
+
+    private val lost = ForwardEnd.Lost(ResultCode.ANSWER_LOST, null)
+
+    @Nested
+    inner class `Before anything is sent` {
+        @Test
+        fun `Given no configuration, when a request comes, then it is told to come back`() {
+            val answer = serve("/read/x")
+            expectThat(answer.status).isEqualTo(503)
+            expectThat(answer.headers.first("Retry-After")).isNotNull()
+        }
+
+        @Test
+        fun `Given a path without route or a request without id, when it comes, then the request is at fault`() {
+            start()
+            expectThat(serve("/other/x").status).isEqualTo(404)
+            val noId = CallerRequest("GET", "/read/x", listOf("Host" to "h"), NO_BYTES, clock.now(), false)
+            expectThat(runBlocking { entry.serve(noId) }.status).isEqualTo(400)
+            expectThat(sent).isEmpty()
+        }
+
+        @Test
+        fun `Given a daemon that is about to end, when a request comes, then it has not run and may go elsewhere`() {
+            start()
+            val late = CallerRequest("GET", "/read/x", listOf("Id" to "7"), NO_BYTES, clock.now(), false)
+            val answer = entry.refuseAtStop(late)
+            expectThat(answer.status).isEqualTo(503)
+            expectThat(answer.headers.first("Retry-After")).isNotNull()
+        }
+
+        @Test
+        fun `Given home regions, when targets there are gone, then no other is tried`() {
+            start(setOf(RegionId("south")))
+            ends += refused(reachedTarget = false)
+            expectThat(serve("/read/x").status).isEqualTo(503)
+            expectThat(sent.map { it.first }).containsExactly("t-c")
+        }
+
+        @Test
+        fun `Given what a caller says of itself, when it is forwarded, then the daemon's own word stands instead`() {
+            start()
+            ends += answered(200)
+            serve(
+                "/read/x",
+                "Caller" to "forged",
+                "Expected" to "forged",
+                "Connection" to "X-Hop",
+                "X-Hop" to "1",
+                "X" to "y",
+            )
+            val headers = sent.single().second.headers
+            expectThat(headers.filter { it.first == "Caller" }).containsExactly("Caller" to "own")
+            expectThat(headers.first("Expected")).isNull()
+            expectThat(headers.first("X-Hop")).isNull()
+            expectThat(headers.first("X")).isEqualTo("y")
+        }
+    }
+
+    @Nested
+    inner class `What may be repeated` {
+        @Test
+        fun `Given a request that may run once, when it is lost, then it is sent nowhere else and nothing is promised`() {
+            start()
+            ends += lost
+            expectThat(serve("/book/x").status).isEqualTo(502)
+            expectThat(sent).hasSize(1)
+        }
+
+        @Test
+        fun `Given a request that may run once, when a gate refuses it, then another may run it`() {
+            start()
+            ends += refused(reachedTarget = false)
+            ends += answered(200)
+            expectThat(serve("/book/x").status).isEqualTo(200)
+            expectThat(sent.map { it.first }.toSet()).hasSize(2)
+        }
+
+        @Test
+        fun `Given a request that may run often, when it is lost, then one more target gets it and no third`() {
+            start()
+            ends += lost
+            ends += lost
+            expectThat(serve("/read/x").status).isEqualTo(502)
+            expectThat(sent).hasSize(2)
+        }
+
+        @Test
+        fun `Given a lost run, when the next gate refuses, then the answer does not say that it has not run`() {
+            start()
+            ends += lost
+            repeat(3) { ends += refused(reachedTarget = false) }
+            expectThat(serve("/read/x").status).isEqualTo(502)
+        }
+
+        @Test
+        fun `Given targets that fail while they look well, when all do, then the last answer goes to the caller`() {
+            start()
+            ends += answered(500)
+            ends += answered(500)
+            expectThat(serve("/read/x").status).isEqualTo(500)
+            expectThat(sent).hasSize(2)
+        }
+
+        @Test
+        fun `Given full gates, when all refuse, then the caller is told when to come back`() {
+            start()
+            repeat(3) { ends += refused(reachedTarget = false) }
+            val answer = serve("/read/x")
+            expectThat(answer.status).isEqualTo(503)
+            expectThat(answer.headers.first("Retry-After")).isEqualTo("0.300")
+        }
+    }
+}
