Explain a failed request from logs, and check the settings of a forwarder

Cause: nothing put together what several daemons say of one request, and the operator command did not read the settings of the forwarder. 'kingcuptide explain ID FILE...' orders the lines of one request, adds the changes of belief of the 2.5 s before, and states the cause from the code and the gate's line. The old 'explain METHOD PATH' stays: a method can't be the id of a request here.

Tests: ExplainLogsTest (7) and four cases in CheckCommandTest, run.

--- a/cli/src/main/kotlin/kingcuptide/cli/DaemonCommand.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/DaemonCommand.kt
@@ -1,9 +1,9 @@
 package kingcuptide.cli
 
 import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
-import com.github.ajalt.clikt.parameters.options.required
 import kotlinx.coroutines.runBlocking
 
 /** A subcommand that asks a daemon. */
@@ -15,11 +15,14 @@
         envvar = "KINGCUPTIDE_DAEMON",
         metavar = "URL",
         help = "admin address of any daemon, such as http://127.0.0.1:9901",
-    ).required()
+    )
 
     protected val json by option("--json", help = "print JSON for scripts").flag()
 
-    final override fun run() = runBlocking { DaemonClient(daemon).use { ask(it) } }
+    override fun run() {
+        val url = daemon ?: throw UsageError("missing option --daemon")
+        runBlocking { DaemonClient(url).use { ask(it) } }
+    }
 
     /** Asks [client] and prints the answer. */
     protected abstract suspend fun ask(client: DaemonClient)
--- a/cli/src/main/kotlin/kingcuptide/cli/ExitCode.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/ExitCode.kt
@@ -14,6 +14,9 @@
 
     /** The version was not in force everywhere in time. */
     TIMED_OUT(4),
+
+    /** No log line names the request. */
+    NOT_FOUND(5),
 }
 
 /** Ends the command. */
--- a/cli/src/main/kotlin/kingcuptide/cli/ExplainCommand.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/ExplainCommand.kt
@@ -1,27 +1,63 @@
 package kingcuptide.cli
 
 import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.multiple
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.michaelbull.result.getOrElse
 import kingcuptide.coordination.process.ExplainReport
+import java.io.File
+import java.io.IOException
+import java.io.InputStream
 
-/** `kingcuptide explain`. */
-internal class ExplainCommand : DaemonCommand("explain") {
-    private val method by argument(help = "such as GET")
-    private val path by argument(help = "such as /parcels/7")
+/** `kingcuptide explain`, of a request that could come or of one that came. */
+internal class ExplainCommand(
+    private val standardInput: InputStream,
+) : DaemonCommand("explain") {
+    private val subject by argument("METHOD|ID", help = "such as GET, or the id of a request that failed")
+    private val rest by argument("PATH|FILE", help = "such as /parcels/7, or the logs of daemons").multiple()
     private val workspace by option("--workspace", help = "the workspace of the request")
 
     /** A path with a query would be taken for an option. A mistyped option still fails, as one argument too many. */
     override val treatUnknownOptionsAsArgs: Boolean = true
 
     override fun help(context: Context): String =
-        "Shows which hosts could take a request that came in at the daemon now, and why the others could not."
+        "With METHOD and PATH: shows which hosts could take a request that came in at the daemon now, and why the " +
+            "others could not. With ID and log files, or logs on standard input: shows why that request failed."
+
+    override fun run() = if (subject in METHODS) super.run() else explainFromLogs()
 
     override suspend fun ask(client: DaemonClient) {
-        val report = client.explain(method, path, workspace).getOrElse { fail(it) }
+        val path = rest.singleOrNull() ?: throw UsageError("one PATH is needed after the method")
+        val report = client.explain(subject, path, workspace).getOrElse { fail(it) }
         echo(if (json) OUTPUT_JSON.encodeToString(ExplainReport.serializer(), report) else explainText(report))
         val isRefused = report.refusal != null || report.candidates.none { it.refusal == null }
         if (isRefused) exitWith(ExitCode.REFUSED)
     }
+
+    private fun explainFromLogs() {
+        val lines = if (rest.isEmpty()) readLog(standardInput, "-") else rest.flatMap(::readFile)
+        val story = storyOf(subject, lines)
+        if (story == null) {
+            echo("no line names request $subject: it succeeded, or its log is not among these", err = true)
+            exitWith(ExitCode.NOT_FOUND)
+        }
+        echo(if (json) OUTPUT_JSON.encodeToString(RequestStory.serializer(), story) else storyText(story))
+    }
+
+    private fun readFile(name: String): List<LogLine> =
+        try {
+            File(name).inputStream().use { readLog(it, File(name).name) }
+        } catch (exception: IOException) {
+            throw UsageError("$name can't be read: ${exception.message}")
+        }
+
+    /** Logs may hold bytes that are no text; these are replaced. */
+    private fun readLog(input: InputStream, name: String): List<LogLine> =
+        input.bufferedReader().lineSequence().mapNotNull { parseLogLine(it, name) }.toList()
+
+    private companion object {
+        val METHODS = setOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+    }
 }
--- a/cli/src/main/kotlin/kingcuptide/cli/KingcuptideCommand.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/KingcuptideCommand.kt
@@ -6,6 +6,7 @@
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.systemClock
 import kotlinx.coroutines.delay
+import java.io.InputStream
 import kotlin.time.Duration
 
 /** The command of operators. It only reads; the document of the console is what changes the fleet. */
@@ -14,17 +15,19 @@
 
     override fun helpEpilog(context: Context): String =
         "Exit codes: 0 as asked for; 1 wrong use; 2 document refused, or no host could take the request; " +
-            "3 no usable answer from the daemon; 4 waiting timed out."
+            "3 no usable answer from the daemon; 4 waiting timed out; 5 no log line names the request."
 }
 
-/** Creates the command with its subcommands. [clock] and [pause] drive only `wait`. */
+/** Creates the command with its subcommands. [clock] and [pause] drive only `wait`, and
+ * [standardInput] is read only by `explain`. */
 internal fun kingcuptideCommand(
     clock: Clock = systemClock(),
+    standardInput: InputStream = System.`in`,
     pause: suspend (Duration) -> Unit = { delay(it) },
 ): KingcuptideCommand =
     KingcuptideCommand().subcommands(
         CheckCommand(),
         StatusCommand(),
         WaitCommand(clock, pause),
-        ExplainCommand(),
+        ExplainCommand(standardInput),
     )
--- a/cli/src/test/kotlin/kingcuptide/cli/CheckCommandTest.kt
+++ b/cli/src/test/kotlin/kingcuptide/cli/CheckCommandTest.kt
@@ -63,6 +63,37 @@
         }
     }
 
+    @Nested
+    inner class `Given settings of a daemon` {
+        @Test
+        fun `when they are sound, then the command names the host and ends with 0`() {
+            val result = checkSettings(SETTINGS)
+            expectThat(result.output).contains("host-1")
+            expectThat(result.statusCode).isEqualTo(0)
+        }
+
+        @Test
+        fun `when a time has no unit, then the field is named and it ends with 2`() {
+            val result = checkSettings(SETTINGS.replace("\"6s\"", "\"6\""))
+            expectThat(result.output).contains("602").contains("stopLimit")
+            expectThat(result.statusCode).isEqualTo(2)
+        }
+
+        @Test
+        fun `when a field is missing, then it is named and it ends with 2`() {
+            val result = checkSettings(SETTINGS.replace("\"peerPort\": 7620,", ""))
+            expectThat(result.output).contains("600").contains("peerPort")
+            expectThat(result.statusCode).isEqualTo(2)
+        }
+
+        @Test
+        fun `when a host list is given too, then that is wrong use`() {
+            val file = directory.resolve("settings.json").also { it.writeText(SETTINGS) }
+            val result = kingcuptideCommand().test(listOf("check", "--settings", "$file", "--hosts", "$file"))
+            expectThat(result.statusCode).isEqualTo(1)
+        }
+    }
+
     @Nested
     inner class `Given no document` {
         @Test
@@ -72,6 +103,11 @@
         }
     }
 
+    private fun checkSettings(text: String): CliktCommandTestResult {
+        val file = directory.resolve("settings.json").also { it.writeText(text) }
+        return kingcuptideCommand().test(listOf("check", "--settings", "$file"))
+    }
+
     private fun check(document: String, hosts: String? = null, options: String? = null): CliktCommandTestResult {
         val file = directory.resolve("document.json").also { it.writeText(document) }
         val hostsFile = hosts?.let { text -> directory.resolve("hosts.json").also { it.writeText(text) } }
@@ -80,6 +116,16 @@
     }
 
     private companion object {
+        const val SETTINGS =
+            """
+            // as filled in from the template
+            {"host": "host-1", "ip": "127.0.0.1", "failureDomain": "a", "region": "r",
+             "regionByFailureDomain": {"a": "r"}, "service": "s", "targetAddress": "127.0.0.1:1",
+             "callerAddress": "127.0.0.1:2", "readinessAddress": "127.0.0.1:3", "peerPort": 7620,
+             "sourceAddress": "127.0.0.1:4", "stopLimit": "6s", "coldRateFactor": 1.5, "coldSlack": 5,
+             "retryRatio": 0.2, "extraRetries": 5, "retryWindow": "10s"}
+            """
+
         val DOCUMENT =
             """
             {
--- /dev/null
+++ b/cli/src/test/kotlin/kingcuptide/cli/ExplainLogsTest.kt
@@ -0,0 +1,100 @@
+package kingcuptide.cli
+
+import com.github.ajalt.clikt.testing.CliktCommandTestResult
+import com.github.ajalt.clikt.testing.test
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import java.nio.file.Path
+import kotlin.io.path.writeText
+
+internal class ExplainLogsTest {
+    @TempDir
+    lateinit var directory: Path
+
+    private val entry = listOf(
+        line("10:00:01.000", "belief", "event=target_leaving target=t-9"),
+        line("10:00:09.000", "daemon", "event=peer_closed peer=h2 own=true reason=closed"),
+        line("10:00:10.100", "entry", "event=request_repeated request=7 target=t-1 code=300 reason=lost"),
+        line(
+            "10:00:10.300",
+            "entry",
+            "event=request_given_up request=7 route=/read/ code=202 status=503 reason=\"refused by t-2\" hops=1",
+        ),
+        line("10:00:10.400", "entry", "event=request_given_up request=8 code=201 status=503 reason=\"no target\""),
+        "not an event",
+    )
+    private val gate = listOf(
+        line(
+            "10:00:10.050",
+            "gate",
+            "event=target_lost request=7 target=t-1 code=300 reason=\"reset \\\"by\\\" peer\"",
+        ),
+        line("10:00:10.250", "gate", "event=gate_refused request=7 target=t-2 in_flight=4 queued=9 limit=4 cold=false"),
+    )
+
+    @Nested
+    inner class `Given the logs of both daemons` {
+        @Test
+        fun `when a refused request is explained, then its lines stand in order of time`() {
+            val order = explain("7").output.lines().mapNotNull { Regex("target_lost|repeated|gate_r|given").find(it) }
+            expectThat(order.map { it.value }).isEqualTo(listOf("target_lost", "repeated", "gate_r", "given"))
+        }
+
+        @Test
+        fun `when a refused request is explained, then the cause names what the gate had in hand`() {
+            val result = explain("7")
+            expectThat(result.output)
+                .contains("cause: 202")
+                .contains("at t-2: 4 at work, 9 waiting, limit 4")
+                .contains("it has not run")
+            expectThat(result.statusCode).isEqualTo(0)
+        }
+
+        @Test
+        fun `when belief changed shortly before, then that is shown, and what is older is not`() {
+            expectThat(explain("7").output).contains("peer_closed").not().contains("target_leaving")
+        }
+
+        @Test
+        fun `when JSON is asked for, then it can be read back`() {
+            val story = OUTPUT_JSON.decodeFromString(RequestStory.serializer(), explain("7", "--json").stdout)
+            expectThat(story.code).isEqualTo(202)
+            expectThat(story.steps.first().details).contains("reason=reset \"by\" peer")
+        }
+    }
+
+    @Nested
+    inner class `Given logs that don't tell all` {
+        @Test
+        fun `when no line names the request, then the command ends with 5`() {
+            expectThat(explain("none").statusCode).isEqualTo(5)
+        }
+
+        @Test
+        fun `when a file can't be read, then the command ends with 1 and names it`() {
+            val result = kingcuptideCommand().test(listOf("explain", "7", "no-such-file"))
+            expectThat(result.output).contains("no-such-file")
+            expectThat(result.statusCode).isEqualTo(1)
+        }
+
+        @Test
+        fun `when the log comes on standard input with a name before each line, then the name is kept`() {
+            val text = entry.joinToString("\n") { "12.1 host-a: $it" }
+            val command = kingcuptideCommand(standardInput = text.byteInputStream())
+            expectThat(command.test(listOf("explain", "8")).output).contains("12.1 host-a:").contains("cause: 201")
+        }
+    }
+
+    private fun explain(request: String, vararg options: String): CliktCommandTestResult {
+        val first = directory.resolve("entry.log").also { it.writeText(entry.joinToString("\n")) }
+        val second = directory.resolve("gate.log").also { it.writeText(gate.joinToString("\n")) }
+        return kingcuptideCommand().test(listOf("explain", *options, request, "$first", "$second"))
+    }
+
+    private fun line(time: String, source: String, event: String) =
+        "ts=2026-01-02T${time}Z level=INFO source=$source $event"
+}
