End a planned stop whatever fails in it; count what goes where; smaller Forwarder

Cause looked for: processes still there at the end of the grace time. The end of a stop hung on one coroutine: a fault in it would have left the process. Now the last moment is set on the event loop before anything else is done, and what a stop takes and when it is over is decided by PlannedStop, with tests on a clock of their own. Whether that was the cause is not shown yet.

For the price of bytes between regions: TrafficCounts sums exchanges and bytes by distance, and bytes to peers by kind, in the metrics and in one line each 10 s. gate_cancelled and the target in hand are logged, so that a request whose time is up can be traced to its target.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -2,7 +2,6 @@
 
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.FailureDomainId
-import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.version.KnownTarget
 import kingcuptide.coordination.version.TargetId
@@ -22,16 +21,8 @@
     internal var failuresAt: Duration = Duration.ZERO
     internal var slowness = 1.0
     internal var asideUntil: Duration = Duration.ZERO
-    internal var firstSeenAt: Duration = Duration.ZERO
 }
 
-/** Where this daemon stands, from which the way to each target follows. */
-public data class OwnPlace(
-    val failureDomain: FailureDomainId,
-    val region: RegionId,
-    val regionOf: (FailureDomainId) -> RegionId?,
-)
-
 /** What a choice must know of the request. */
 public data class PickRequest(
     val route: RouteId,
@@ -168,14 +159,13 @@
         return ((SURELY_LATE - finish / limit) / (SURELY_LATE - SURELY_ON_TIME)).coerceIn(0.0, 1.0)
     }
 
-    private fun wayTo(failureDomain: FailureDomainId): Way = when {
-        failureDomain == place.failureDomain -> Way.SAME_DOMAIN
-        place.regionOf(failureDomain) == place.region -> Way.SAME_REGION
-        else -> Way.OTHER_REGION
+    private fun wayTo(failureDomain: FailureDomainId): Way = when (place.distanceTo(failureDomain)) {
+        Distance.SAME_DOMAIN -> Way.SAME_DOMAIN
+        Distance.SAME_REGION -> Way.SAME_REGION
+        Distance.OTHER_REGION -> Way.OTHER_REGION
     }
 
-    private fun recordOf(id: TargetId): TargetRecord =
-        records.getOrPut(id) { TargetRecord().also { it.firstSeenAt = clock.now() } }
+    private fun recordOf(id: TargetId): TargetRecord = records.getOrPut(id) { TargetRecord() }
 
     /** The way to a target: its usual time, and what a byte on it costs as a share of a request's worth. */
     private enum class Way(val roundTrip: Duration, val costPerByte: Double) {
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/FleetPicture.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/FleetPicture.kt
@@ -130,7 +130,7 @@
     private fun takeTarget(item: SourceItem, entry: TargetEntry) {
         lapsing.remove(item.key)
         val held = targetsByKey[item.key]
-        targetsByKey[item.key] = KnownTarget(entry, item.revision, clock.now() + entry.coldFor)
+        targetsByKey[item.key] = KnownTarget(entry, item.revision)
         if (held == null) observer.targetSeen(entry)
         if (entry.leaving && held?.entry?.leaving != true) observer.targetLeaving(entry)
     }
@@ -185,9 +185,8 @@
     }
 }
 
-/** A target as it was last heard of; [coldUntil] is on the daemon's own clock. */
+/** A target as it was last heard of. */
 public class KnownTarget(
     public val entry: TargetEntry,
     public val revision: Long,
-    public val coldUntil: Duration,
 )
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/RoutingVersion.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/RoutingVersion.kt
@@ -68,7 +68,6 @@
  */
 public data class ServiceTraits(
     val healthPath: String,
-    val maxConnections: Int,
     val coldFor: Duration,
     val coldPerSecond: Double,
 )
--- /dev/null
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/process/PlannedStopTest.kt
@@ -0,0 +1,71 @@
+package kingcuptide.coordination.process
+
+import kingcuptide.coordination.request.ManualClock
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal class PlannedStopTest {
+    private val clock = ManualClock(START)
+    private val stop = PlannedStop(clock)
+
+    @Nested
+    inner class BeforeTheWord {
+        @Test
+        fun `Given no word to stop, when a request comes, then it is taken and nothing ends`() {
+            expectThat(stop.isTooLate(clock.now())).isFalse()
+            expectThat(stop.isOver(isIdle = true)).isFalse()
+        }
+    }
+
+    @Nested
+    inner class AfterTheWord {
+        init {
+            stop.begin(LIMIT)
+        }
+
+        @Test
+        fun `Given an idle daemon, when callers can't have seen yet that it leaves, then it stays`() {
+            clock.advance(PlannedStop.NOTICE - 1.milliseconds)
+            expectThat(stop.isOver(isIdle = true)).isFalse()
+            clock.advance(1.milliseconds)
+            expectThat(stop.isOver(isIdle = true)).isTrue()
+        }
+
+        @Test
+        fun `Given a daemon that never becomes idle, when its time is up, then it ends before it would be killed`() {
+            var ended: Duration? = null
+            repeat(LIMIT.inWholeMilliseconds.toInt()) {
+                clock.advance(1.milliseconds)
+                if (ended == null && stop.isOver(isIdle = false)) ended = clock.now()
+            }
+            expectThat(ended!! - START).isLessThan(LIMIT * 5 / 6 + LIMIT / 10)
+        }
+
+        @Test
+        fun `Given a second word to stop, when it comes later, then the first one holds`() {
+            clock.advance(2.seconds)
+            expectThat(stop.begin(LIMIT)).isFalse()
+            clock.advance(3_300.milliseconds)
+            expectThat(stop.isOver(isIdle = false)).isTrue()
+        }
+
+        @Test
+        fun `Given requests before and after the last moment, when they come, then only the later is refused`() {
+            clock.advance(PlannedStop.LAST_REQUESTS)
+            expectThat(stop.isTooLate(clock.now())).isFalse()
+            expectThat(stop.isTooLate(clock.now() + 1.milliseconds)).isTrue()
+        }
+    }
+
+    private companion object {
+        val START = 100.seconds
+        val LIMIT = 6.seconds
+    }
+}
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
@@ -47,7 +47,6 @@
             reports = 1,
         ),
         revision = 1,
-        coldUntil = Duration.ZERO,
     )
 
     private fun request(tried: Set<TargetId> = emptySet()) =
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
@@ -10,7 +10,9 @@
 import java.util.zip.Inflater
 
 /** Frames of [PeerMessage]s: length, kind, length of the head, CBOR head, raw body; large heads are deflated. */
-internal class PeerCodec : ByteToMessageCodec<PeerFrame>() {
+internal class PeerCodec(
+    private val onSent: (kind: String, bytes: Int) -> Unit = { _, _ -> },
+) : ByteToMessageCodec<PeerFrame>() {
     override fun encode(context: ChannelHandlerContext, frame: PeerFrame, out: ByteBuf) {
         val kind = kindOf(frame.message)
         val plain = encodeHead(kind, frame.message)
@@ -21,6 +23,7 @@
         out.writeInt(head.size)
         out.writeBytes(head)
         out.writeBytes(frame.body)
+        onSent(kind.label, LENGTH_BYTES + HEADER_BYTES + head.size + frame.body.size)
     }
 
     override fun decode(context: ChannelHandlerContext, input: ByteBuf, out: MutableList<Any>) {
@@ -57,6 +60,9 @@
         NEWS(PeerMessage.News.serializer()),
         ASK(PeerMessage.Ask.serializer()),
         SUSPECTS(PeerMessage.Suspects.serializer()),
+        ;
+
+        val label: String = name.lowercase()
     }
 
     private fun kindOf(message: PeerMessage): Kind = when (message) {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import kingcuptide.coordination.process.Clock
+import kingcuptide.forwarder.process.TrafficCounts
 import kingcuptide.forwarder.process.eventLog
 import java.net.InetSocketAddress
 import kotlin.time.Duration
@@ -30,6 +31,7 @@
     private val listener: PeerListener,
     private val isNear: (PeerSession) -> Boolean,
     private val ping: () -> PeerMessage.Ping,
+    private val counts: TrafficCounts,
 ) {
     private val links = LinkedHashMap<String, Link>()
     private val taken = LinkedHashSet<PeerSession>()
@@ -164,7 +166,9 @@
     private fun pipelineOf(session: () -> PeerSession): ChannelInitializer<Channel> =
         object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
-                channel.pipeline().addLast(PeerCodec(), session())
+                val ofChannel = session()
+                val codec = PeerCodec { kind, bytes -> counts.toPeer(kind, isFar = !isNear(ofChannel), bytes) }
+                channel.pipeline().addLast(codec, ofChannel)
             }
         }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -3,8 +3,8 @@
 import io.netty.channel.EventLoop
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.process.PlannedStop
 import kingcuptide.coordination.process.RegionId
-import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.Fingerprint
 import kingcuptide.coordination.request.OwnPlace
@@ -13,16 +13,13 @@
 import kingcuptide.coordination.request.TargetPicker
 import kingcuptide.coordination.request.TargetState
 import kingcuptide.coordination.version.CallerLimits
-import kingcuptide.coordination.version.FactDecoder
 import kingcuptide.coordination.version.FleetPicture
-import kingcuptide.coordination.version.ReaderClaim
 import kingcuptide.coordination.version.ReaderDuty
 import kingcuptide.coordination.version.ServiceTraits
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.CallerRequest
 import kingcuptide.forwarder.connection.CallerServer
 import kingcuptide.forwarder.connection.HttpAnswer
-import kingcuptide.forwarder.connection.NO_BYTES
 import kingcuptide.forwarder.connection.PeerCodec
 import kingcuptide.forwarder.connection.PeerFrame
 import kingcuptide.forwarder.connection.PeerListener
@@ -39,8 +36,8 @@
 import kingcuptide.forwarder.request.toBurden
 import kingcuptide.forwarder.request.toMessage
 import kingcuptide.forwarder.version.Circle
+import kingcuptide.forwarder.version.DutyWatch
 import kingcuptide.forwarder.version.SharedState
-import kingcuptide.forwarder.version.Source
 import kingcuptide.forwarder.version.SourceFollower
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
@@ -54,14 +51,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** What the adapter to a platform brings. */
-class PlatformParts(
-    val names: HeaderNames,
-    val decoder: FactDecoder,
-    val source: Source,
-    val readinessPath: String,
-)
-
 /** One daemon: entry for the callers on its host and gate of the target beside it, on one event loop. */
 class Forwarder(
     firstSettings: ForwarderSettings,
@@ -77,6 +66,7 @@
     private val duty = ReaderDuty(settings.host.value)
     private val gate = TargetGate(clock)
     private val metrics = DaemonMetrics()
+    private val counts = TrafficCounts(clock)
     private val suspects = CrashSuspects(settings.host, incarnation, clock)
     private val targetAddress = addressOf(settings.targetAddress)
     private val watch =
@@ -86,34 +76,37 @@
         GateService(scope, clock, gate, client, parts.names, ::currentTarget, watch, suspects, metrics)
     private val endpoint = GateEndpoint(gateService, gate::burden)
     private val mesh: PeerMesh =
-        PeerMesh(loop, clock, settings.ip, settings.peerPort, greeting(), Peers(), ::isNear, ::ping)
+        PeerMesh(loop, clock, settings.ip, settings.peerPort, greeting(), Peers(), ::isNear, ::ping, counts)
     private val state =
         SharedState(clock, parts.source.parts.map { it.prefix }, picture, PeerCircle(), ::changed)
     private val follower =
         SourceFollower(scope, clock, parts.source, state, random, settings.isFirstStart, duty)
-    private val ways = PeerWays(settings.ip, gateService, { mesh }) { stopping }
-    private val picker =
-        TargetPicker(clock, OwnPlace(settings.failureDomain, settings.region) { settings.regionByDomain[it] }, random)
+    private val dutyWatch = DutyWatch(clock, duty, picture, follower, mesh, ::isNear)
+    private val stop = PlannedStop(clock)
+    private val ways = PeerWays(settings.ip, gateService, { mesh }) { stop.isBegun }
+    private val place = OwnPlace(settings.failureDomain, settings.region) { settings.regionByDomain[it] }
+    private val picker = TargetPicker(clock, place, random)
     private val allowance = RetryAllowance(clock, { settings.retries }) { picture.targets.size }
     private val entry =
         EntryService(
             clock,
             parts.names,
-            EntryKnowledge({ settings.service }, { settings.regionByDomain[it] }, picture, picker, allowance, suspects),
+            EntryKnowledge({ settings.service }, place, picture, picker, allowance, suspects),
             ways,
             metrics,
+            counts,
         )
     private val callers =
         CallerServer(loop, scope, clock, settings.callerAddress, ::callerLimits, ::serveCaller)
     private val readiness =
-        CallerServer(loop, scope, clock, settings.readinessAddress, {
-            FIRST_LIMITS
-        }) { request -> readinessAnswer(request.path) }
-    private var stopBegunAt: Duration? = null
-    private val stopping: Boolean get() = stopBegunAt != null
-    private var wasReady = false
+        CallerServer(loop, scope, clock, settings.readinessAddress, { FIRST_LIMITS }) {
+            readinessAnswers.answerTo(it.path)
+        }
+    private val readinessAnswers =
+        ReadinessAnswers(parts.readinessPath, metrics) { !stop.isBegun && picture.routing != null }
 
     init {
+        counts.showIn(metrics)
         metrics.watchValue("kingcuptide_entry_requests_in_flight") { callers.inFlight }
         metrics.watchValue("kingcuptide_gate_requests_in_flight") { gate.inFlight }
         metrics.watchValue("kingcuptide_gate_requests_waiting") { gate.queued }
@@ -159,25 +152,26 @@
 
     /** Stops as planned; [onStopped] is called once everything read has its answer, or the limit has passed. */
     fun stop(onStopped: () -> Unit) = loop.execute {
-        if (stopping) return@execute
-        stopBegunAt = clock.now()
+        val limit = settings.stopLimit
+        if (!stop.begin(limit)) return@execute
+        val lastMs = (PlannedStop.longestStop(limit) + LAST_BYTES).inWholeMilliseconds
+        loop.schedule(onStopped, lastMs, TimeUnit.MILLISECONDS)
         log.info("stop_begun", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
         callers.closeAfterAnswers()
         updateGate()
         val message = ping()
         mesh.inbound.forEach { it.send(message) }
-        scope.launch {
-            val startedAt = clock.now()
-            while (clock.now() - startedAt < settings.stopLimit - STOP_MARGIN) {
-                delay(STOP_CHECK.inWholeMilliseconds)
-                val idle = callers.inFlight == 0 && gate.inFlight + gate.queued == 0
-                if (idle && clock.now() - startedAt >= STOP_NOTICE) break
-            }
-            log.info("stop_ended", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
-            callers.close()
-            mesh.close()
-            loop.schedule(onStopped, LAST_BYTES.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        scope.launch { awaitIdle(onStopped) }
+    }
+
+    private suspend fun awaitIdle(onStopped: () -> Unit) {
+        while (!stop.isOver(isIdle = callers.inFlight == 0 && gate.inFlight + gate.queued == 0)) {
+            delay(STOP_CHECK.inWholeMilliseconds)
         }
+        log.info("stop_ended", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
+        loop.schedule(onStopped, LAST_BYTES.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        callers.close()
+        mesh.close()
     }
 
     private suspend fun repeat(interval: Duration, action: () -> Unit) {
@@ -193,32 +187,11 @@
         readiness.tick()
         picture.tick()
         suspects.tick()
-        decideDuty()
+        counts.tick()
+        dutyWatch.tick()
         updateGate()
     }
 
-    private fun decideDuty() {
-        val claims = mesh.ownSessions().mapNotNull { session ->
-            val ping = session.lastPing ?: return@mapNotNull null
-            val sinceMs = (clock.now() - session.lastPingAt).inWholeMilliseconds
-            if (ping.contactAgeMs < 0) return@mapNotNull null
-            val allowanceMs = if (isNear(session)) PING_ALLOWANCE_MS else PING_ALLOWANCE_MS * PeerMesh.FAR_PINGS
-            ReaderClaim(
-                session.peer?.host.orEmpty(),
-                ping.readerRank,
-                (ping.contactAgeMs + sinceMs - allowanceMs).milliseconds,
-            )
-        }
-        val before = duty.reads
-        if (duty.decide(claims, ownReaderRank(), picture.age()) != before) {
-            log.info("reader_duty", "reads" to duty.reads, "age_ms" to picture.age().inWholeMilliseconds)
-        }
-    }
-
-    /** Readers near the source come first: their reads cross no region. */
-    private fun ownReaderRank(): Int =
-        follower.readTime?.inWholeMilliseconds?.div(READ_TIME_STEP_MS)?.toInt() ?: UNKNOWN_RANK
-
     private fun updateGate() {
         val stateBefore = gate.state
         val target = currentTarget()?.let(picture::target)
@@ -229,7 +202,7 @@
         }
         if (target != null) gate.slots = target.entry.slots
         gate.state = when {
-            stopping || target?.entry?.leaving == true -> TargetState.LEAVING
+            stop.isBegun || target?.entry?.leaving == true -> TargetState.LEAVING
             settings.failureDomain in picture.takenOut -> TargetState.TAKEN_OUT
             watch.isDown -> TargetState.DOWN
             else -> TargetState.OPEN
@@ -268,23 +241,11 @@
 
     /** What comes so late in a stop that it could not end before it is refused, and may go elsewhere. */
     private suspend fun serveCaller(request: CallerRequest): HttpAnswer {
-        val since = stopBegunAt ?: return entry.serve(request)
-        return if (request.receivedAt - since > LAST_REQUESTS) entry.refuseAtStop(request) else entry.serve(request)
+        return if (stop.isTooLate(request.receivedAt)) entry.refuseAtStop(request) else entry.serve(request)
     }
 
     private fun callerLimits(): CallerLimits = picture.routing?.callerLimits ?: FIRST_LIMITS
 
-    private fun readinessAnswer(path: String): HttpAnswer {
-        if (path == METRICS_PATH) return HttpAnswer(200, METRICS_HEADERS, metrics.scrape().encodeToByteArray())
-        if (path != parts.readinessPath) return HttpAnswer(ResultCode.UNKNOWN_ROUTE.httpStatus, emptyList(), NO_BYTES)
-        val ready = !stopping && picture.routing != null
-        if (ready != wasReady) {
-            wasReady = ready
-            log.info("readiness", "ready" to ready, "version" to picture.routing?.number)
-        }
-        return HttpAnswer(if (ready) 200 else ResultCode.NO_CONFIGURATION.httpStatus, emptyList(), NO_BYTES)
-    }
-
     private fun isNear(session: PeerSession): Boolean = regionOf(session) == settings.region
 
     private fun regionOf(session: PeerSession): RegionId? =
@@ -300,8 +261,8 @@
         return PeerMessage.Ping(
             state.asOf(),
             knowledgeAgeMs(),
-            if (duty.reads && follower.isInContact) ownReaderRank() else -1,
-            stopping,
+            dutyWatch.claimedRank,
+            stop.isBegun,
             gate.burden().toMessage(),
             picture.digest(),
         )
@@ -361,26 +322,12 @@
         /** Until the first configuration is known, callers are held to what most servers allow. */
         val FIRST_LIMITS = CallerLimits(16_384, 1_048_576, 3.seconds, 15.seconds)
 
-        const val METRICS_PATH = "/metrics"
-        val METRICS_HEADERS = listOf("Content-Type" to "text/plain; version=0.0.4")
-
-        /** A ping is up to this old when the next one comes. */
-        const val PING_ALLOWANCE_MS = 1_000L
-        const val READ_TIME_STEP_MS = 10L
-        const val UNKNOWN_RANK = 1_000_000
-
         /** Share of the allowed slack that is used, since the last of it is for requests in transit. */
         const val COLD_SLACK_SHARE = 0.4
 
-        /** The platform excuses a target that is at work in the last sixth of the limit. */
-        val STOP_MARGIN = 800.milliseconds
         val STOP_CHECK = 50.milliseconds
 
-        /** Time that callers need to see that this daemon is no longer ready. */
-        val STOP_NOTICE = 2_500.milliseconds
-
-        /** Time after the word to stop in which requests are still taken: callers may know of no other daemon. */
-        val LAST_REQUESTS = 3_000.milliseconds
+        /** Time for the last answers to leave the socket buffers. */
         val LAST_BYTES = 100.milliseconds
         val log = eventLog("daemon")
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
@@ -16,7 +16,6 @@
  * @property peerPort port at which the daemon of every host is reached by the others
  * @property isFirstStart whether the whole fleet starts for the first time, so that no traffic waits for it yet
  * @property stopLimit longest time from the request to stop until the process ends
- * @property drainLimit time within which nothing more may reach a target that leaves
  */
 data class ForwarderSettings(
     val host: HostId,
@@ -32,7 +31,6 @@
     val sourceAddress: InetSocketAddress,
     val isFirstStart: Boolean,
     val stopLimit: Duration,
-    val drainLimit: Duration,
     val coldRateFactor: Double,
     val coldSlack: Int,
     val retries: RetryAllowanceSettings,
--- /dev/null
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ReadinessAnswers.kt
@@ -0,0 +1,36 @@
+package kingcuptide.forwarder.process
+
+import kingcuptide.coordination.process.ResultCode
+import kingcuptide.forwarder.connection.HttpAnswer
+import kingcuptide.forwarder.connection.NO_BYTES
+
+/** Answers at the readiness address: whether this daemon takes requests, and its metrics. */
+internal class ReadinessAnswers(
+    private val readinessPath: String,
+    private val metrics: DaemonMetrics,
+    private val isReady: () -> Boolean,
+) {
+    private var wasReady = false
+
+    fun answerTo(path: String): HttpAnswer = when (path) {
+        METRICS_PATH -> HttpAnswer(OK, METRICS_HEADERS, metrics.scrape().encodeToByteArray())
+        readinessPath -> HttpAnswer(statusNow(), emptyList(), NO_BYTES)
+        else -> HttpAnswer(ResultCode.UNKNOWN_ROUTE.httpStatus, emptyList(), NO_BYTES)
+    }
+
+    private fun statusNow(): Int {
+        val ready = isReady()
+        if (ready != wasReady) {
+            wasReady = ready
+            log.info("readiness", "ready" to ready)
+        }
+        return if (ready) OK else ResultCode.NO_CONFIGURATION.httpStatus
+    }
+
+    private companion object {
+        const val OK = 200
+        const val METRICS_PATH = "/metrics"
+        val METRICS_HEADERS = listOf("Content-Type" to "text/plain; version=0.0.4")
+        val log = eventLog("daemon")
+    }
+}
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -1,12 +1,11 @@
 package kingcuptide.forwarder.request
 
 import kingcuptide.coordination.process.Clock
-import kingcuptide.coordination.process.FailureDomainId
-import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.Outcome
+import kingcuptide.coordination.request.OwnPlace
 import kingcuptide.coordination.request.PickRequest
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.TargetPicker
@@ -27,6 +26,7 @@
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.Side
+import kingcuptide.forwarder.process.TrafficCounts
 import kingcuptide.forwarder.process.eventLog
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
@@ -49,7 +49,7 @@
 /** What an entry knows of its surroundings. */
 class EntryKnowledge(
     val service: () -> ServiceId,
-    val regionOf: (FailureDomainId) -> RegionId?,
+    val place: OwnPlace,
     val picture: FleetPicture,
     val picker: TargetPicker,
     val allowance: RetryAllowance,
@@ -63,6 +63,7 @@
     private val knowledge: EntryKnowledge,
     private val ways: Ways,
     private val metrics: DaemonMetrics,
+    private val counts: TrafficCounts,
 ) {
     private val turns = WeightedTurns()
 
@@ -70,6 +71,7 @@
     suspend fun serve(request: CallerRequest): HttpAnswer {
         val answer = answer(request)
         metrics.answered(answer.status)
+        counts.answered(answer.status)
         metrics.requestTook(clock.now() - request.receivedAt)
         return answer
     }
@@ -158,7 +160,7 @@
         }
 
         private fun isHome(target: KnownTarget): Boolean =
-            route.homeRegions.isEmpty() || knowledge.regionOf(target.entry.failureDomain) in route.homeRegions
+            route.homeRegions.isEmpty() || knowledge.place.regionOf(target.entry.failureDomain) in route.homeRegions
 
         private suspend fun attempt(target: KnownTarget): ForwardEnd {
             val now = clock.now()
@@ -195,6 +197,7 @@
             val bytes = end.answer.body.size
             knowledge.picker.answered(target.entry.id, route.id, route.objective, end.ran, bytes, sound)
             reached++
+            counts.exchanged(knowledge.place.distanceTo(target.entry.failureDomain), request.body.size + bytes)
             if (!sound && route.repeatable && mayRepeat()) {
                 mayHaveRun = true
                 noteRepeat(target, ResultCode.TARGET_OVERLOADED, "status ${end.answer.status}")
@@ -265,6 +268,7 @@
                 "status" to statusOf(code),
                 "reason" to reason,
                 "took_ms" to tookMs,
+                "target" to inFlightAt?.entry?.id,
                 "reached" to reached,
                 "hops" to hops,
                 "knowledge_age_ms" to knowledge.picture.age().inWholeMilliseconds,
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -80,6 +80,7 @@
         private val arrivedAt = clock.now()
         private val deadline = arrivedAt + call.remaining
         private var job: Job? = null
+        private var sentAt: Duration? = null
         private var ended = false
         val request =
             GateRequest(
@@ -103,6 +104,15 @@
             if (ended) return
             ended = true
             gate.withdraw(request)
+            val startedAt = sentAt
+            if (startedAt != null) {
+                log.info(
+                    "gate_cancelled",
+                    "request" to call.requestId,
+                    "target" to call.targetId,
+                    "ran_ms" to (clock.now() - startedAt).inWholeMilliseconds,
+                )
+            }
             job?.cancel()
         }
 
@@ -131,6 +141,7 @@
                 running += this@Run
                 try {
                     val startedAt = clock.now()
+                    sentAt = startedAt
                     val end = run(startedAt)
                     completed = end is ForwardEnd.Answered
                     end(end)
@@ -151,7 +162,7 @@
                     client.call(sent, call.repeatable) { it.first(names.requestId) in setOf(null, call.requestId) }
                 }
             return when (end) {
-                null -> ForwardEnd.Lost(ResultCode.DEADLINE_PASSED_RUNNING, gate.burden())
+                null -> lost(ResultCode.DEADLINE_PASSED_RUNNING, "time is up")
                 is HttpEnd.NotSent -> {
                     trouble.unreachable(end.reason)
                     refused(ResultCode.TARGET_DOWN, reachedTarget = false)
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -29,6 +29,7 @@
 import kingcuptide.forwarder.connection.first
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
+import kingcuptide.forwarder.process.TrafficCounts
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
@@ -79,7 +80,7 @@
             names,
             EntryKnowledge(
                 { ServiceId("own") },
-                place.regionOf,
+                place,
                 picture,
                 TargetPicker(clock, place, Random(1)),
                 allowance,
@@ -87,6 +88,7 @@
             ),
             ways,
             DaemonMetrics(),
+            TrafficCounts(clock),
         )
 
     private fun publish(key: String, fact: PublishedFact) {
@@ -96,7 +98,7 @@
 
     private fun start(homeRegions: Set<RegionId> = emptySet()) {
         val routes = listOf(route("/read/", true, homeRegions), route("/book/", false, homeRegions))
-        val traits = ServiceTraits("/health", 10, 1.seconds, 10.0)
+        val traits = ServiceTraits("/health", 1.seconds, 10.0)
         val limits = CallerLimits(1_000, 1_000, 1.seconds, 1.seconds)
         publish(
             "config",
