Read the source less: cheap first reads, near readers, no herd of stale daemons

Also, the time to reach the source was taken after the read had ended, so that readers were chosen by name and not by nearness. Ruled out: the steady reads of the two readers (about 140 calls).

Change: far pings go round in turn, so that each region hears one at every pace and passes on how old it is; stale daemons start one step after the other; an idle daemon starts only if it is next in line; the way to the source is measured by connecting; the first read is the store's cheap one, after which a watch or the peers say what is new. A second reader that becomes the first takes the first one's pace at once. The choice of a target counts the request's own body, which crosses too.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -23,12 +23,13 @@
     internal var asideUntil: Duration = Duration.ZERO
 }
 
-/** What a choice must know of the request. */
+/** What a choice must know of the request; [bodyBytes] is the length of its own body. */
 public data class PickRequest(
     val route: RouteId,
     val objective: Duration,
     val untilObjective: Duration,
     val untilDeadline: Duration,
+    val bodyBytes: Int,
     val tried: Set<TargetId>,
 )
 
@@ -138,7 +139,7 @@
         val atAll = chanceBefore(finish, request.untilDeadline)
         val credit = onTime * (1 - LATE_WORTH) + atAll * LATE_WORTH
         val sound = credit * (1 - failuresOf(record, now)).pow(FAILURE_SHARPNESS)
-        val bytes = runTimes.expectedBytes(request.route) + HEAD_BYTES
+        val bytes = request.bodyBytes + runTimes.expectedBytes(request.route) + HEAD_BYTES
         val hurry = finish / maxOf(request.objective, SHORTEST_OBJECTIVE) * HURRY
         return sound - way.costPerByte * bytes - hurry
     }
@@ -177,7 +178,7 @@
     private companion object {
         const val TIE_BREAK = 0.02
 
-        /** Bytes of a request and of both heads, beside the answer's body. */
+        /** Bytes of both heads, beside the bodies. */
         const val HEAD_BYTES = 500.0
         const val SMOOTHING = 0.1
         const val FAILURE_SMOOTHING = 0.15
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ReaderDuty.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ReaderDuty.kt
@@ -3,27 +3,17 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/**
- * What a peer said of how it reads the source.
- *
- * @property rank how well it reads, less is better; negative if it doesn't read
- * @property contactAge time since it knew that what it holds was current
- */
-public data class ReaderClaim(
-    val host: String,
-    val rank: Int,
-    val contactAge: Duration,
-)
-
 /**
  * Decides whether this daemon reads the source itself.
  *
- * The best [READERS] of those that read go on, the others stop; who hears of too few starts. Daemons that disagree for a
- * while cost only calls.
+ * The best [READERS] of those that read go on, the others stop. If there are too few, the best of the idle ones start.
+ * Daemons that disagree for a while cost only calls.
  */
 public class ReaderDuty(
     private val ownHost: String,
 ) {
+    private val patience = STALE + STALE_STEP * ownHost.hashCode().mod(STALE_STEPS)
+
     /** Whether this daemon reads. */
     public var reads: Boolean = true
         private set
@@ -34,14 +24,19 @@
 
     /** Decides anew from the [claims] of live peers, this daemon's own rank and the [age] of what it knows. */
     public fun decide(claims: List<ReaderClaim>, ownRank: Int, age: Duration): Boolean {
-        val readers = claims.filter { it.rank >= 0 && it.contactAge <= FRESH_CONTACT }
-        val better = readers.count { it.rank < ownRank || (it.rank == ownRank && it.host < ownHost) }
-        val enough = if (reads) better >= READERS else readers.size >= READERS
-        reads = !enough || age > STALE
-        isFirst = reads && (better == 0 || age > STALE)
+        val own = ReaderClaim(ownHost, ownRank, ReaderState.IDLE, age)
+        val readers = claims.filter { it.state == ReaderState.READING && it.contactAge <= FRESH_CONTACT }
+        val better = readers.count { isBefore(it, own) }
+        val nextInLine = claims.count { it.state == ReaderState.IDLE && isBefore(it, own) }
+        val enough = if (reads) better >= READERS else readers.size + nextInLine >= READERS
+        reads = !enough || age > patience
+        isFirst = reads && (better == 0 || age > patience)
         return reads
     }
 
+    private fun isBefore(first: ReaderClaim, second: ReaderClaim): Boolean =
+        first.rank < second.rank || (first.rank == second.rank && first.host < second.host)
+
     public companion object {
         /** Daemons that read at a time: one could be lost. */
         public const val READERS: Int = 2
@@ -49,7 +44,11 @@
         /** Age of its last contact up to which a reader is believed to read. */
         public val FRESH_CONTACT: Duration = 1_500.milliseconds
 
-        /** Age of what is known from which a daemon reads whoever else does. */
+        /** Age of what is known from which a daemon reads whoever else does, at the earliest. */
         public val STALE: Duration = 2_500.milliseconds
+
+        /** Daemons that turn stale together start one after the other: the first of them tells the rest. */
+        private val STALE_STEP = 150.milliseconds
+        private const val STALE_STEPS = 8
     }
 }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
@@ -49,8 +49,8 @@
         revision = 1,
     )
 
-    private fun request(tried: Set<TargetId> = emptySet()) =
-        PickRequest(ROUTE, 500.milliseconds, 500.milliseconds, 3.seconds, tried)
+    private fun request(tried: Set<TargetId> = emptySet(), bodyBytes: Int = 0) =
+        PickRequest(ROUTE, 500.milliseconds, 500.milliseconds, 3.seconds, bodyBytes, tried)
 
     private fun burden(inFlight: Int, queued: Int = 0, wait: Duration = Duration.ZERO) =
         GateBurden(inFlight, queued, limit = 10, wait, cold = false)
@@ -69,6 +69,14 @@
             expectThat(picker.pick(all, request())).isEqualTo(far)
         }
 
+        @Test
+        fun `Given a wait at the near ones, when the request's own body is large, then it crosses to no other region`() {
+            picker.reported(own.entry.id, burden(10, 5, wait = 300.milliseconds))
+            picker.reported(near.entry.id, burden(10, 5, wait = 300.milliseconds))
+            expectThat(picker.pick(all, request())).isEqualTo(far)
+            expectThat(picker.pick(all, request(bodyBytes = 8_000))).isEqualTo(own)
+        }
+
         @Test
         fun `Given a report that is a second old, when one is picked, then the report says nothing more`() {
             picker.reported(own.entry.id, burden(10, 20, wait = 900.milliseconds))
@@ -148,7 +156,7 @@
 
         @Test
         fun `Given a route without objective, when a target is picked, then there is one`() {
-            val hurried = PickRequest(ROUTE, Duration.ZERO, Duration.ZERO, Duration.ZERO, emptySet())
+            val hurried = PickRequest(ROUTE, Duration.ZERO, Duration.ZERO, Duration.ZERO, 0, emptySet())
             expectThat(picker.pick(all, hurried)).isEqualTo(own)
         }
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
@@ -112,7 +112,7 @@
 
     companion object {
         /** Version of these messages; daemons of other versions close the connection. */
-        const val PROTOCOL = 1
+        const val PROTOCOL = 2
 
         private const val LENGTH_BYTES = 4
         private const val HEADER_BYTES = 5
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
@@ -34,18 +34,19 @@
     private val counts: TrafficCounts,
 ) {
     private val links = LinkedHashMap<String, Link>()
-    private val taken = LinkedHashSet<PeerSession>()
+    private val taken = LinkedHashMap<PeerSession, Int>()
+    private var turns = 0
     private var server: Channel? = null
     private var pingedAt = clock.now()
     private var pings = 0
 
     /** Connections that others opened. */
-    val inbound: Collection<PeerSession> get() = taken
+    val inbound: Collection<PeerSession> get() = taken.keys
 
     /** One connection to each daemon that can be reached, the own one where there are two. */
     fun distinctPeers(): Collection<PeerSession> {
         val byHost = LinkedHashMap<String, PeerSession>()
-        (ownSessions() + taken).forEach { session -> session.peer?.let { byHost.putIfAbsent(it.host, session) } }
+        (ownSessions() + taken.keys).forEach { session -> session.peer?.let { byHost.putIfAbsent(it.host, session) } }
         return byHost.values
     }
 
@@ -83,18 +84,25 @@
         val now = clock.now()
         if (now - pingedAt >= PING_INTERVAL) {
             pingedAt = now
-            val message = ping()
-            val toAll = ++pings % FAR_PINGS == 0
-            taken.forEach { if (it.isOpen && (toAll || isNear(it))) it.send(message) }
+            pings++
+            sendPings(ping())
         }
         for (link in links.values) checkLink(link, now)
     }
 
+    /** Far peers get theirs in turn, so that each region hears something at every pace and passes it on. */
+    private fun sendPings(message: PeerMessage.Ping) {
+        for ((session, turn) in taken) {
+            val isDue = isNear(session) || turn % FAR_PINGS == pings % FAR_PINGS
+            if (session.isOpen && isDue) session.send(message)
+        }
+    }
+
     /** Closes all connections. */
     fun close() {
         server?.close()
         links.values.forEach(::drop)
-        taken.toList().forEach { it.close() }
+        taken.keys.toList().forEach { it.close() }
     }
 
     private fun checkLink(link: Link, now: Duration) {
@@ -152,7 +160,7 @@
     private val listenerOfTaken: PeerListener =
         object : PeerListener by listener {
             override fun opened(session: PeerSession) {
-                taken += session
+                taken[session] = turns++
                 session.send(ping())
                 listener.opened(session)
             }
@@ -185,7 +193,7 @@
         /** Pace of pings to those in the own region who opened a connection. */
         val PING_INTERVAL: Duration = 1.seconds
 
-        /** Every how many pings one goes to other regions too: these are many, and their bytes cost most. */
+        /** Every how many pings one goes to a peer of another region: these are many, and their bytes cost most. */
         const val FAR_PINGS = 3
 
         /** Silence after which a connection is held to be dead: two pings and a half. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -80,7 +80,8 @@
     /**
      * Sent at a steady pace in both directions.
      *
-     * @property readerRank how well the sender reads the source, less is better; negative if it doesn't read
+     * @property readerRank how near the source the sender is, less is better
+     * @property readerState the ordinal of its [kingcuptide.coordination.version.ReaderState]
      * @property contactAgeMs time since the sender knew the source's state to be what it holds; negative: never
      * @property digest equal to the receiver's own only if both believe the same
      */
@@ -92,6 +93,7 @@
         @CborLabel(4) val leaving: Boolean,
         @CborLabel(5) val burden: Burden,
         @CborLabel(6) val digest: Long,
+        @CborLabel(7) val readerState: Int,
     ) : PeerMessage
 
     /** All items of a section as of a revision. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -261,10 +261,11 @@
         return PeerMessage.Ping(
             state.asOf(),
             knowledgeAgeMs(),
-            dutyWatch.claimedRank,
+            dutyWatch.ownRank,
             stop.isBegun,
             gate.burden().toMessage(),
             picture.digest(),
+            dutyWatch.ownState.ordinal,
         )
     }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -155,7 +155,7 @@
             val now = clock.now()
             return knowledge.picker.pick(
                 candidates,
-                PickRequest(route.id, route.objective, objectiveAt - now, deadline - now, tried),
+                PickRequest(route.id, route.objective, objectiveAt - now, deadline - now, request.body.size, tried),
             )
         }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/Source.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/Source.kt
@@ -8,8 +8,11 @@
     /** Where everything of use lies. */
     val parts: List<SourcePart>
 
-    /** Reads all items below [prefix]. */
-    suspend fun readAll(prefix: String): SourceResult
+    /** Reads all items below [prefix]. A [cheap] read may show how things were some seconds ago. */
+    suspend fun readAll(prefix: String, cheap: Boolean): SourceResult
+
+    /** Returns the time that it takes to reach the source, or null if it can't be reached; costs no call. */
+    suspend fun reach(): Duration?
 
     /** Waits up to [wait] for changes below [prefix] after revision [after]. */
     suspend fun watch(prefix: String, after: Long, wait: Duration): SourceResult
--- /dev/null
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/VirtualTime.kt
@@ -0,0 +1,56 @@
+package kingcuptide.forwarder
+
+import kingcuptide.coordination.process.Clock
+import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.Delay
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.InternalCoroutinesApi
+import kotlinx.coroutines.Runnable
+import java.util.PriorityQueue
+import kotlin.coroutines.CoroutineContext
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A clock and a dispatcher whose time passes only in [advance], so that a test of coroutines ends the same each time. */
+@OptIn(InternalCoroutinesApi::class, ExperimentalCoroutinesApi::class)
+internal class VirtualTime :
+    CoroutineDispatcher(),
+    Delay,
+    Clock {
+    private val tasks = PriorityQueue<Task>()
+    private var now = 1_000.seconds
+    private var lastNumber = 0L
+
+    override fun now(): Duration = now
+
+    override fun dispatch(context: CoroutineContext, block: Runnable) = add(now) { block.run() }
+
+    override fun scheduleResumeAfterDelay(timeMillis: Long, continuation: CancellableContinuation<Unit>) =
+        add(now + timeMillis.milliseconds) { with(this) { with(continuation) { resumeUndispatched(Unit) } } }
+
+    /** Lets [by] pass and runs what is due, in the order of time. */
+    fun advance(by: Duration) {
+        val end = now + by
+        while (true) {
+            val next = tasks.peek()?.takeIf { it.at <= end } ?: break
+            tasks.remove()
+            now = maxOf(now, next.at)
+            next.action()
+        }
+        now = end
+    }
+
+    private fun add(at: Duration, action: () -> Unit) {
+        tasks += Task(at, ++lastNumber, action)
+    }
+
+    private class Task(
+        val at: Duration,
+        val number: Long,
+        val action: () -> Unit,
+    ) : Comparable<Task> {
+        override fun compareTo(other: Task): Int = compareValuesBy(this, other, Task::at, Task::number)
+    }
+}
--- /dev/null
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/version/SourceFollowerTest.kt
@@ -0,0 +1,162 @@
+package kingcuptide.forwarder.version
+
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.version.FactDecoder
+import kingcuptide.coordination.version.FleetPicture
+import kingcuptide.coordination.version.PublishedFact
+import kingcuptide.coordination.version.ReaderClaim
+import kingcuptide.coordination.version.ReaderDuty
+import kingcuptide.coordination.version.ReaderState
+import kingcuptide.coordination.version.SourceItem
+import kingcuptide.forwarder.VirtualTime
+import kingcuptide.forwarder.connection.PeerSession
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal class SourceFollowerTest {
+    private val time = VirtualTime()
+    private val source = ScriptedSource()
+    private val duty = ReaderDuty("host")
+    private val picture = FleetPicture(time, NoFacts)
+    private val state = SharedState(time, listOf(PREFIX), picture, NoPeers) {}
+    private val follower =
+        SourceFollower(CoroutineScope(time), time, source, state, Random(1), isFirstStart = false, duty)
+
+    private fun claim(host: String, state: ReaderState = ReaderState.READING) =
+        ReaderClaim(host, 0, state, Duration.ZERO)
+
+    private fun decide(vararg claims: ReaderClaim) = duty.decide(claims.toList(), 0, picture.age())
+
+    @Nested
+    inner class `Given a daemon that starts` {
+        @Test
+        fun `when it reads, then the first read is a cheap one, and the watch goes on from its revision`() {
+            follower.start()
+            time.advance(300.milliseconds)
+            expectThat(source.calls.take(2)).containsExactly("cheap", "watch 7")
+        }
+
+        @Test
+        fun `when it has read only what may be old, then it does not claim to know what is current`() {
+            follower.start()
+            time.advance(50.milliseconds)
+            expectThat(source.calls).containsExactly("cheap")
+            expectThat(follower.isInContact).isFalse()
+            expectThat(picture.age()).isEqualTo(Duration.INFINITE)
+            time.advance(1.seconds)
+            expectThat(follower.isInContact).isTrue()
+            expectThat(picture.age()).isLessThan(1.seconds)
+        }
+
+        @Test
+        fun `when two peers are found to read, then it makes no further call`() {
+            follower.start()
+            time.advance(50.milliseconds)
+            picture.confirmed(Duration.ZERO)
+            decide(claim("a"), claim("b"))
+            time.advance(10.seconds)
+            expectThat(source.calls).containsExactly("cheap")
+        }
+    }
+
+    @Nested
+    inner class `Given a second reader` {
+        @Test
+        fun `when the first one ends, then the pace is the first one's at once`() {
+            follower.start()
+            time.advance(1.seconds)
+            decide(claim("a"))
+            val before = source.calls.size
+            time.advance(10.seconds)
+            val asSecond = source.calls.size - before
+            decide()
+            time.advance(PACE + 200.milliseconds)
+            expectThat(source.calls.size - before - asSecond).isGreaterThan(0)
+            time.advance(10.seconds)
+            expectThat(source.calls.size - before - asSecond).isGreaterThan(asSecond * 3 / 2)
+        }
+    }
+
+    @Nested
+    inner class `Given a source in trouble` {
+        @Test
+        fun `when the history is gone, then all is read again, and not cheaply`() {
+            source.isHistoryGone = true
+            follower.start()
+            time.advance(300.milliseconds)
+            expectThat(source.calls.take(3)).containsExactly("cheap", "watch 7", "whole")
+        }
+
+        @Test
+        fun `when calls fail, then they are repeated ever more seldom, and contact is lost`() {
+            follower.start()
+            time.advance(1.seconds)
+            source.isDown = true
+            val before = source.calls.size
+            time.advance(8.seconds)
+            expectThat(source.calls.size - before).isLessThan(20)
+            expectThat(follower.isInContact).isFalse()
+        }
+    }
+
+    @Test
+    fun `Given a way to the source that takes its time, when it is measured, then the shortest time is kept`() {
+        follower.start()
+        time.advance(5.seconds)
+        expectThat(follower.reachTime).isEqualTo(24.milliseconds)
+    }
+
+    private inner class ScriptedSource : Source {
+        val calls = ArrayList<String>()
+        var isDown = false
+        var isHistoryGone = false
+        private val reachTimes = ArrayDeque(listOf(90, 24, 31, 30).map { it.milliseconds })
+
+        override val parts = listOf(SourcePart(PREFIX, PACE, wait = 1.seconds, isLarge = false))
+
+        override suspend fun readAll(prefix: String, cheap: Boolean): SourceResult {
+            calls += if (cheap) "cheap" else "whole"
+            delay(4)
+            return if (isDown) SourceResult.Failed("down") else SourceResult.Items(emptyList(), 7)
+        }
+
+        override suspend fun reach(): Duration? = reachTimes.removeFirstOrNull()
+
+        override suspend fun watch(prefix: String, after: Long, wait: Duration): SourceResult {
+            calls += "watch $after"
+            delay(4)
+            if (isDown) return SourceResult.Failed("down")
+            return if (isHistoryGone) SourceResult.HistoryGone else SourceResult.Items(emptyList(), after + 1)
+        }
+    }
+
+    private object NoFacts : FactDecoder {
+        override fun decode(item: SourceItem): PublishedFact = PublishedFact.Unusable("none is used here")
+    }
+
+    private object NoPeers : Circle {
+        override fun sessions(): Collection<PeerSession> = emptyList()
+
+        override fun regionOf(session: PeerSession): RegionId? = null
+
+        override val ownRegion = RegionId("north")
+    }
+
+    private companion object {
+        const val PREFIX = "things/"
+        val PACE = 800.milliseconds
+    }
+}
