Keep the target of full use under overload: first come first, hopeless ones last

Change: within a rank the first to come starts first; one that can't make its objective any more waits behind those that can; and who is let in to wait must have one and a half usual runs left, not one.

--- a/cli/src/main/kotlin/kingcuptide/cli/LogLine.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/LogLine.kt
@@ -3,7 +3,7 @@
 /**
  * One event that a daemon wrote.
  *
- * @property origin which log it is from: what stands before the line, or else the name of the file
+ * @property origin which log it is from: the last word before the line, or else the name of the file
  * @property time as the daemon wrote it; sorts as text as long as all daemons write the same offset
  */
 internal data class LogLine(
@@ -24,7 +24,7 @@
     }
     val time = fields.remove("ts") ?: return null
     val event = fields.remove("event") ?: return null
-    val origin = text.substring(0, start).trim().ifEmpty { file }
+    val origin = text.substring(0, start).trim().substringAfterLast(' ').ifEmpty { file }
     return LogLine(origin, time, event, fields)
 }
 
--- a/cli/src/main/kotlin/kingcuptide/cli/RequestStory.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/RequestStory.kt
@@ -63,12 +63,15 @@
     return StoryStep(line.time, line.origin, line.event, details)
 }
 
-/** Changes of belief shortly before the request's last line, the latest ones. */
+/** Changes shortly before the request's last line, at the daemons that it touched or of the targets it was sent to. */
 private fun contextOf(own: List<LogLine>, lines: List<LogLine>): List<LogLine> {
     val end = timeOf(own.last()) ?: return emptyList()
     val begin = (timeOf(own.first()) ?: end).minus(CONTEXT)
+    val origins = own.mapTo(HashSet()) { it.origin }
+    val targets = own.mapNotNullTo(HashSet()) { it.fields["target"] }
     val before = lines.filter { line ->
-        val time = if (line.event in CONTEXT_EVENTS) timeOf(line) else null
+        val isInvolved = line.origin in origins || line.fields["target"] in targets
+        val time = if (isInvolved && line.event in CONTEXT_EVENTS) timeOf(line) else null
         time != null && !time.isBefore(begin) && !time.isAfter(end)
     }
     return before.sortedBy { it.time }.takeLast(MAX_CONTEXT)
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
@@ -61,7 +61,9 @@
  * The last word on whether a request may go to the target beside this daemon, and when.
  *
  * At most [slots] requests run at once; others wait, the most urgent first, as long as they can still be answered within
- * their objective. A cold target gets no more than [coldRate] in any second. Used from one thread.
+ * their objective. Among equally urgent ones the first to come starts first, but those that can't make their objective
+ * any more start after those that can: else every one of them would be a little late as long as there is too much to
+ * do. A cold target gets no more than [coldRate] in any second. Used from one thread.
  */
 public class TargetGate(
     private val clock: Clock,
@@ -164,7 +166,7 @@
     /** How long [request] may wait: so that it makes its objective, or is at least not much later than it is already. */
     private fun patienceOf(request: GateRequest, run: Duration, now: Duration): Duration {
         val untilDeadline = request.deadline - now - run
-        val untilObjective = request.objectiveAt - now - run
+        val untilObjective = request.objectiveAt - now - run * SURE_RUN_SHARE
         return minOf(maxOf(untilObjective, request.objective * LATE_PATIENCE_SHARE), untilDeadline)
     }
 
@@ -189,8 +191,8 @@
 
     private fun startWaiting() {
         while (waiting.isNotEmpty() && hasRoom(clock.now())) {
-            val request = waiting.removeAt(0)
             val now = clock.now()
+            val request = takeNext(now)
             starts.record(now)
             request.startedAt = now
             running += request
@@ -198,6 +200,15 @@
         }
     }
 
+    private fun takeNext(now: Duration): GateRequest {
+        val rank = waiting.first().rank
+        val onTime = waiting.indexOfFirst { it.rank == rank && canMakeObjective(it, now) }
+        return waiting.removeAt(maxOf(0, onTime))
+    }
+
+    private fun canMakeObjective(request: GateRequest, now: Duration): Boolean =
+        now + runTimes.expected(request.route, request.objective) <= request.objectiveAt
+
     private fun hasRoom(now: Duration): Boolean {
         if (running.size >= limitNow()) return false
         return !isCold(now) || starts.count(now) < coldRate
@@ -225,7 +236,7 @@
         if (isCold(now)) ResultCode.TARGET_COLD else ResultCode.TARGET_FULL
 
     private fun isBefore(first: GateRequest, second: GateRequest): Boolean =
-        first.rank < second.rank || (first.rank == second.rank && first.objectiveAt < second.objectiveAt)
+        first.rank < second.rank
 
     public companion object {
         /** Longest time between two calls of [serve]. */
@@ -239,6 +250,9 @@
         /** Share of the usual run time that must be left, since runs differ in length. */
         private const val HOPELESS_SHARE = 0.5
 
+        /** Runs that must fit between the wait and the objective, since about half of the runs take longer than usual. */
+        private const val SURE_RUN_SHARE = 1.5
+
         /** Share of the objective that a request may wait which can't make it any more. */
         private const val LATE_PATIENCE_SHARE = 0.25
         private val CLOSED_RETRY_AFTER = 200.milliseconds
