Let calls of running requests wait as long as those, and pass on the soonest Retry-After

Such a call is worth nothing only when its parent can't go on: its objective is now the time that it has. When all targets refuse, the answer had the code 'no target' and a fixed wait; it now has the code and the Retry-After of the soonest.

--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/GateOverloadTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/GateOverloadTest.kt
@@ -62,7 +62,25 @@
         }
     }
 
+    /** Calls that running requests wait for, at a target that has too much to do. */
+    @Nested
+    inner class `Calls of running requests` {
+        private val call =
+            LoadKind("call", 0.1, usualRun = 22.milliseconds, objective = 250.milliseconds, 250.milliseconds, -1, 0)
+
+        @Test
+        fun `Given too much of the callers' requests, when calls come too, then nearly all calls are served`() {
+            for (spread in SPREADS) {
+                val results = GateLoad(listOf(GateLoad.quick(load = 1.5), call), spread, seed = 11).play()
+                expectThat(results.getValue("call").served).isGreaterThan(CALLS)
+            }
+        }
+    }
+
     private companion object {
+        /** Each call that is turned away fails a request that has begun. */
+        const val CALLS = 0.98
+
         /** Part of a target's slots that must be of use to somebody, and of callers that must be served if all can be. */
         const val USE = 0.85
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -110,13 +110,17 @@
         limit: Duration,
     ) {
         private val deadline = request.receivedAt + limit
-        private val objectiveAt = request.receivedAt + route.objective
+
+        /** What a running request waits for is worth nothing only once that request can't go on. */
+        private val objective = if (request.fromTarget) limit else route.objective
+        private val objectiveAt = request.receivedAt + objective
         private val headers = forwardedHeaders(request.headers)
         private val tried = LinkedHashSet<TargetId>()
         private var reached = 0
         private var hops = 0
         private var mayHaveRun = false
         private var inFlightAt: KnownTarget? = null
+        private var soonest: ForwardEnd.Refused? = null
 
         suspend fun run(): HttpAnswer {
             val limitMs = (deadline - clock.now()).inWholeMilliseconds
@@ -134,7 +138,7 @@
 
         private suspend fun attempts(): HttpAnswer {
             while (true) {
-                val target = pick() ?: return giveUp(truthful(ResultCode.NO_TARGET), NO_TARGET_WAIT, "no target")
+                val target = pick() ?: return noneLeft()
                 tried += target.entry.id
                 val end = attempt(target)
                 end.burden?.let { knowledge.picker.reported(target.entry.id, it) }
@@ -147,6 +151,11 @@
             }
         }
 
+        private fun noneLeft(): HttpAnswer {
+            val refusal = soonest ?: return giveUp(truthful(ResultCode.NO_TARGET), NO_TARGET_WAIT, "no target")
+            return giveUp(truthful(refusal.code), refusal.retryAfter, "refused by all of ${tried.size}")
+        }
+
         private fun pick(): KnownTarget? {
             val takenOut = knowledge.picture.takenOut
             val candidates = knowledge.picture.targetsOf(service).filter {
@@ -155,7 +164,7 @@
             val now = clock.now()
             return knowledge.picker.pick(
                 candidates,
-                PickRequest(route.id, route.objective, objectiveAt - now, deadline - now, request.body.size, tried),
+                PickRequest(route.id, objective, objectiveAt - now, deadline - now, request.body.size, tried),
             )
         }
 
@@ -173,7 +182,7 @@
                     request.body,
                     deadline - now,
                     objectiveAt - now,
-                    route.objective,
+                    objective,
                     route.id,
                     if (request.fromTarget) INTERNAL_RANK else route.rank,
                     route.repeatable,
@@ -195,7 +204,7 @@
         private fun answered(target: KnownTarget, end: ForwardEnd.Answered): HttpAnswer? {
             val sound = end.answer.status < FIRST_SERVER_ERROR
             val bytes = end.answer.body.size
-            knowledge.picker.answered(target.entry.id, route.id, route.objective, end.ran, bytes, sound)
+            knowledge.picker.answered(target.entry.id, route.id, objective, end.ran, bytes, sound)
             reached++
             counts.exchanged(knowledge.place.distanceTo(target.entry.failureDomain), request.body.size + bytes)
             if (!sound && route.repeatable && mayRepeat()) {
@@ -222,12 +231,14 @@
                 hops++
                 knowledge.picker.refused(target.entry.id, end.code !in CROWDED)
             }
+            val refusal = soonest?.takeIf { it.retryAfter < end.retryAfter } ?: end
+            soonest = refusal
             val goesOn = if (end.reachedTarget) mayRepeat() else hops < MAX_HOPS
             if (goesOn) {
                 noteRepeat(target, end.code, "refused")
                 return null
             }
-            return giveUp(truthful(end.code), end.retryAfter, "refused by ${target.entry.id}")
+            return giveUp(truthful(refusal.code), refusal.retryAfter, "refused by ${target.entry.id}")
         }
 
         private fun lost(target: KnownTarget, end: ForwardEnd.Lost): HttpAnswer? {
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -145,8 +145,8 @@
         null,
     )
 
-    private fun refused(reachedTarget: Boolean) =
-        ForwardEnd.Refused(ResultCode.TARGET_FULL, 300.milliseconds, reachedTarget, null)
+    private fun refused(reachedTarget: Boolean, after: Duration = 300.milliseconds) =
+        ForwardEnd.Refused(ResultCode.TARGET_FULL, after, reachedTarget, null)
 
     private val lost = ForwardEnd.Lost(ResultCode.ANSWER_LOST, null)
 
@@ -258,5 +258,25 @@
             expectThat(answer.status).isEqualTo(503)
             expectThat(answer.headers.first("Retry-After")).isEqualTo("0.300")
         }
+
+        @Test
+        fun `Given fewer gates than may be asked, when all refuse, then the soonest of them says when to come back`() {
+            start(setOf(RegionId("north")))
+            ends += refused(reachedTarget = false, after = 120.milliseconds)
+            ends += refused(reachedTarget = false, after = 700.milliseconds)
+            val answer = serve("/read/x")
+            expectThat(answer.headers.first("Retry-After")).isEqualTo("0.120")
+            expectThat(answer.headers.first("Kingcuptide-Code")).isEqualTo("${ResultCode.TARGET_FULL.number}")
+        }
+
+        @Test
+        fun `Given a call that a running request waits for, when it is sent, then it may wait as long as that one`() {
+            start()
+            ends += answered(200)
+            val headers = listOf("Host" to "h:80", "Id" to "7", "Left" to "900")
+            val call = CallerRequest("GET", "/read/x", headers, NO_BYTES, clock.now(), fromTarget = true)
+            runBlocking { entry.serve(call) }
+            expectThat(sent.single().second.untilObjective).isEqualTo(900.milliseconds)
+        }
     }
 }
