Watch the whole source with one call, so that contact is contact with all of it

The watches of the targets gave up after 2.5 s and found it again; those of the configuration waited 10 s for changes and 1.5 s for the store, so that all daemons hung in them until 31.4 to 31.9, each taking the answers about targets for contact with everything. Ruled out: peers that don't pass news on (36 reached all within 0.1 s of the first to read it).

A change of configuration is read at the pace of the watch, 0.8 s, or 1.6 s by the second reader alone, against a bound of 2 s.

Test: SourceFollowerTest, a source that was silent tells of what seldom changes as soon as of all else. It can't run on the old interface, where a part had a wait of its own; with the old wait of 10 s in the stand-in it would be 11.5 s.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/Source.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/Source.kt
@@ -8,14 +8,17 @@
     /** Where everything of use lies. */
     val parts: List<SourcePart>
 
+    /** Shortest time between the starts of two watches. */
+    val pace: Duration
+
     /** Reads all items below [prefix]. A [cheap] read may show how things were some seconds ago. */
     suspend fun readAll(prefix: String, cheap: Boolean): SourceResult
 
     /** Returns the time that it takes to reach the source, or null if it can't be reached; costs no call. */
     suspend fun reach(): Duration?
 
-    /** Waits up to [wait] for changes below [prefix] after revision [after]. */
-    suspend fun watch(prefix: String, after: Long, wait: Duration): SourceResult
+    /** Waits a while for changes of anything after revision [after]: one call tells of all parts. */
+    suspend fun watch(after: Long): SourceResult
 }
 
 /** What a read of the source brought. */
@@ -35,16 +38,8 @@
     ) : SourceResult
 }
 
-/**
- * All items below one prefix.
- *
- * @property pace shortest time between the starts of two calls
- * @property wait longest time that a watch waits for a change
- * @property isLarge whether a daemon that starts had better get them from a peer near it
- */
+/** All items below one prefix; those of a large part a daemon that starts had better get from a peer near it. */
 data class SourcePart(
     val prefix: String,
-    val pace: Duration,
-    val wait: Duration,
     val isLarge: Boolean,
 )
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SourceFollower.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SourceFollower.kt
@@ -12,10 +12,11 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Reads the source while it is this daemon's [duty], each part at its own pace.
+ * Reads the source while it is this daemon's [duty].
  *
- * The first read is a cheap one, whose answer may be old: what changed since comes from peers, or from the watch that
- * goes on from there. A failed call is repeated after a pause that grows. Used on the event loop.
+ * The first read of each part is a cheap one, whose answer may be old: what changed since comes from peers, or from the
+ * watch that goes on from there. One watch tells of all parts, so that contact with the source is contact with all that
+ * it holds. A failed call is repeated after a pause that grows. Used on the event loop.
  */
 class SourceFollower(
     private val scope: CoroutineScope,
@@ -42,7 +43,8 @@
 
     fun start() {
         scope.launch { measureReach() }
-        for (part in source.parts) scope.launch { follow(part) }
+        for (part in source.parts) scope.launch { readFirst(part) }
+        scope.launch { follow() }
     }
 
     private suspend fun measureReach() {
@@ -53,8 +55,20 @@
         }
     }
 
-    private suspend fun follow(part: SourcePart) {
-        if (part.isLarge) awaitPeers(part)
+    private suspend fun readFirst(part: SourcePart) {
+        if (part.isLarge) await { isKnown(part) }
+        var pause = FIRST_PAUSE
+        while (!isKnown(part) && !readWhole(part.prefix, cheap = true)) {
+            delay(pause.inWholeMilliseconds)
+            pause = minOf(pause * 2, LONGEST_PAUSE)
+        }
+    }
+
+    private fun isKnown(part: SourcePart): Boolean = state.asOf(part.prefix) != 0L
+
+    private suspend fun follow() {
+        while (!source.parts.all(::isKnown)) delay(PEER_CHECK.inWholeMilliseconds)
+        await { !duty.reads }
         var pause = FIRST_PAUSE
         while (true) {
             if (!duty.reads) {
@@ -62,9 +76,9 @@
                 continue
             }
             val startedAt = clock.now()
-            val succeeded = readOnce(part)
+            val succeeded = watchOnce()
             pause = if (succeeded) FIRST_PAUSE else minOf(pause * 2, LONGEST_PAUSE)
-            awaitPace(startedAt) { if (succeeded) paceOf(part) else pause }
+            awaitPace(startedAt) { if (succeeded) ownPace() else pause }
         }
     }
 
@@ -76,11 +90,9 @@
         } while (left > DUTY_CHECK)
     }
 
-    private fun paceOf(part: SourcePart): Duration = if (duty.isFirst) part.pace else part.pace * SECOND_READER_PACES
+    private fun ownPace(): Duration = if (duty.isFirst) source.pace else source.pace * SECOND_READER_PACES
 
     /** Peers that are there may tell sooner, and at less cost, than the source. */
-    private suspend fun awaitPeers(part: SourcePart) = await { state.asOf(part.prefix) != 0L }
-
     private suspend fun await(isDone: () -> Boolean) {
         val wait = if (isFirstStart) FIRST_START_WAIT else RESTART_WAIT
         val spread = if (isFirstStart) FIRST_START_SPREAD else RESTART_WAIT
@@ -88,25 +100,26 @@
         while (clock.now() < until && !isDone()) delay(PEER_CHECK.inWholeMilliseconds)
     }
 
-    private suspend fun readOnce(part: SourcePart): Boolean {
-        val prefix = part.prefix
-        if (state.asOf(prefix) == 0L) {
-            if (!readWhole(prefix, cheap = true)) return false
-            await { !duty.reads }
-            if (!duty.reads) return true
-        }
-        val after = state.asOf(prefix)
+    private suspend fun watchOnce(): Boolean {
+        val after = source.parts.minOf { state.asOf(it.prefix) }
         calls++
-        return when (val result = source.watch(prefix, after, part.wait)) {
-            is SourceResult.Items -> {
-                state.readChanges(prefix, after, result.items, result.asOf).also { if (it) current(prefix) }
-            }
+        return when (val result = source.watch(after)) {
+            is SourceResult.Items -> took(after, result)
             SourceResult.HistoryGone -> {
-                log.info("source_history_gone", "prefix" to prefix, "after" to after)
-                readWhole(prefix, cheap = false)
+                log.info("source_history_gone", "after" to after)
+                source.parts.all { readWhole(it.prefix, cheap = false) }.also { if (it) current() }
             }
-            is SourceResult.Failed -> failed(prefix, result.reason)
+            is SourceResult.Failed -> failed(result.reason)
+        }
+    }
+
+    private fun took(after: Long, result: SourceResult.Items): Boolean {
+        val known = source.parts.map { part ->
+            val ofPart = result.items.filter { it.key.startsWith(part.prefix) }
+            state.readChanges(part.prefix, after, ofPart, result.asOf)
         }
+        if (known.all { it }) current()
+        return known.all { it }
     }
 
     private suspend fun readWhole(prefix: String, cheap: Boolean): Boolean {
@@ -114,24 +127,23 @@
         return when (val result = source.readAll(prefix, cheap)) {
             is SourceResult.Items -> {
                 state.readAll(prefix, result.items, result.asOf)
-                if (!cheap) current(prefix)
                 true
             }
             SourceResult.HistoryGone -> false
-            is SourceResult.Failed -> failed(prefix, result.reason)
+            is SourceResult.Failed -> failed(result.reason)
         }
     }
 
-    /** What is held of [prefix] is what the source holds. */
-    private fun current(prefix: String) {
-        if (lost || !everCurrent) log.info("source_regained", "prefix" to prefix, "as_of" to state.asOf(prefix))
+    /** What is held is what the source holds. */
+    private fun current() {
+        if (lost || !everCurrent) log.info("source_regained", "as_of" to source.parts.map { state.asOf(it.prefix) })
         lost = false
         everCurrent = true
         state.confirmed()
     }
 
-    private fun failed(prefix: String, reason: String): Boolean {
-        if (!lost) log.warn("source_lost", "prefix" to prefix, "reason" to reason)
+    private fun failed(reason: String): Boolean {
+        if (!lost) log.warn("source_lost", "reason" to reason)
         lost = true
         return false
     }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/version/SourceFollowerTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/version/SourceFollowerTest.kt
@@ -31,7 +31,7 @@
     private val source = ScriptedSource()
     private val duty = ReaderDuty("host")
     private val picture = FleetPicture(time, NoFacts)
-    private val state = SharedState(time, listOf(PREFIX), picture, NoPeers) {}
+    private val state = SharedState(time, source.parts.map { it.prefix }, picture, NoPeers) {}
     private val follower =
         SourceFollower(CoroutineScope(time), time, source, state, Random(1), isFirstStart = false, duty)
 
@@ -45,15 +45,15 @@
         @Test
         fun `when it reads, then the first read is a cheap one, and the watch goes on from its revision`() {
             follower.start()
-            time.advance(300.milliseconds)
-            expectThat(source.calls.take(2)).containsExactly("cheap", "watch 7")
+            time.advance(500.milliseconds)
+            expectThat(source.calls.take(3)).containsExactly("things/ cheap", "rare/ cheap", "watch 7")
         }
 
         @Test
         fun `when it has read only what may be old, then it does not claim to know what is current`() {
             follower.start()
-            time.advance(50.milliseconds)
-            expectThat(source.calls).containsExactly("cheap")
+            time.advance(250.milliseconds)
+            expectThat(source.calls).containsExactly("things/ cheap", "rare/ cheap")
             expectThat(follower.isInContact).isFalse()
             expectThat(picture.age()).isEqualTo(Duration.INFINITE)
             time.advance(1.seconds)
@@ -64,11 +64,11 @@
         @Test
         fun `when two peers are found to read, then it makes no further call`() {
             follower.start()
-            time.advance(50.milliseconds)
+            time.advance(250.milliseconds)
             picture.confirmed(Duration.ZERO)
             decide(claim("a"), claim("b"))
             time.advance(10.seconds)
-            expectThat(source.calls).containsExactly("cheap")
+            expectThat(source.calls).containsExactly("things/ cheap", "rare/ cheap")
         }
     }
 
@@ -96,8 +96,20 @@
         fun `when the history is gone, then all is read again, and not cheaply`() {
             source.isHistoryGone = true
             follower.start()
-            time.advance(300.milliseconds)
-            expectThat(source.calls.take(3)).containsExactly("cheap", "watch 7", "whole")
+            time.advance(500.milliseconds)
+            expectThat(source.calls.drop(2).take(3)).containsExactly("watch 7", "things/ whole", "rare/ whole")
+        }
+
+        @Test
+        fun `when it was silent for a while, then what changes seldom is heard of as soon as all else`() {
+            follower.start()
+            time.advance(2.seconds)
+            source.isSilent = true
+            time.advance(6.seconds)
+            source.isSilent = false
+            source.revision = 20
+            time.advance(SILENT_CALL + PACE + 100.milliseconds)
+            expectThat(state.asOf(RARE_PREFIX)).isEqualTo(20)
         }
 
         @Test
@@ -125,21 +137,33 @@
         var isHistoryGone = false
         private val reachTimes = ArrayDeque(listOf(90, 24, 31, 30).map { it.milliseconds })
 
-        override val parts = listOf(SourcePart(PREFIX, PACE, wait = 1.seconds, isLarge = false))
+        var isSilent = false
+        var revision = 7L
+
+        override val parts = listOf(SourcePart(PREFIX, isLarge = false), SourcePart(RARE_PREFIX, isLarge = true))
+        override val pace = PACE
 
         override suspend fun readAll(prefix: String, cheap: Boolean): SourceResult {
-            calls += if (cheap) "cheap" else "whole"
+            calls += "$prefix ${if (cheap) "cheap" else "whole"}"
             delay(4)
-            return if (isDown) SourceResult.Failed("down") else SourceResult.Items(emptyList(), 7)
+            return if (isDown) SourceResult.Failed("down") else SourceResult.Items(emptyList(), revision)
         }
 
         override suspend fun reach(): Duration? = reachTimes.removeFirstOrNull()
 
-        override suspend fun watch(prefix: String, after: Long, wait: Duration): SourceResult {
+        override suspend fun watch(after: Long): SourceResult {
             calls += "watch $after"
+            if (isSilent) return silence()
             delay(4)
             if (isDown) return SourceResult.Failed("down")
-            return if (isHistoryGone) SourceResult.HistoryGone else SourceResult.Items(emptyList(), after + 1)
+            if (isHistoryGone) return SourceResult.HistoryGone
+            val changes = listOf(SourceItem(RARE_PREFIX + "a", revision, null)).filter { revision > after }
+            return SourceResult.Items(changes, maxOf(after, revision))
+        }
+
+        private suspend fun silence(): SourceResult {
+            delay(SILENT_CALL.inWholeMilliseconds)
+            return SourceResult.Failed("no answer")
         }
     }
 
@@ -157,6 +181,10 @@
 
     private companion object {
         const val PREFIX = "things/"
+        const val RARE_PREFIX = "rare/"
+
+        /** A call that waits for changes, and the time that the source has to answer it. */
+        val SILENT_CALL = 2_500.milliseconds
         val PACE = 800.milliseconds
     }
 }
