--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -2,7 +2,6 @@
 
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.FailureDomainId
-import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.version.KnownTarget
 import kingcuptide.coordination.version.TargetId
@@ -22,22 +21,15 @@
     internal var failuresAt: Duration = Duration.ZERO
     internal var slowness = 1.0
     internal var asideUntil: Duration = Duration.ZERO
-    internal var firstSeenAt: Duration = Duration.ZERO
 }
 
-/** Where this daemon stands, from which the way to each target follows. */
-public data class OwnPlace(
-    val failureDomain: FailureDomainId,
-    val region: RegionId,
-    val regionOf: (FailureDomainId) -> RegionId?,
-)
-
-/** What a choice must know of the request. */
+/** What a choice must know of the request; [bodyBytes] is the length of its own body. */
 public data class PickRequest(
     val route: RouteId,
     val objective: Duration,
     val untilObjective: Duration,
     val untilDeadline: Duration,
+    val bodyBytes: Int,
     val tried: Set<TargetId>,
 )
 
@@ -147,7 +139,7 @@
         val atAll = chanceBefore(finish, request.untilDeadline)
         val credit = onTime * (1 - LATE_WORTH) + atAll * LATE_WORTH
         val sound = credit * (1 - failuresOf(record, now)).pow(FAILURE_SHARPNESS)
-        val bytes = runTimes.expectedBytes(request.route) + HEAD_BYTES
+        val bytes = request.bodyBytes + runTimes.expectedBytes(request.route) + HEAD_BYTES
         val hurry = finish / maxOf(request.objective, SHORTEST_OBJECTIVE) * HURRY
         return sound - way.costPerByte * bytes - hurry
     }
@@ -168,14 +160,13 @@
         return ((SURELY_LATE - finish / limit) / (SURELY_LATE - SURELY_ON_TIME)).coerceIn(0.0, 1.0)
     }
 
-    private fun wayTo(failureDomain: FailureDomainId): Way = when {
-        failureDomain == place.failureDomain -> Way.SAME_DOMAIN
-        place.regionOf(failureDomain) == place.region -> Way.SAME_REGION
-        else -> Way.OTHER_REGION
+    private fun wayTo(failureDomain: FailureDomainId): Way = when (place.distanceTo(failureDomain)) {
+        Distance.SAME_DOMAIN -> Way.SAME_DOMAIN
+        Distance.SAME_REGION -> Way.SAME_REGION
+        Distance.OTHER_REGION -> Way.OTHER_REGION
     }
 
-    private fun recordOf(id: TargetId): TargetRecord =
-        records.getOrPut(id) { TargetRecord().also { it.firstSeenAt = clock.now() } }
+    private fun recordOf(id: TargetId): TargetRecord = records.getOrPut(id) { TargetRecord() }
 
     /** The way to a target: its usual time, and what a byte on it costs as a share of a request's worth. */
     private enum class Way(val roundTrip: Duration, val costPerByte: Double) {
@@ -187,7 +178,7 @@
     private companion object {
         const val TIE_BREAK = 0.02
 
-        /** Bytes of a request and of both heads, beside the answer's body. */
+        /** Bytes of both heads, beside the bodies. */
         const val HEAD_BYTES = 500.0
         const val SMOOTHING = 0.1
         const val FAILURE_SMOOTHING = 0.15
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -1,12 +1,11 @@
 package kingcuptide.forwarder.request
 
 import kingcuptide.coordination.process.Clock
-import kingcuptide.coordination.process.FailureDomainId
-import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.Outcome
+import kingcuptide.coordination.request.OwnPlace
 import kingcuptide.coordination.request.PickRequest
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.TargetPicker
@@ -27,6 +26,7 @@
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.Side
+import kingcuptide.forwarder.process.TrafficCounts
 import kingcuptide.forwarder.process.eventLog
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
@@ -49,7 +49,7 @@
 /** What an entry knows of its surroundings. */
 class EntryKnowledge(
     val service: () -> ServiceId,
-    val regionOf: (FailureDomainId) -> RegionId?,
+    val place: OwnPlace,
     val picture: FleetPicture,
     val picker: TargetPicker,
     val allowance: RetryAllowance,
@@ -63,6 +63,7 @@
     private val knowledge: EntryKnowledge,
     private val ways: Ways,
     private val metrics: DaemonMetrics,
+    private val counts: TrafficCounts,
 ) {
     private val turns = WeightedTurns()
 
@@ -70,6 +71,7 @@
     suspend fun serve(request: CallerRequest): HttpAnswer {
         val answer = answer(request)
         metrics.answered(answer.status)
+        counts.answered(answer.status)
         metrics.requestTook(clock.now() - request.receivedAt)
         return answer
     }
@@ -108,13 +110,17 @@
         limit: Duration,
     ) {
         private val deadline = request.receivedAt + limit
-        private val objectiveAt = request.receivedAt + route.objective
+
+        /** What a running request waits for is worth nothing only once that request can't go on. */
+        private val objective = if (request.fromTarget) limit else route.objective
+        private val objectiveAt = request.receivedAt + objective
         private val headers = forwardedHeaders(request.headers)
         private val tried = LinkedHashSet<TargetId>()
         private var reached = 0
         private var hops = 0
         private var mayHaveRun = false
         private var inFlightAt: KnownTarget? = null
+        private var soonest: ForwardEnd.Refused? = null
 
         suspend fun run(): HttpAnswer {
             val limitMs = (deadline - clock.now()).inWholeMilliseconds
@@ -132,7 +138,7 @@
 
         private suspend fun attempts(): HttpAnswer {
             while (true) {
-                val target = pick() ?: return giveUp(truthful(ResultCode.NO_TARGET), NO_TARGET_WAIT, "no target")
+                val target = pick() ?: return noneLeft()
                 tried += target.entry.id
                 val end = attempt(target)
                 end.burden?.let { knowledge.picker.reported(target.entry.id, it) }
@@ -145,6 +151,11 @@
             }
         }
 
+        private fun noneLeft(): HttpAnswer {
+            val refusal = soonest ?: return giveUp(truthful(ResultCode.NO_TARGET), NO_TARGET_WAIT, "no target")
+            return giveUp(truthful(refusal.code), refusal.retryAfter, "refused by all of ${tried.size}")
+        }
+
         private fun pick(): KnownTarget? {
             val takenOut = knowledge.picture.takenOut
             val candidates = knowledge.picture.targetsOf(service).filter {
@@ -153,12 +164,12 @@
             val now = clock.now()
             return knowledge.picker.pick(
                 candidates,
-                PickRequest(route.id, route.objective, objectiveAt - now, deadline - now, tried),
+                PickRequest(route.id, objective, objectiveAt - now, deadline - now, request.body.size, tried),
             )
         }
 
         private fun isHome(target: KnownTarget): Boolean =
-            route.homeRegions.isEmpty() || knowledge.regionOf(target.entry.failureDomain) in route.homeRegions
+            route.homeRegions.isEmpty() || knowledge.place.regionOf(target.entry.failureDomain) in route.homeRegions
 
         private suspend fun attempt(target: KnownTarget): ForwardEnd {
             val now = clock.now()
@@ -171,7 +182,7 @@
                     request.body,
                     deadline - now,
                     objectiveAt - now,
-                    route.objective,
+                    objective,
                     route.id,
                     if (request.fromTarget) INTERNAL_RANK else route.rank,
                     route.repeatable,
@@ -193,8 +204,9 @@
         private fun answered(target: KnownTarget, end: ForwardEnd.Answered): HttpAnswer? {
             val sound = end.answer.status < FIRST_SERVER_ERROR
             val bytes = end.answer.body.size
-            knowledge.picker.answered(target.entry.id, route.id, route.objective, end.ran, bytes, sound)
+            knowledge.picker.answered(target.entry.id, route.id, objective, end.ran, bytes, sound)
             reached++
+            counts.exchanged(knowledge.place.distanceTo(target.entry.failureDomain), request.body.size + bytes)
             if (!sound && route.repeatable && mayRepeat()) {
                 mayHaveRun = true
                 noteRepeat(target, ResultCode.TARGET_OVERLOADED, "status ${end.answer.status}")
@@ -219,12 +231,14 @@
                 hops++
                 knowledge.picker.refused(target.entry.id, end.code !in CROWDED)
             }
+            val refusal = soonest?.takeIf { it.retryAfter < end.retryAfter } ?: end
+            soonest = refusal
             val goesOn = if (end.reachedTarget) mayRepeat() else hops < MAX_HOPS
             if (goesOn) {
                 noteRepeat(target, end.code, "refused")
                 return null
             }
-            return giveUp(truthful(end.code), end.retryAfter, "refused by ${target.entry.id}")
+            return giveUp(truthful(refusal.code), refusal.retryAfter, "refused by ${target.entry.id}")
         }
 
         private fun lost(target: KnownTarget, end: ForwardEnd.Lost): HttpAnswer? {
@@ -265,6 +279,7 @@
                 "status" to statusOf(code),
                 "reason" to reason,
                 "took_ms" to tookMs,
+                "target" to inFlightAt?.entry?.id,
                 "reached" to reached,
                 "hops" to hops,
                 "knowledge_age_ms" to knowledge.picture.age().inWholeMilliseconds,
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SourceFollower.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SourceFollower.kt
@@ -9,11 +9,14 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
- * Reads the source while it is this daemon's [duty], each part at its own pace.
+ * Reads the source while it is this daemon's [duty].
  *
- * A failed call is repeated after a pause that grows. Used on the event loop.
+ * The first read of each part is a cheap one, whose answer may be old: what changed since comes from peers, or from the
+ * watch that goes on from there. One watch tells of all parts, so that contact with the source is contact with all that
+ * it holds. A failed call is repeated after a pause that grows. Used on the event loop.
  */
 class SourceFollower(
     private val scope: CoroutineScope,
@@ -25,24 +28,47 @@
     private val duty: ReaderDuty,
 ) {
     private var lost = false
+    private var everCurrent = false
 
-    /** Time that the last successful whole read took, or null if none succeeded. */
-    var readTime: Duration? = null
+    /** Time that it takes to reach the source, or null while it is not known. */
+    var reachTime: Duration? = null
         private set
 
-    /** Whether the last call succeeded. */
-    val isInContact: Boolean get() = readTime != null && !lost
+    /** Whether this daemon has read what is current, and its last call succeeded. */
+    val isInContact: Boolean get() = everCurrent && !lost
 
     /** Calls made so far. */
     var calls: Long = 0
         private set
 
     fun start() {
-        for (part in source.parts) scope.launch { follow(part) }
+        scope.launch { measureReach() }
+        for (part in source.parts) scope.launch { readFirst(part) }
+        scope.launch { follow() }
     }
 
-    private suspend fun follow(part: SourcePart) {
-        if (part.isLarge) awaitPeers(part)
+    private suspend fun measureReach() {
+        repeat(REACH_PROBES) {
+            delay(REACH_PAUSE.inWholeMilliseconds)
+            val took = source.reach() ?: return@repeat
+            reachTime = minOf(reachTime ?: took, took)
+        }
+    }
+
+    private suspend fun readFirst(part: SourcePart) {
+        if (part.isLarge) await { isKnown(part) }
+        var pause = FIRST_PAUSE
+        while (!isKnown(part) && !readWhole(part.prefix, cheap = true)) {
+            delay(pause.inWholeMilliseconds)
+            pause = minOf(pause * 2, LONGEST_PAUSE)
+        }
+    }
+
+    private fun isKnown(part: SourcePart): Boolean = state.asOf(part.prefix) != 0L
+
+    private suspend fun follow() {
+        while (!source.parts.all(::isKnown)) delay(PEER_CHECK.inWholeMilliseconds)
+        await { !duty.reads }
         var pause = FIRST_PAUSE
         while (true) {
             if (!duty.reads) {
@@ -50,84 +76,97 @@
                 continue
             }
             val startedAt = clock.now()
-            val succeeded = readOnce(part)
+            val succeeded = watchOnce()
             pause = if (succeeded) FIRST_PAUSE else minOf(pause * 2, LONGEST_PAUSE)
-            val pace = if (duty.isFirst) part.pace else part.pace * SECOND_READER_PACES
-            val next = startedAt + if (succeeded) pace else pause
-            delay((next - clock.now()).inWholeMilliseconds.coerceAtLeast(1))
+            awaitPace(startedAt) { if (succeeded) ownPace() else pause }
         }
     }
 
+    /** Looks at the pace again and again: a second reader may become the first meanwhile. */
+    private suspend fun awaitPace(startedAt: Duration, pace: () -> Duration) {
+        do {
+            val left = startedAt + pace() - clock.now()
+            delay(left.coerceIn(SHORTEST_PAUSE, DUTY_CHECK).inWholeMilliseconds)
+        } while (left > DUTY_CHECK)
+    }
+
+    private fun ownPace(): Duration = if (duty.isFirst) source.pace else source.pace * SECOND_READER_PACES
+
     /** Peers that are there may tell sooner, and at less cost, than the source. */
-    private suspend fun awaitPeers(part: SourcePart) {
+    private suspend fun await(isDone: () -> Boolean) {
         val wait = if (isFirstStart) FIRST_START_WAIT else RESTART_WAIT
-        val until = clock.now() + wait + wait * random.nextDouble()
-        while (clock.now() < until && state.asOf(part.prefix) == 0L) delay(PEER_CHECK.inWholeMilliseconds)
+        val spread = if (isFirstStart) FIRST_START_SPREAD else RESTART_WAIT
+        val until = clock.now() + wait + spread * random.nextDouble()
+        while (clock.now() < until && !isDone()) delay(PEER_CHECK.inWholeMilliseconds)
     }
 
-    private suspend fun readOnce(part: SourcePart): Boolean {
-        val prefix = part.prefix
-        val after = state.asOf(prefix)
+    private suspend fun watchOnce(): Boolean {
+        val after = source.parts.minOf { state.asOf(it.prefix) }
         calls++
-        val result = if (after == 0L) source.readAll(prefix) else source.watch(prefix, after, part.wait)
-        when (result) {
-            is SourceResult.Items -> return took(prefix, after, result)
+        return when (val result = source.watch(after)) {
+            is SourceResult.Items -> took(after, result)
             SourceResult.HistoryGone -> {
-                log.info("source_history_gone", "prefix" to prefix, "after" to after)
-                return readWhole(prefix)
-            }
-            is SourceResult.Failed -> {
-                failed(prefix, result.reason)
-                return false
+                log.info("source_history_gone", "after" to after)
+                source.parts.all { readWhole(it.prefix, cheap = false) }.also { if (it) current() }
             }
+            is SourceResult.Failed -> failed(result.reason)
+        }
+    }
+
+    private fun took(after: Long, result: SourceResult.Items): Boolean {
+        val known = source.parts.map { part ->
+            val ofPart = result.items.filter { it.key.startsWith(part.prefix) }
+            state.readChanges(part.prefix, after, ofPart, result.asOf)
         }
+        if (known.all { it }) current()
+        return known.all { it }
     }
 
-    private suspend fun readWhole(prefix: String): Boolean {
+    private suspend fun readWhole(prefix: String, cheap: Boolean): Boolean {
         calls++
-        return when (val result = source.readAll(prefix)) {
-            is SourceResult.Items -> took(prefix, 0, result)
-            SourceResult.HistoryGone -> false
-            is SourceResult.Failed -> {
-                failed(prefix, result.reason)
-                false
+        return when (val result = source.readAll(prefix, cheap)) {
+            is SourceResult.Items -> {
+                state.readAll(prefix, result.items, result.asOf)
+                true
             }
+            SourceResult.HistoryGone -> false
+            is SourceResult.Failed -> failed(result.reason)
         }
     }
 
-    private fun took(prefix: String, after: Long, result: SourceResult.Items): Boolean {
-        val began = clock.now()
-        if (after == 0L) {
-            state.readAll(prefix, result.items, result.asOf)
-        } else if (!state.readChanges(prefix, after, result.items, result.asOf)) {
-            return false
-        }
-        if (lost || readTime == null) log.info("source_regained", "prefix" to prefix, "as_of" to result.asOf)
+    /** What is held is what the source holds. */
+    private fun current() {
+        if (lost || !everCurrent) log.info("source_regained", "as_of" to source.parts.map { state.asOf(it.prefix) })
         lost = false
-        readTime = readTime ?: (clock.now() - began)
+        everCurrent = true
         state.confirmed()
-        return true
     }
 
-    private fun failed(prefix: String, reason: String) {
-        if (!lost) log.warn("source_lost", "prefix" to prefix, "reason" to reason)
+    private fun failed(reason: String): Boolean {
+        if (!lost) log.warn("source_lost", "reason" to reason)
         lost = true
+        return false
     }
 
     private companion object {
-        /**
-         * Time that peers have to tell a daemon that starts; up to as much again is added by chance. A daemon that starts
-         * again has callers that wait.
-         */
-        val FIRST_START_WAIT = 800.milliseconds
+        /** Time that peers have to tell a daemon that starts again, whose callers wait; as much is added by chance. */
         val RESTART_WAIT = 80.milliseconds
+
+        /** The same when the whole fleet starts, seconds before any traffic: a few read, and tell the others. */
+        val FIRST_START_WAIT = 800.milliseconds
+        val FIRST_START_SPREAD = 3.seconds
         val PEER_CHECK = 20.milliseconds
 
+        /** Times that the way to the source is measured: the first ones show how a process warms up. */
+        const val REACH_PROBES = 4
+        val REACH_PAUSE = 200.milliseconds
+
         /** Paces between two calls of a reader that is only there in case the first one ends. */
         const val SECOND_READER_PACES = 2
 
-        /** How often a daemon that doesn't read looks whether it should. */
+        /** How often a daemon looks whether it should read, and how fast. */
         val DUTY_CHECK = 100.milliseconds
+        val SHORTEST_PAUSE = 1.milliseconds
         val FIRST_PAUSE = 100.milliseconds
         val LONGEST_PAUSE = 800.milliseconds
         val log = eventLog("source")
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -29,6 +29,7 @@
 import kingcuptide.forwarder.connection.first
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
+import kingcuptide.forwarder.process.TrafficCounts
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
@@ -79,7 +80,7 @@
             names,
             EntryKnowledge(
                 { ServiceId("own") },
-                place.regionOf,
+                place,
                 picture,
                 TargetPicker(clock, place, Random(1)),
                 allowance,
@@ -87,6 +88,7 @@
             ),
             ways,
             DaemonMetrics(),
+            TrafficCounts(clock),
         )
 
     private fun publish(key: String, fact: PublishedFact) {
@@ -96,7 +98,7 @@
 
     private fun start(homeRegions: Set<RegionId> = emptySet()) {
         val routes = listOf(route("/read/", true, homeRegions), route("/book/", false, homeRegions))
-        val traits = ServiceTraits("/health", 10, 1.seconds, 10.0)
+        val traits = ServiceTraits("/health", 1.seconds, 10.0)
         val limits = CallerLimits(1_000, 1_000, 1.seconds, 1.seconds)
         publish(
             "config",
@@ -143,8 +145,8 @@
         null,
     )
 
-    private fun refused(reachedTarget: Boolean) =
-        ForwardEnd.Refused(ResultCode.TARGET_FULL, 300.milliseconds, reachedTarget, null)
+    private fun refused(reachedTarget: Boolean, after: Duration = 300.milliseconds) =
+        ForwardEnd.Refused(ResultCode.TARGET_FULL, after, reachedTarget, null)
 
     private val lost = ForwardEnd.Lost(ResultCode.ANSWER_LOST, null)
 
@@ -256,5 +258,25 @@
             expectThat(answer.status).isEqualTo(503)
             expectThat(answer.headers.first("Retry-After")).isEqualTo("0.300")
         }
+
+        @Test
+        fun `Given fewer gates than may be asked, when all refuse, then the soonest of them says when to come back`() {
+            start(setOf(RegionId("north")))
+            ends += refused(reachedTarget = false, after = 120.milliseconds)
+            ends += refused(reachedTarget = false, after = 700.milliseconds)
+            val answer = serve("/read/x")
+            expectThat(answer.headers.first("Retry-After")).isEqualTo("0.120")
+            expectThat(answer.headers.first("Kingcuptide-Code")).isEqualTo("${ResultCode.TARGET_FULL.number}")
+        }
+
+        @Test
+        fun `Given a call that a running request waits for, when it is sent, then it may wait as long as that one`() {
+            start()
+            ends += answered(200)
+            val headers = listOf("Host" to "h:80", "Id" to "7", "Left" to "900")
+            val call = CallerRequest("GET", "/read/x", headers, NO_BYTES, clock.now(), fromTarget = true)
+            runBlocking { entry.serve(call) }
+            expectThat(sent.single().second.untilObjective).isEqualTo(900.milliseconds)
+        }
     }
 }
