--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
@@ -70,7 +70,7 @@
         }
 
         @Test
-        fun `Given a wait at the near ones, when the request's own body is large, then it crosses to no other region`() {
+        fun `Given a wait at the near ones, when the own body is large, then it crosses to no other region`() {
             picker.reported(own.entry.id, burden(10, 5, wait = 300.milliseconds))
             picker.reported(near.entry.id, burden(10, 5, wait = 300.milliseconds))
             expectThat(picker.pick(all, request())).isEqualTo(far)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -113,6 +113,7 @@
         metrics.watchValue("kingcuptide_configuration_version") { picture.routing?.number ?: 0L }
         metrics.watchValue("kingcuptide_knowledge_age_ms") { knowledgeAgeMs() }
         metrics.watchValue("kingcuptide_source_calls_made") { follower.calls }
+        metrics.watchValue("kingcuptide_log_lines_dropped") { LogQueue.droppedLines.get() }
     }
 
     /** Binds all ports and starts to work; called once, off the event loop. */
