--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop
 import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.request.IdleLimit
 import kingcuptide.forwarder.connection.Headers
 import kingcuptide.forwarder.connection.HttpCall
 import kingcuptide.forwarder.connection.HttpClientLimits
@@ -24,20 +25,16 @@
     private val address: InetSocketAddress,
 ) {
     private val idle = ArrayDeque<Kept>()
+    private val idleLimit = IdleLimit(clock)
 
     suspend fun call(call: HttpCall, repeatable: Boolean, accepts: (Headers) -> Boolean): HttpEnd {
-        val kept = takeIdle(if (repeatable) REUSE_SHARE else SURE_REUSE_SHARE)
-        if (kept == null) return callAnew(call, accepts)
-        val end = exchange(kept, call, accepts)
+        val kept = takeIdle(repeatable) ?: return callAnew(call, accepts)
+        val sentAt = clock.now()
+        val end = exchange(kept.connection, call, accepts)
+        if (end is HttpEnd.Broken && !end.begun) idleLimit.lostAfter(sentAt - kept.since, clock.now() - sentAt)
         return if (end is HttpEnd.NotSent) callAnew(call, accepts) else end
     }
 
-    /** Closes the connections that are kept: the target is another than before. */
-    fun forget() {
-        idle.forEach { it.connection.close() }
-        idle.clear()
-    }
-
     private suspend fun callAnew(call: HttpCall, accepts: (Headers) -> Boolean): HttpEnd {
         var failure = "connect failed"
         val connection =
@@ -51,23 +48,23 @@
         return end
     }
 
-    /** Takes the connection used last; those idle for over [share] of what the target allows are closed. */
-    private fun takeIdle(share: Double): HttpConnection? {
+    /** Takes the connection used last; those that rested too long for any call are closed. */
+    private fun takeIdle(repeatable: Boolean): Kept? {
         val now = clock.now()
-        while (idle.isNotEmpty() && isTooOld(idle.first(), REUSE_SHARE, now)) idle.removeFirst().connection.close()
+        while (idle.isNotEmpty() && isTooOld(idle.first(), true, now)) idle.removeFirst().connection.close()
         while (idle.isNotEmpty()) {
             val kept = idle.last()
-            if (kept.connection.isUsable && isTooOld(kept, share, now)) return null
+            if (kept.connection.isUsable && isTooOld(kept, repeatable, now)) return null
             idle.removeLast()
-            if (kept.connection.isUsable) return kept.connection
+            if (kept.connection.isUsable) return kept
             kept.connection.close()
         }
         return null
     }
 
-    private fun isTooOld(kept: Kept, share: Double, now: Duration): Boolean {
-        val limit = kept.connection.idleLimitSeconds?.seconds ?: DEFAULT_IDLE_LIMIT
-        return now - kept.since > limit * share
+    private fun isTooOld(kept: Kept, repeatable: Boolean, now: Duration): Boolean {
+        val stated = kept.connection.idleLimitSeconds?.seconds ?: DEFAULT_IDLE_LIMIT
+        return now - kept.since > idleLimit.longest(stated, repeatable)
     }
 
     private class Kept(
@@ -76,12 +73,6 @@
     )
 
     private companion object {
-        /** Share of the target's idle limit for which a connection is kept. */
-        const val REUSE_SHARE = 0.7
-
-        /** The same for calls that must not be sent twice. */
-        const val SURE_REUSE_SHARE = 0.3
-
         /** Idle limit of targets that name none. */
         val DEFAULT_IDLE_LIMIT = 5.seconds
 
