--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -110,10 +110,10 @@
         limit: Duration,
     ) {
         private val deadline = request.receivedAt + limit
+        private val objectiveAt = request.receivedAt + route.objective
 
-        /** What a running request waits for is worth nothing only once that request can't go on. */
-        private val objective = if (request.fromTarget) limit else route.objective
-        private val objectiveAt = request.receivedAt + objective
+        /** A call of a running request should be quick, but is of use as long as that request can go on. */
+        private val patience = if (request.fromTarget) limit else route.objective
         private val headers = forwardedHeaders(request.headers)
         private val tried = LinkedHashSet<TargetId>()
         private var reached = 0
@@ -164,7 +164,7 @@
             val now = clock.now()
             return knowledge.picker.pick(
                 candidates,
-                PickRequest(route.id, objective, objectiveAt - now, deadline - now, request.body.size, tried),
+                PickRequest(route.id, route.objective, objectiveAt - now, deadline - now, request.body.size, tried),
             )
         }
 
@@ -181,8 +181,8 @@
                     headers,
                     request.body,
                     deadline - now,
-                    objectiveAt - now,
-                    objective,
+                    request.receivedAt + patience - now,
+                    patience,
                     route.id,
                     if (request.fromTarget) INTERNAL_RANK else route.rank,
                     route.repeatable,
@@ -204,7 +204,7 @@
         private fun answered(target: KnownTarget, end: ForwardEnd.Answered): HttpAnswer? {
             val sound = end.answer.status < FIRST_SERVER_ERROR
             val bytes = end.answer.body.size
-            knowledge.picker.answered(target.entry.id, route.id, objective, end.ran, bytes, sound)
+            knowledge.picker.answered(target.entry.id, route.id, route.objective, end.ran, bytes, sound)
             reached++
             counts.exchanged(knowledge.place.distanceTo(target.entry.failureDomain), request.body.size + bytes)
             if (!sound && route.repeatable && mayRepeat()) {
