Order the gate by when a request is due, counted from its arrival, and late ones last

Change: only what can still be on time counts as waiting before a newcomer that can be, and in the burden told to entries; equally urgent requests go by arrival plus objective, so that kinds with short objectives go first and those that come back have no precedence. Bounds of GateOverloadTest as before; all green.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
@@ -33,7 +33,7 @@
     val retryAfter: Duration,
 )
 
-/** What a gate has in hand, for those who choose among gates. */
+/** What a gate has in hand, for those who choose among gates; [queued] are those that wait and can be on time. */
 public data class GateBurden(
     val inFlight: Int,
     val queued: Int,
@@ -61,7 +61,7 @@
  * The last word on whether a request may go to the target beside this daemon, and when.
  *
  * At most [slots] requests run at once; others wait, the most urgent first, as long as they can still be answered within
- * their objective. Among equally urgent ones the first to come starts first, but those that can't make their objective
+ * their objective. Among equally urgent ones the next to be due starts first, but those that can't make their objective
  * any more start after those that can: else every one of them would be a little late as long as there is too much to
  * do. A cold target gets no more than [coldRate] in any second. Used from one thread.
  */
@@ -148,7 +148,8 @@
     /** What the gate has in hand. */
     public fun burden(): GateBurden {
         val now = clock.now()
-        return GateBurden(running.size, waiting.size, limitNow(), expectedWait(waiting.size, now), isCold(now))
+        val onTime = waiting.count { canMakeObjective(it, now) }
+        return GateBurden(running.size, onTime, limitNow(), expectedWait(onTime, now), isCold(now))
     }
 
     private fun refusalOf(request: GateRequest, now: Duration): GateRefusal? {
@@ -156,17 +157,26 @@
         if (code != null) return GateRefusal(code, CLOSED_RETRY_AFTER)
         val run = runTimes.expected(request.route, request.objective)
         if (now + run * HOPELESS_SHARE > request.deadline) return GateRefusal(ResultCode.DEADLINE_PASSED, Duration.ZERO)
-        val wait = expectedWait(waiting.count { !isBefore(request, it) }, now)
+        val wait = expectedWait(waitingBefore(request, now), now)
         if (wait == Duration.ZERO) return null
         val patience = patienceOf(request, run, now)
         if (wait <= patience) return null
         return GateRefusal(fullCode(now), wait + MIN_RETRY_AFTER)
     }
 
+    /** What is late already waits behind a request that is not, however long it has been here. */
+    private fun waitingBefore(request: GateRequest, now: Duration): Int {
+        val isOnTime = canMakeObjective(request, now)
+        return waiting.count {
+            it.rank < request.rank ||
+                (!isBefore(request, it) && (!isOnTime || canMakeObjective(it, now)))
+        }
+    }
+
     /** How long [request] may wait: so that it makes its objective, or is at least not much later than it is already. */
     private fun patienceOf(request: GateRequest, run: Duration, now: Duration): Duration {
         val untilDeadline = request.deadline - now - run
-        val untilObjective = request.objectiveAt - now - run * SURE_RUN_SHARE
+        val untilObjective = request.objectiveAt - now - run
         return minOf(maxOf(untilObjective, request.objective * LATE_PATIENCE_SHARE), untilDeadline)
     }
 
@@ -235,8 +245,11 @@
     private fun fullCode(now: Duration): ResultCode =
         if (isCold(now)) ResultCode.TARGET_COLD else ResultCode.TARGET_FULL
 
+    /** One that came back after a refusal has no precedence over those that came meanwhile. */
+    private fun dueAt(request: GateRequest): Duration = request.arrivedAt + request.objective
+
     private fun isBefore(first: GateRequest, second: GateRequest): Boolean =
-        first.rank < second.rank
+        first.rank < second.rank || (first.rank == second.rank && dueAt(first) < dueAt(second))
 
     public companion object {
         /** Longest time between two calls of [serve]. */
@@ -250,9 +263,6 @@
         /** Share of the usual run time that must be left, since runs differ in length. */
         private const val HOPELESS_SHARE = 0.5
 
-        /** Runs that must fit between the wait and the objective, since about half of the runs take longer than usual. */
-        private const val SURE_RUN_SHARE = 1.5
-
         /** Share of the objective that a request may wait which can't make it any more. */
         private const val LATE_PATIENCE_SHARE = 0.25
         private val CLOSED_RETRY_AFTER = 200.milliseconds
