Tell a lapse from a late word, read at full pace twice, and hear of a lost reader at once

Change: an outage is a gap longer than any daemon's patience with the readers (3.6 s; entries take 4.5 s to lapse). Test: PublishedStateTest, a daemon that heard nothing as long as its patience lasts; failing with the old gap of 1.5 s by its figures.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/FleetPicture.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/FleetPicture.kt
@@ -177,8 +177,11 @@
     }
 
     private companion object {
-        /** Silence of the source after which removals may be entries that lapsed meanwhile. */
-        val OUTAGE_GAP = 1_500.milliseconds
+        /**
+         * Silence of the source after which removals may be entries that lapsed meanwhile. Longer than daemons go without
+         * contact while the source is well ([ReaderDuty.STALE] and its steps); entries take longer still to lapse.
+         */
+        val OUTAGE_GAP = 3_600.milliseconds
 
         /** Time that a living target has to report again once the source is back. */
         val LAPSE_GRACE = 2_000.milliseconds
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ReaderDuty.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ReaderDuty.kt
@@ -18,19 +18,14 @@
     public var reads: Boolean = true
         private set
 
-    /** Whether this daemon reads at the full pace; a second one keeps in contact at half of it. */
-    public var isFirst: Boolean = true
-        private set
-
     /** Decides anew from the [claims] of live peers, this daemon's own rank and the [age] of what it knows. */
     public fun decide(claims: List<ReaderClaim>, ownRank: Int, age: Duration): Boolean {
         val own = ReaderClaim(ownHost, ownRank, ReaderState.IDLE, age)
         val readers = claims.filter { it.state == ReaderState.READING && it.contactAge <= FRESH_CONTACT }
         val better = readers.count { isBefore(it, own) }
         val nextInLine = claims.count { it.state == ReaderState.IDLE && isBefore(it, own) }
-        val enough = if (reads) better >= READERS else readers.size + nextInLine >= READERS
+        val enough = if (reads) better >= READERS else readers.size + nextInLine / STARTERS >= READERS
         reads = !enough || age > patience
-        isFirst = reads && (better == 0 || age > patience)
         return reads
     }
 
@@ -50,5 +45,11 @@
         /** Daemons that turn stale together start one after the other: the first of them tells the rest. */
         private val STALE_STEP = 150.milliseconds
         private const val STALE_STEPS = 8
+
+        /** Age of what is known by which every daemon reads. */
+        public val LONGEST_PATIENCE: Duration = STALE + STALE_STEP * (STALE_STEPS - 1)
+
+        /** Idle daemons that start for each reader that is missing: the first of them may not reach the source either. */
+        private const val STARTERS = 2
     }
 }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/PublishedStateTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/PublishedStateTest.kt
@@ -149,6 +149,17 @@
             expectThat(picture.targetsOf(ServiceId("s")).size).isEqualTo(1)
         }
 
+        /** Pattern: a daemon far from the readers, which hears of them seldom while the source is well. */
+        @Test
+        fun `Given a daemon that heard nothing for as long as it waits for readers, when an entry goes, then at once`() {
+            picture.confirmed(Duration.ZERO)
+            picture.apply(listOf(item("t", 5, "target:s:ready:1")))
+            clock.advance(ReaderDuty.LONGEST_PATIENCE)
+            picture.confirmed(Duration.ZERO)
+            picture.apply(listOf(item("t", 9, null)))
+            expectThat(picture.targetsOf(ServiceId("s"))).isEmpty()
+        }
+
         @Test
         fun `Given a source in contact, when an entry is removed, then it is gone at once`() {
             picture.confirmed(Duration.ZERO)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
@@ -40,9 +40,6 @@
     private var pingedAt = clock.now()
     private var pings = 0
 
-    /** Connections that others opened. */
-    val inbound: Collection<PeerSession> get() = taken.keys
-
     /** One connection to each daemon that can be reached, the own one where there are two. */
     fun distinctPeers(): Collection<PeerSession> {
         val byHost = LinkedHashMap<String, PeerSession>()
@@ -90,6 +87,12 @@
         for (link in links.values) checkLink(link, now)
     }
 
+    /** Tells all peers at once what would otherwise come with the next pings. */
+    fun pingNow() {
+        val message = ping()
+        taken.keys.forEach { if (it.isOpen) it.send(message) }
+    }
+
     /** Far peers get theirs in turn, so that each region hears something at every pace and passes it on. */
     private fun sendPings(message: PeerMessage.Ping) {
         for ((session, turn) in taken) {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -160,8 +160,7 @@
         log.info("stop_begun", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
         callers.closeAfterAnswers()
         updateGate()
-        val message = ping()
-        mesh.inbound.forEach { it.send(message) }
+        mesh.pingNow()
         scope.launch { awaitIdle(onStopped) }
     }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/DutyWatch.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/DutyWatch.kt
@@ -19,6 +19,8 @@
     private val mesh: PeerMesh,
     private val isNear: (PeerSession) -> Boolean,
 ) {
+    private var toldState = ReaderState.TRYING
+
     /** How near the source this daemon is: who is near it reads first, since the bytes then cross no region. */
     val ownRank: Int get() = follower.reachTime?.inWholeMilliseconds?.div(REACH_STEP_MS)?.toInt() ?: UNKNOWN_RANK
 
@@ -31,6 +33,13 @@
 
     /** Called a few times a second. */
     fun tick() {
+        decide()
+        val state = ownState
+        if (state != toldState && ReaderState.READING in setOf(state, toldState)) mesh.pingNow()
+        toldState = state
+    }
+
+    private fun decide() {
         val before = duty.reads
         if (duty.decide(mesh.ownSessions().mapNotNull(::claimOf), ownRank, picture.age()) == before) return
         log.info("reader_duty", "reads" to duty.reads, "age_ms" to picture.age().inWholeMilliseconds)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SourceFollower.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SourceFollower.kt
@@ -78,20 +78,15 @@
             val startedAt = clock.now()
             val succeeded = watchOnce()
             pause = if (succeeded) FIRST_PAUSE else minOf(pause * 2, LONGEST_PAUSE)
-            awaitPace(startedAt) { if (succeeded) ownPace() else pause }
+            awaitPace(startedAt, if (succeeded) source.pace else pause)
         }
     }
 
-    /** Looks at the pace again and again: a second reader may become the first meanwhile. */
-    private suspend fun awaitPace(startedAt: Duration, pace: () -> Duration) {
-        do {
-            val left = startedAt + pace() - clock.now()
-            delay(left.coerceIn(SHORTEST_PAUSE, DUTY_CHECK).inWholeMilliseconds)
-        } while (left > DUTY_CHECK)
+    private suspend fun awaitPace(startedAt: Duration, pace: Duration) {
+        val left = startedAt + pace - clock.now()
+        delay(maxOf(left, SHORTEST_PAUSE).inWholeMilliseconds)
     }
 
-    private fun ownPace(): Duration = if (duty.isFirst) source.pace else source.pace * SECOND_READER_PACES
-
     /** Peers that are there may tell sooner, and at less cost, than the source. */
     private suspend fun await(isDone: () -> Boolean) {
         val wait = if (isFirstStart) FIRST_START_WAIT else RESTART_WAIT
@@ -161,10 +156,7 @@
         const val REACH_PROBES = 4
         val REACH_PAUSE = 200.milliseconds
 
-        /** Paces between two calls of a reader that is only there in case the first one ends. */
-        const val SECOND_READER_PACES = 2
-
-        /** How often a daemon looks whether it should read, and how fast. */
+        /** How often a daemon looks whether it should read. */
         val DUTY_CHECK = 100.milliseconds
         val SHORTEST_PAUSE = 1.milliseconds
         val FIRST_PAUSE = 100.milliseconds
