--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -113,6 +113,7 @@
         metrics.watchValue("kingcuptide_configuration_version") { picture.routing?.number ?: 0L }
         metrics.watchValue("kingcuptide_knowledge_age_ms") { knowledgeAgeMs() }
         metrics.watchValue("kingcuptide_source_calls_made") { follower.calls }
+        metrics.watchValue("kingcuptide_log_lines_dropped") { LogQueue.droppedLines.get() }
     }
 
     /** Binds all ports and starts to work; called once, off the event loop. */
@@ -159,8 +160,7 @@
         log.info("stop_begun", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
         callers.closeAfterAnswers()
         updateGate()
-        val message = ping()
-        mesh.inbound.forEach { it.send(message) }
+        mesh.pingNow()
         scope.launch { awaitIdle(onStopped) }
     }
 
