--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/PublishedStateTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/PublishedStateTest.kt
@@ -151,7 +151,7 @@
 
         /** Pattern: a daemon far from the readers, which hears of them seldom while the source is well. */
         @Test
-        fun `Given a daemon that heard nothing for as long as it waits for readers, when an entry goes, then at once`() {
+        fun `Given a daemon that waited long for readers, when an entry is removed, then it is gone at once`() {
             picture.confirmed(Duration.ZERO)
             picture.apply(listOf(item("t", 5, "target:s:ready:1")))
             clock.advance(ReaderDuty.LONGEST_PATIENCE)
