--- a/cli/src/main/kotlin/kingcuptide/cli/CheckCommand.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/CheckCommand.kt
@@ -29,7 +29,8 @@
 
     private val json by option("--json", help = "print JSON for scripts").flag()
 
-    override fun help(context: Context): String = "Checks a document and names every fault in one run, or a daemon's settings and names the first."
+    override fun help(context: Context): String =
+        "Checks a document and names every fault in one run, or a daemon's settings and names the first."
 
     override fun run() {
         if (settings) return checkSettings()
