Ask for all when a near peer differs for half a second

Found by reading: news that get lost between two daemons, as when a connection is replaced, moved no revision, and a daemon asked only if a peer was ahead by its revision. Daemons that don't read are never ahead of each other, so that it waited for the pings of a far reader, up to 3 s.

Change: a near peer whose digest differs for 0.5 s is asked for all; the newer of each item wins on either side.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SharedState.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SharedState.kt
@@ -65,16 +65,22 @@
     /** Compares with what a peer says of itself. */
     fun pinged(session: PeerSession, ping: PeerMessage.Ping) {
         if (ping.digest == picture.digest()) return agreed(ping)
+        val since = differsSince ?: clock.now().also { differsSince = it }
         val lacks = ping.asOf.indices.any { it < sections.size && ping.asOf[it] > sections[it].asOf }
-        if (lacks && mayAsk(session)) session.send(PeerMessage.Ask(asOf()))
+        if (!lacks && !isStuck(session, since)) return
+        if (mayAsk(session, since)) session.send(PeerMessage.Ask(if (lacks) asOf() else sections.map { 0L }))
     }
 
+    /** News to one of the two was lost: neither is behind by its revision, since news don't move that. */
+    private fun isStuck(session: PeerSession, since: Duration): Boolean =
+        isNear(session) && clock.now() - since >= STUCK_AFTER
+
+    private fun isNear(session: PeerSession): Boolean = circle.regionOf(session) == circle.ownRegion
+
     /** One question at a time; a peer of another region is asked only if none of the own one has helped. */
-    private fun mayAsk(session: PeerSession): Boolean {
+    private fun mayAsk(session: PeerSession, since: Duration): Boolean {
         val now = clock.now()
-        if (differsSince == null) differsSince = now
-        val since = differsSince ?: now
-        val isNear = circle.regionOf(session) == circle.ownRegion
+        val isNear = isNear(session)
         if (now - askedAt < ASK_INTERVAL || (!isNear && now - since < NEAR_FIRST)) return false
         askedAt = now
         return true
@@ -121,14 +127,14 @@
         if (news.isEmpty()) return
         val message = newsOf(section, news)
         tellOwnRegion(message)
-        val others = circle.sessions().filter { circle.regionOf(it) != circle.ownRegion }
+        val others = circle.sessions().filterNot(::isNear)
         for (ofRegion in others.groupBy { circle.regionOf(it) }.values) {
             ofRegion.maxBy { it.lastHeardAt }.send(message.copy(passOn = true))
         }
     }
 
     private fun tellOwnRegion(message: PeerMessage.News) =
-        circle.sessions().filter { circle.regionOf(it) == circle.ownRegion }.forEach { it.send(message) }
+        circle.sessions().filter(::isNear).forEach { it.send(message) }
 
     private fun newsOf(section: PublishedSection, news: List<SourceItem>) =
         PeerMessage.News(sections.indexOf(section), passOn = false, news.map { toNews(section, it) })
@@ -166,6 +172,9 @@
         /** Shortest time between two questions. */
         val ASK_INTERVAL = 300.milliseconds
 
+        /** Time after which two that differ ask for all: news are told to a region within a fraction of it. */
+        val STUCK_AFTER = 500.milliseconds
+
         /** Time that peers of the own region have to tell, before one of another is asked. */
         val NEAR_FIRST = 400.milliseconds
     }
