Say between which revisions an update is complete, and ask at once when one was missed

Besides, the digest was a sum of products, in which opposite changes of two targets (one leaves, one is back) cancel out: daemons that differed took each other for equal.

Change: an update carries the revisions between which it is complete; a receiver advances, or sees the gap, applies what is later and asks the sender, then others in turn until all that was offered is here, also when its whole region agrees in what it lacks. Two relays a region in place of one. The digest mixes each term over all bits and follows each change.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedSection.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedSection.kt
@@ -1,32 +1,39 @@
 package kingcuptide.coordination.version
 
 /**
- * Copy of all items of the source under one key prefix, as of one revision.
+ * Copy of all items of the source under one key prefix.
  *
- * It never goes back: items older than those in the copy are ignored, whoever sends them. Confined to one thread.
+ * It is complete up to the revision [asOf]: every change up to there is in it, so an item of that age or older that it
+ * does not have was replaced or removed. Later items may be in it too, without those between. It never goes back,
+ * whoever sends an item. Changes without effect on the derived state need not be in it. Confined to one thread.
  */
 public class PublishedSection(
     public val prefix: String,
 ) {
     private val items = LinkedHashMap<String, SourceItem>()
     private val bases = HashMap<String, SourceItem>()
+    private val effectiveRevisions = HashMap<String, Long>()
 
     /** Revision up to which the copy is complete; 0 if it never was. */
     public var asOf: Long = 0
         private set
 
     /** Applies [whole], all items as of revision [wholeAsOf]; returns the items that changed. */
-    public fun replace(whole: List<SourceItem>, wholeAsOf: Long): List<SourceItem> {
-        if (wholeAsOf < asOf) return emptyList()
-        val seen = whole.mapTo(HashSet()) { it.key }
-        val changed = ArrayList<SourceItem>()
-        whole.filterTo(changed) { put(it) }
-        val missing = items.values.filter { it.value != null && it.key !in seen && it.revision <= wholeAsOf }
-        for (item in missing) {
-            val removed = SourceItem(item.key, wholeAsOf, null)
-            if (put(removed)) changed += removed
-        }
-        asOf = wholeAsOf
+    public fun replace(whole: List<SourceItem>, wholeAsOf: Long): List<SourceItem> =
+        apply(SectionListing(0, wholeAsOf, whole, emptySet())).orEmpty()
+
+    /**
+     * Applies [listing]; returns the items that changed, or null if it can't be applied as a whole: the copy is not
+     * complete up to its base, or lacks an item that it lists by key.
+     */
+    public fun apply(listing: SectionListing): List<SourceItem>? {
+        if (listing.base > asOf || listing.unchangedKeys.any { items[it]?.value == null }) return null
+        if (listing.asOf < asOf) return merge(listing.items)
+        val changed = listing.items.filterTo(ArrayList()) { put(it) }
+        val listed = listing.items.mapTo(HashSet(listing.unchangedKeys)) { it.key }
+        val missing = items.values.filter { it.value != null && it.key !in listed && it.revision <= listing.asOf }
+        missing.map { SourceItem(it.key, listing.asOf, null) }.filterTo(changed) { put(it) }
+        completeUpTo(listing.asOf)
         return changed
     }
 
@@ -36,14 +43,27 @@
      */
     public fun advance(after: Long, changes: List<SourceItem>, changesAsOf: Long): List<SourceItem>? {
         if (after > asOf) return null
-        val changed = changes.filter { put(it) }
-        asOf = maxOf(asOf, changesAsOf)
-        pruneTombstones()
+        val changed = merge(changes)
+        completeUpTo(changesAsOf)
         return changed
     }
 
-    /** Applies single [items] without changing [asOf]; returns those that changed the copy. */
-    public fun merge(items: List<SourceItem>): List<SourceItem> = items.filter { put(it) }
+    /** Applies those of [items] that are later than [asOf], without changing it; returns those that changed the copy. */
+    public fun merge(items: List<SourceItem>): List<SourceItem> = items.filter { it.revision > asOf && put(it) }
+
+    /** Records that [changed] items of the copy had an effect on the state that is derived from it. */
+    public fun recordEffect(changed: List<SourceItem>) {
+        for (item in changed) {
+            if (items[item.key] === item) effectiveRevisions[item.key] = item.revision
+        }
+    }
+
+    /** Lists the items that have an effect, for a receiver that is complete up to [base]. */
+    public fun listingSince(base: Long): SectionListing {
+        val effective = present().filter { it.key in effectiveRevisions }
+        val (changed, unchanged) = effective.partition { effectiveRevisions.getValue(it.key) > base }
+        return SectionListing(base, asOf, changed, unchanged.map { it.key })
+    }
 
     /** Returns the large item that [item] has just replaced, which may serve as its delta base; or null. */
     public fun replacedBy(item: SourceItem): SourceItem? = bases[item.key]?.takeIf { items[item.key] === item }
@@ -59,22 +79,25 @@
     private fun put(item: SourceItem): Boolean {
         val current = items[item.key]
         if (current != null && current.revision >= item.revision) return false
-        if (current == null && item.value == null) return false
         items[item.key] = item
         if (current != null && isLarge(current) && isLarge(item)) bases[item.key] = current else bases.remove(item.key)
-        return true
+        return current?.value != null || item.value != null
     }
 
-    private fun pruneTombstones() {
-        val tombstones = items.values.filter { it.value == null }
-        if (tombstones.size <= MAX_TOMBSTONES) return
-        for (tombstone in tombstones.sortedBy { it.revision }.take(tombstones.size - MAX_TOMBSTONES / 2)) {
-            items.remove(tombstone.key)
-        }
+    private fun completeUpTo(revision: Long) {
+        asOf = maxOf(asOf, revision)
+        val (needless, needed) = items.values.filter { it.value == null }.partition { it.revision <= asOf }
+        needless.forEach(::forget)
+        needed.sortedBy { it.revision }.dropLast(MAX_TOMBSTONES).forEach(::forget)
+    }
+
+    private fun forget(tombstone: SourceItem) {
+        items.remove(tombstone.key)
+        effectiveRevisions.remove(tombstone.key)
     }
 
     private companion object {
-        /** Maximum number of tombstones, which prevent older copies of removed items from being applied. */
+        /** Maximum number of tombstones later than [asOf], which keep older copies of removed items out. */
         const val MAX_TOMBSTONES = 512
 
         /** Size of an item in bytes from which the item that it replaced is kept as a delta base. */
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedState.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedState.kt
@@ -20,6 +20,7 @@
     private val targetsByKey = HashMap<String, KnownTarget>()
     private val takenOutByKey = HashMap<String, FailureDomainId>()
     private val expiring = HashMap<String, Duration>()
+    private val digest = StateDigest()
     private var lastConfirmedAt: Duration? = null
     private var outageEndedAt: Duration? = null
     private var targetsByService: Map<ServiceId, List<KnownTarget>>? = null
@@ -57,9 +58,9 @@
     }
 
     private fun changesState(item: SourceItem): Boolean {
-        val before = digest()
+        val before = digest.value
         applyOne(item)
-        return digest() != before
+        return digest.value != before
     }
 
     /** Returns the targets of [service]. */
@@ -81,21 +82,7 @@
      *
      * It leaves out the cold time and report count of targets, and targets that are kept only for [EXPIRY_GRACE].
      */
-    public fun digest(): Long {
-        var sum = routing?.number ?: 0L
-        for ((key, target) in targetsByKey) {
-            if (key !in
-                expiring
-            ) {
-                sum +=
-                    mixBits(31L * key.hashCode() + target.entry.copy(coldFor = Duration.ZERO, reports = 0).hashCode())
-            }
-        }
-        for (key in takenOutByKey.keys) sum += mixBits(key.hashCode().toLong())
-        return sum
-    }
-
-    private fun mixBits(value: Long): Long = (value xor (value ushr 29)) * -0x40a7b892e31b1a47L
+    public fun digest(): Long = digest.value
 
     /** Removes targets whose grace period has ended; called a few times a second. */
     public fun tick() {
@@ -118,6 +105,7 @@
             is PublishedItem.Unusable -> {
                 observer.unusable(item.key, item.revision, decoded.reason)
                 targetsByKey.remove(item.key)
+                digest.remove(item.key)
             }
         }
     }
@@ -129,6 +117,7 @@
             return
         }
         routing = version
+        digest.set(ROUTING_TERM, version.number)
         observer.versionInForce(version, current?.number)
     }
 
@@ -136,15 +125,28 @@
         expiring.remove(item.key)
         val previous = targetsByKey[item.key]
         targetsByKey[item.key] = KnownTarget(entry, item.revision)
+        digest.set(
+            item.key,
+            entry.id.value,
+            entry.service.value,
+            entry.address,
+            entry.failureDomain.value,
+            entry.softwareVersion,
+            entry.slots,
+            entry.leaving,
+            entry.startedAtUnixMs,
+        )
         if (previous == null) observer.targetSeen(entry)
         if (entry.leaving && previous?.entry?.leaving != true) observer.targetLeaving(entry)
     }
 
     private fun applyTakenOut(key: String, failureDomain: FailureDomainId) {
+        digest.set(key, failureDomain.value)
         if (takenOutByKey.put(key, failureDomain) == null) observer.takenOut(failureDomain, true)
     }
 
     private fun remove(item: SourceItem) {
+        digest.remove(item.key)
         takenOutByKey.remove(item.key)?.let { observer.takenOut(it, false) }
         if (item.key !in targetsByKey) return
         val ended = outageEndedAt
@@ -182,6 +184,9 @@
     }
 
     private companion object {
+        /** Key of the configuration version in the digest; no item has it, since all keys have a prefix. */
+        const val ROUTING_TERM = "routing"
+
         /**
          * Time without confirmation that counts as an outage of the source, after which removed entries may have
          * expired. Longer than daemons go without confirmation while the source is available, which is at most
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/PublishedStateTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/PublishedStateTest.kt
@@ -86,6 +86,51 @@
             ).isEqualTo(emptyList())
         }
 
+        @Test
+        fun `Given a copy, when a peer that is behind lists a later item, then it is applied and nothing is removed`() {
+            section.replace(listOf(item("t/a", 5, "x")), 9)
+            expectThat(section.replace(listOf(item("t/b", 10, "y"), item("t/c", 6, "gone")), 7).map { it.key })
+                .containsExactly("t/b")
+            expectThat(section.asOf).isEqualTo(9)
+            expectThat(section.present().map { it.key }).containsExactlyInAnyOrder("t/a", "t/b")
+        }
+
+        @Test
+        fun `Given a missed removal, when a peer lists what changed since, then the item is removed`() {
+            val peer = PublishedSection("t/")
+            for (copy in listOf(
+                section,
+                peer,
+            )) {
+                copy.recordEffect(copy.replace(listOf(item("t/a", 5, "x"), item("t/b", 6, "y")), 9))
+            }
+            peer.recordEffect(peer.advance(9, listOf(item("t/a", 12, null), item("t/c", 13, "z")), 14).orEmpty())
+            val listing = peer.listingSince(section.asOf)
+            expectThat(listing.items.map { it.key }).containsExactly("t/c")
+            expectThat(listing.unchangedKeys).containsExactly("t/b")
+            section.apply(listing)
+            expectThat(section.present().map { it.key }).containsExactlyInAnyOrder("t/b", "t/c")
+            expectThat(section.asOf).isEqualTo(14)
+        }
+
+        @Test
+        fun `Given a copy that lacks an item, when a listing names it as unchanged, then the listing is refused`() {
+            section.replace(listOf(item("t/a", 5, "x")), 9)
+            expectThat(section.apply(SectionListing(9, 14, emptyList(), listOf("t/a", "t/b")))).isNull()
+            expectThat(section.apply(SectionListing(10, 14, emptyList(), listOf("t/a")))).isNull()
+            expectThat(section.asOf).isEqualTo(9)
+        }
+
+        @Test
+        fun `Given a gap before a removal, when the removed item arrives late, then it stays removed`() {
+            section.replace(emptyList(), 9)
+            section.merge(listOf(item("t/a", 14, null)))
+            expectThat(section.advance(9, listOf(item("t/a", 11, "late")), 12)).isEqualTo(emptyList())
+            section.advance(12, emptyList(), 20)
+            expectThat(section.merge(listOf(item("t/a", 11, "late")))).isEmpty()
+            expectThat(section.present()).isEmpty()
+        }
+
         @Test
         fun `Given a removed item, when a peer sends an older copy of it, then it stays removed`() {
             section.replace(listOf(item("t/a", 5, "x")), 9)
@@ -114,6 +159,27 @@
             expectThat(state.digest()).isNotEqualTo(before)
         }
 
+        @Test
+        fun `Given two targets, when one leaves and the other is back, then the digest differs`() {
+            state.apply(listOf(item("t", 5, "target:s:ready:1"), item("u", 6, "target:s:leaving:1")))
+            val before = state.digest()
+            state.apply(listOf(item("t", 7, "target:s:leaving:2"), item("u", 8, "target:s:ready:2")))
+            expectThat(state.digest()).isNotEqualTo(before)
+        }
+
+        @Test
+        fun `Given a removed target in its grace period, when another daemon never had it, then both digests agree`() {
+            val other = PublishedState(clock, ::decode)
+            state.confirmed(Duration.ZERO)
+            state.apply(listOf(item("t", 5, "target:s:ready:1"), item("config", 6, "config:7")))
+            clock.advance(5.seconds)
+            state.confirmed(Duration.ZERO)
+            state.apply(listOf(item("t", 9, null)))
+            other.apply(listOf(item("config", 6, "config:7")))
+            expectThat(state.targetsOf(ServiceId("s")).size).isEqualTo(1)
+            expectThat(state.digest()).isEqualTo(other.digest())
+        }
+
         @Test
         fun `Given a target, when its entry is corrupted, then only that target is removed`() {
             state.apply(listOf(item("t", 5, "target:s:ready:1"), item("u", 6, "target:s:ready:1")))
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
@@ -118,7 +118,7 @@
 
     companion object {
         /** Version of these messages; a peer with another version is disconnected. */
-        const val PROTOCOL_VERSION = 2
+        const val PROTOCOL_VERSION = 3
 
         private const val LENGTH_BYTES = 4
         private const val HEADER_BYTES = 5
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -97,20 +97,34 @@
         @CborLabel(7) val readerState: Int,
     ) : PeerMessage
 
-    /** All items of a section as of a revision. */
+    /**
+     * All items of a section as of a revision; see [kingcuptide.coordination.version.SectionListing].
+     *
+     * @property base revision up to which the receiver must be complete, since unchanged items are listed by key only
+     */
     @Serializable
     data class SectionSnapshot(
         @CborLabel(1) val section: Int,
         @CborLabel(2) val asOf: Long,
         @CborLabel(3) val items: List<Item>,
+        @CborLabel(4) val base: Long = 0,
+        @CborLabel(5) val unchangedKeys: List<String> = emptyList(),
     ) : PeerMessage
 
-    /** Items of a section that have just changed; with [relayInRegion] the receiver relays them to its own region. */
+    /**
+     * The changes of a section that have an effect, after revision [after] up to [asOf]; with [relayInRegion] the
+     * receiver relays them to its own region.
+     *
+     * @property contactAgeMs time since the sender's state was last confirmed equal to the source's
+     */
     @Serializable
     data class ItemUpdates(
         @CborLabel(1) val section: Int,
         @CborLabel(2) @SerialName("passOn") val relayInRegion: Boolean,
         @CborLabel(3) val items: List<Item>,
+        @CborLabel(4) val after: Long,
+        @CborLabel(5) val asOf: Long,
+        @CborLabel(6) val contactAgeMs: Long,
     ) : PeerMessage
 
     /** An item of the source; one with neither [value] nor [delta] was removed. */
@@ -136,7 +150,7 @@
         @CborLabel(1) val records: List<SuspectRecord>,
     ) : PeerMessage
 
-    /** Requests all sections in which the receiver is ahead of the sender's [asOf]. */
+    /** Requests the sections in which the receiver is ahead of the sender's [asOf]; 0 requests a whole section. */
     @Serializable
     data class SectionRequest(
         @CborLabel(1) val asOf: List<Long>,
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.process.FailureDomainId
 import kotlin.time.Duration
 
 /** One connection to another daemon, whichever side opened it. Used on its event loop. */
@@ -12,7 +13,8 @@
     private val listener: PeerListener,
     private val hello: PeerMessage.Hello,
     val isOutbound: Boolean,
-) : SimpleChannelInboundHandler<PeerFrame>() {
+) : SimpleChannelInboundHandler<PeerFrame>(),
+    StatePeer {
     private var channel: Channel? = null
 
     /** The hello of the peer, null until it has arrived. */
@@ -28,12 +30,16 @@
         private set
 
     /** When the last message arrived. */
-    var lastReceivedAt: Duration = clock.now()
+    override var lastReceivedAt: Duration = clock.now()
         private set
 
+    override val failureDomain: FailureDomainId? get() = peer?.let { FailureDomainId(it.failureDomain) }
+
     val isOpen: Boolean get() = peer != null && channel?.isActive == true
 
-    fun send(message: PeerMessage, body: ByteArray = NO_BYTES) {
+    override fun send(message: PeerMessage) = send(message, NO_BYTES)
+
+    fun send(message: PeerMessage, body: ByteArray) {
         channel?.writeAndFlush(PeerFrame(message, body))
     }
 
--- /dev/null
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/StatePeer.kt
@@ -0,0 +1,15 @@
+package kingcuptide.forwarder.connection
+
+import kingcuptide.coordination.process.FailureDomainId
+import kotlin.time.Duration
+
+/** Another daemon with which the published state is exchanged. */
+interface StatePeer {
+    /** Failure domain of its host; null until its hello has arrived. */
+    val failureDomain: FailureDomainId?
+
+    /** When its last message arrived. */
+    val lastReceivedAt: Duration
+
+    fun send(message: PeerMessage)
+}
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop
 import kingcuptide.coordination.process.Clock
-import kingcuptide.coordination.process.FailureDomainId
 import kingcuptide.coordination.process.PlannedStop
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.request.CrashSuspects
@@ -26,6 +25,7 @@
 import kingcuptide.forwarder.connection.PeerMesh
 import kingcuptide.forwarder.connection.PeerMessage
 import kingcuptide.forwarder.connection.PeerSession
+import kingcuptide.forwarder.connection.StatePeer
 import kingcuptide.forwarder.request.EntryDependencies
 import kingcuptide.forwarder.request.EntryService
 import kingcuptide.forwarder.request.GateEndpoint
@@ -192,6 +192,7 @@
         callers.tick()
         readiness.tick()
         published.tick()
+        stateSync.tick()
         suspects.tick()
         counts.tick()
         roleMonitor.tick()
@@ -256,8 +257,7 @@
 
     private fun isSameRegion(session: PeerSession): Boolean = regionOf(session) == settings.region
 
-    private fun regionOf(session: PeerSession): RegionId? =
-        session.peer?.let { settings.regionByDomain[FailureDomainId(it.failureDomain)] }
+    private fun regionOf(peer: StatePeer): RegionId? = peer.failureDomain?.let { settings.regionByDomain[it] }
 
     private fun hello() =
         PeerMessage.Hello(PeerCodec.PROTOCOL_VERSION, settings.host.value, settings.failureDomain.value, incarnation)
@@ -286,8 +286,8 @@
         override fun received(session: PeerSession, frame: PeerFrame) {
             when (val message = frame.message) {
                 is PeerMessage.Ping -> pinged(session, message)
-                is PeerMessage.SectionSnapshot -> stateSync.received(message)
-                is PeerMessage.ItemUpdates -> stateSync.received(message)
+                is PeerMessage.SectionSnapshot -> stateSync.received(session, message)
+                is PeerMessage.ItemUpdates -> stateSync.received(session, message)
                 is PeerMessage.SectionRequest -> stateSync.sectionsRequested(session, message)
                 is PeerMessage.Suspects -> suspects.merge(message.records)
                 is PeerMessage.Forward, is PeerMessage.Cancel -> gateEndpoint.received(session, frame)
@@ -321,9 +321,9 @@
     }
 
     private inner class MeshPeerGroup : PeerGroup {
-        override fun sessions(): Collection<PeerSession> = mesh.distinctPeers()
+        override fun sessions(): Collection<StatePeer> = mesh.distinctPeers()
 
-        override fun regionOf(session: PeerSession): RegionId? = this@Forwarder.regionOf(session)
+        override fun regionOf(peer: StatePeer): RegionId? = this@Forwarder.regionOf(peer)
 
         override val ownRegion: RegionId get() = settings.region
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/PublishedStateSync.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/PublishedStateSync.kt
@@ -1,32 +1,24 @@
 package kingcuptide.forwarder.version
 
 import kingcuptide.coordination.process.Clock
-import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.version.PublishedSection
 import kingcuptide.coordination.version.PublishedState
+import kingcuptide.coordination.version.SectionListing
 import kingcuptide.coordination.version.SourceItem
 import kingcuptide.coordination.version.TextDelta
 import kingcuptide.forwarder.connection.PeerMessage
-import kingcuptide.forwarder.connection.PeerSession
+import kingcuptide.forwarder.connection.StatePeer
+import kingcuptide.forwarder.process.eventLog
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** The other daemons that are connected. */
-interface PeerGroup {
-    /** Returns one connection to each. */
-    fun sessions(): Collection<PeerSession>
-
-    fun regionOf(session: PeerSession): RegionId?
-
-    val ownRegion: RegionId
-}
-
 /**
  * Keeps the published state equal among daemons.
  *
- * Readers of the source send updates to their own region and to one daemon of each other region, which relays them
- * there. Daemons compare digests with each ping; one that differs requests sections, from its own region first. An
- * older item never replaces a newer one, whatever its origin. Used on the event loop.
+ * Readers of the source send updates to their own region and to two daemons of each other region, which relay them
+ * there. An update says between which revisions it is complete, so a receiver that has missed an earlier one sees the
+ * gap and requests what it lacks. Daemons also compare digests with each ping. An older item never replaces a newer
+ * one, whatever its origin. Used on the event loop.
  */
 class PublishedStateSync(
     private val clock: Clock,
@@ -35,124 +27,184 @@
     private val peers: PeerGroup,
     private val onChange: () -> Unit,
 ) {
-    private var requestedAt = -Duration.INFINITE
-    private var firstDifferenceAt: Duration? = null
     private val sections = prefixes.map { PublishedSection(it) }
 
+    /** Revision for each section up to which updates were sent or received. */
+    private val announced = LongArray(prefixes.size)
+    private val gap = StateGap(clock, ::isSameRegion)
+    private var differsSince: Duration? = null
+
+    /** Whether listings of what has changed can't be applied, since this daemon lacks an unchanged item. */
+    private var needsWhole = false
+
     /** Returns the revision up to which each section is complete. */
     fun asOf(): List<Long> = sections.map { it.asOf }
 
     /** Returns the revision from which to watch [prefix]; 0 if all must be read. */
-    fun asOf(prefix: String): Long = sectionOf(prefix).asOf
+    fun asOf(prefix: String): Long = sections[indexOf(prefix)].asOf
 
     /** Applies all items of [prefix] that this daemon has read from the source as of revision [asOf]. */
     fun readAll(prefix: String, items: List<SourceItem>, asOf: Long) {
-        val section = sectionOf(prefix)
-        sendUpdates(section, applyItems(section.replace(items, asOf)))
+        val index = indexOf(prefix)
+        val isFirst = sections[index].asOf == 0L
+        val effective = apply(index, sections[index].replace(items, asOf))
+        if (isFirst) announced[index] = asOf else announce(index, effective)
     }
 
     /** Applies changes from the source between revisions [after] and [asOf]; returns false on a gap before [after]. */
     fun readChanges(prefix: String, after: Long, items: List<SourceItem>, asOf: Long): Boolean {
-        val section = sectionOf(prefix)
-        val changed = section.advance(after, items, asOf) ?: return false
-        sendUpdates(section, applyItems(changed))
+        val index = indexOf(prefix)
+        val changed = sections[index].advance(after, items, asOf) ?: return false
+        announce(index, apply(index, changed))
         return true
     }
 
     /** Records that the state now equals the source, as this daemon has read it. */
     fun confirmed() = published.confirmed(Duration.ZERO)
 
-    /** Compares the state with that of a peer, and requests sections if this daemon seems to lack something. */
-    fun pinged(session: PeerSession, ping: PeerMessage.Ping) {
+    /** Compares the state with that of a peer, and requests what this daemon lacks. */
+    fun pinged(peer: StatePeer, ping: PeerMessage.Ping) {
         if (ping.digest == published.digest()) return digestsMatch(ping)
-        val differsSince = firstDifferenceAt ?: clock.now().also { firstDifferenceAt = it }
-        val isBehind = ping.asOf.indices.any { it < sections.size && ping.asOf[it] > sections[it].asOf }
-        if (!isBehind && !needsAllSections(session, differsSince)) return
-        if (mayRequest(session, differsSince)) {
-            session.send(PeerMessage.SectionRequest(if (isBehind) asOf() else sections.map { 0L }))
+        val since = differsSince ?: clock.now().also { differsSince = it }
+        if (sections.withIndex().any { (index, section) -> ping.asOf.getOrElse(index) { 0 } > section.asOf }) {
+            gap.offered(peer, ping.asOf)
+            requestMissing()
+        } else if (isSameRegion(peer) && clock.now() - since >= FULL_REQUEST_DELAY && gap.mayAsk()) {
+            requestWhole(peer)
         }
     }
 
-    /** An update to one of the two was lost. Neither is behind by its revision, since updates don't advance that. */
-    private fun needsAllSections(session: PeerSession, differsSince: Duration): Boolean =
-        isSameRegion(session) && clock.now() - differsSince >= FULL_REQUEST_DELAY
-
-    private fun isSameRegion(session: PeerSession): Boolean = peers.regionOf(session) == peers.ownRegion
-
-    /** Limits the request rate; a peer of another region gets one only if none of the own region has helped in time. */
-    private fun mayRequest(session: PeerSession, differsSince: Duration): Boolean {
-        val now = clock.now()
-        val isSameRegion = isSameRegion(session)
-        if (now - requestedAt < MIN_REQUEST_INTERVAL || (!isSameRegion && now - differsSince < OTHER_REGION_DELAY)) {
-            return false
-        }
-        requestedAt = now
-        return true
+    /** Requests again what is still missing; called a few times a second. */
+    fun tick() {
+        if (gap.isOpen) requestMissing()
     }
 
     /** Sends a peer the sections in which it is behind. */
-    fun sectionsRequested(session: PeerSession, request: PeerMessage.SectionRequest) {
+    fun sectionsRequested(peer: StatePeer, request: PeerMessage.SectionRequest) {
         for ((index, section) in sections.withIndex()) {
-            val after = request.asOf.getOrElse(index) { 0 }
-            if (section.asOf <= after) continue
-            session.send(PeerMessage.SectionSnapshot(index, section.asOf, section.present().map(::toWire)))
+            val base = request.asOf.getOrElse(index) { 0 }
+            if (section.asOf > base) peer.send(snapshotOf(index, section.listingSince(base)))
         }
     }
 
-    /** Applies a section snapshot from a peer. */
-    fun received(message: PeerMessage.SectionSnapshot) {
+    /** Applies a section snapshot from [peer]; what comes from another region is relayed in the own region. */
+    fun received(peer: StatePeer, message: PeerMessage.SectionSnapshot) {
         val section = sections.getOrNull(message.section) ?: return
-        applyItems(section.replace(message.items.map(::fromWire), message.asOf))
+        val items = message.items.map { SourceItem(it.key, it.revision, it.value) }
+        val listing = SectionListing(message.base, message.asOf, items, message.unchangedKeys)
+        val changed = section.apply(listing)
+        if (changed == null) {
+            logSkipped("snapshot_skipped", section, message.base)
+            if (!needsWhole) requestWhole(peer)
+            needsWhole = true
+            return
+        }
+        if (message.base == 0L) needsWhole = false
+        if (message.asOf < section.asOf) logSkipped("snapshot_older", section, message.asOf)
+        val effective = apply(message.section, changed)
+        if (effective.isEmpty()) return
+        announced[message.section] = maxOf(announced[message.section], message.asOf)
+        if (!isSameRegion(peer)) sendToOwnRegion(message)
     }
 
-    /** Applies the updates that a peer has just read or relayed. */
-    fun received(message: PeerMessage.ItemUpdates) {
+    /** Applies the updates that [peer] has just read or relayed. */
+    fun received(peer: StatePeer, message: PeerMessage.ItemUpdates) {
         val section = sections.getOrNull(message.section) ?: return
-        val updated = applyItems(section.merge(message.items.mapNotNull { fromWire(section, it) }))
-        if (message.relayInRegion && updated.isNotEmpty()) sendToOwnRegion(updatesOf(section, updated))
+        if (message.asOf <= section.asOf) return
+        announced[message.section] = maxOf(announced[message.section], message.asOf)
+        if (message.relayInRegion) sendToOwnRegion(message.copy(relayInRegion = false))
+        val items = message.items.mapNotNull { fromWire(section, it) }
+        val changed = if (items.size < message.items.size) null else section.advance(message.after, items, message.asOf)
+        if (changed != null) {
+            apply(message.section, changed)
+            if (message.contactAgeMs >= 0) published.confirmed(message.contactAgeMs.milliseconds)
+            return
+        }
+        logSkipped("update_incomplete", section, message.after)
+        apply(message.section, section.merge(items))
+        gap.offered(peer, asOf().toMutableList().also { it[message.section] = message.asOf })
+        requestMissing()
     }
 
     private fun digestsMatch(ping: PeerMessage.Ping) {
-        firstDifferenceAt = null
+        differsSince = null
+        needsWhole = false
         if (ping.contactAgeMs >= 0) published.confirmed(ping.contactAgeMs.milliseconds)
-        for ((index, asOf) in ping.asOf.withIndex()) {
-            val section = sections.getOrNull(index) ?: continue
-            section.advance(section.asOf, emptyList(), if (section.asOf > 0) asOf else 0)
+        for ((section, asOf) in sections.zip(ping.asOf)) {
+            if (section.asOf > 0) section.advance(section.asOf, emptyList(), asOf)
         }
+        gap.closeIfFilled(asOf())
     }
 
-    private fun applyItems(changed: List<SourceItem>): List<SourceItem> {
-        val updated = published.apply(changed)
-        if (updated.isNotEmpty()) onChange()
-        return updated
+    /** Peers that agree with this daemon may lack the same, so the gap stays open until all that was offered is here. */
+    private fun requestMissing() {
+        gap.closeIfFilled(asOf())
+        if (!gap.isOpen) return
+        gap.nextToAsk(peers.sessions())?.send(if (needsWhole) wholeRequest() else PeerMessage.SectionRequest(asOf()))
     }
 
-    private fun sendUpdates(section: PublishedSection, updated: List<SourceItem>) {
-        if (updated.isEmpty()) return
-        val message = updatesOf(section, updated)
+    private fun requestWhole(peer: StatePeer) {
+        gap.asked()
+        peer.send(wholeRequest())
+    }
+
+    private fun wholeRequest() = PeerMessage.SectionRequest(sections.map { 0L })
+
+    private fun isSameRegion(peer: StatePeer): Boolean = peers.regionOf(peer) == peers.ownRegion
+
+    private fun apply(index: Int, changed: List<SourceItem>): List<SourceItem> {
+        val effective = published.apply(changed)
+        sections[index].recordEffect(effective)
+        if (effective.isNotEmpty()) onChange()
+        return effective
+    }
+
+    /** Sends the [effective] changes, all since the last announcement, to the own region and to relays elsewhere. */
+    private fun announce(index: Int, effective: List<SourceItem>) {
+        if (effective.isEmpty()) return
+        val section = sections[index]
+        val message = PeerMessage.ItemUpdates(
+            index,
+            relayInRegion = false,
+            effective.map { toUpdate(section, it) },
+            after = announced[index],
+            asOf = section.asOf,
+            contactAgeMs = 0,
+        )
+        announced[index] = section.asOf
         sendToOwnRegion(message)
-        val otherRegions = peers.sessions().filterNot(::isSameRegion)
-        for (ofRegion in otherRegions.groupBy { peers.regionOf(it) }.values) {
-            ofRegion.maxBy { it.lastReceivedAt }.send(message.copy(relayInRegion = true))
+        val elsewhere = peers.sessions().filterNot(::isSameRegion)
+        for (ofRegion in elsewhere.groupBy { peers.regionOf(it) }.values) {
+            relaysAmong(ofRegion).forEach { it.send(message.copy(relayInRegion = true)) }
         }
     }
 
-    private fun sendToOwnRegion(message: PeerMessage.ItemUpdates) =
-        peers.sessions().filter(::isSameRegion).forEach { it.send(message) }
+    /** Returns the peers last heard of, of different failure domains if there are any. */
+    private fun relaysAmong(ofRegion: List<StatePeer>): List<StatePeer> {
+        val latestFirst = ofRegion.sortedByDescending { it.lastReceivedAt }
+        val ofDomains = latestFirst.distinctBy { it.failureDomain }
+        return (ofDomains + (latestFirst - ofDomains.toSet())).take(RELAYS_PER_REGION)
+    }
 
-    private fun updatesOf(section: PublishedSection, updated: List<SourceItem>) =
-        PeerMessage.ItemUpdates(sections.indexOf(section), relayInRegion = false, updated.map { toUpdate(section, it) })
+    private fun sendToOwnRegion(message: PeerMessage) =
+        peers.sessions().filter(::isSameRegion).forEach { it.send(message) }
 
-    private fun sectionOf(prefix: String): PublishedSection = sections.first { it.prefix == prefix }
+    private fun indexOf(prefix: String): Int = sections.indexOfFirst { it.prefix == prefix }
 
-    private fun toWire(item: SourceItem) = PeerMessage.Item(item.key, item.revision, item.value)
+    private fun snapshotOf(index: Int, listing: SectionListing) = PeerMessage.SectionSnapshot(
+        index,
+        listing.asOf,
+        listing.items.map { PeerMessage.Item(it.key, it.revision, it.value) },
+        listing.base,
+        listing.unchangedKeys.toList(),
+    )
 
     /** Sends large items as deltas: most peers have the previous version, and the others request the section. */
     private fun toUpdate(section: PublishedSection, item: SourceItem): PeerMessage.Item {
         val base = section.replacedBy(item)
         val baseValue = base?.value
         val value = item.value
-        if (baseValue == null || value == null) return toWire(item)
+        if (baseValue == null || value == null) return PeerMessage.Item(item.key, item.revision, value)
         val delta = TextDelta.between(baseValue, value)
         val additions = delta.additions.map { String(it, Charsets.ISO_8859_1) }
         return PeerMessage.Item(
@@ -162,24 +214,24 @@
         )
     }
 
+    /** Returns null if this daemon lacks the item from which [item] differs. */
     private fun fromWire(section: PublishedSection, item: PeerMessage.Item): SourceItem? {
-        val delta = item.delta ?: return fromWire(item)
+        val delta = item.delta ?: return SourceItem(item.key, item.revision, item.value)
         val base = section.item(item.key)?.takeIf { it.revision == delta.baseRevision } ?: return null
         val additions = delta.additions.map { it.toByteArray(Charsets.ISO_8859_1) }
         val value = base.value?.let { TextDelta(delta.copies, additions).applyTo(it) } ?: return null
         return SourceItem(item.key, item.revision, value)
     }
 
-    private fun fromWire(item: PeerMessage.Item) = SourceItem(item.key, item.revision, item.value)
+    private fun logSkipped(event: String, section: PublishedSection, offered: Long) =
+        log.info(event, "section" to section.prefix, "held" to section.asOf, "offered" to offered)
 
     private companion object {
-        /** Shortest time between two requests for sections. */
-        val MIN_REQUEST_INTERVAL = 300.milliseconds
-
         /** Time after which daemons that differ request everything; updates reach a region in a fraction of it. */
         val FULL_REQUEST_DELAY = 500.milliseconds
 
-        /** Time for peers of the own region to send what is missing before one of another region gets a request. */
-        val OTHER_REGION_DELAY = 400.milliseconds
+        /** Daemons of each other region that get an update from its reader; two, since one may fail. */
+        const val RELAYS_PER_REGION = 2
+        val log = eventLog("state")
     }
 }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/VirtualTime.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/VirtualTime.kt
@@ -42,6 +42,9 @@
         now = end
     }
 
+    /** Runs [action] when the time has advanced by [delay]. */
+    fun after(delay: Duration, action: () -> Unit) = schedule(now + delay, action)
+
     private fun schedule(at: Duration, action: () -> Unit) {
         tasks += Task(at, ++lastNumber, action)
     }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/version/PublishedStateSyncTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/version/PublishedStateSyncTest.kt
@@ -1,6 +1,7 @@
 package kingcuptide.forwarder.version
 
 import io.netty.channel.embedded.EmbeddedChannel
+import kingcuptide.coordination.process.FailureDomainId
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.version.PublishedItem
 import kingcuptide.coordination.version.PublishedItemDecoder
@@ -11,6 +12,7 @@
 import kingcuptide.forwarder.connection.PeerListener
 import kingcuptide.forwarder.connection.PeerMessage
 import kingcuptide.forwarder.connection.PeerSession
+import kingcuptide.forwarder.connection.StatePeer
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
@@ -19,16 +21,21 @@
 
 internal class PublishedStateSyncTest {
     private val clock = ManualClock()
-    private val regions = HashMap<PeerSession, RegionId>()
-    private val published = PublishedState(clock, NoItems)
+    private val regions = HashMap<StatePeer, RegionId>()
+    private val published = PublishedState(clock, TakenOutItems)
     private val state = PublishedStateSync(clock, listOf("a/", "b/"), published, TestPeers()) {}
     private val sameRegion = peerIn("north")
     private val otherRegion = peerIn("south")
 
     private class Peer(val session: PeerSession, private val channel: EmbeddedChannel) {
-        fun sectionRequests(): List<List<Long>> = generateSequence { channel.readOutbound<Any>() }
-            .mapNotNull { ((it as? PeerFrame)?.message as? PeerMessage.SectionRequest)?.asOf }
+        /** Returns and removes all that was sent but the hello. */
+        fun messages(): List<PeerMessage> = generateSequence { channel.readOutbound<Any>() }
+            .mapNotNull { (it as? PeerFrame)?.message }
+            .filterNot { it is PeerMessage.Hello }
             .toList()
+
+        fun sectionRequests(): List<List<Long>> =
+            messages().filterIsInstance<PeerMessage.SectionRequest>().map { it.asOf }
     }
 
     private fun peerIn(region: String): Peer {
@@ -80,16 +87,87 @@
         expectThat(otherRegion.sectionRequests()).isEmpty()
     }
 
+    private fun update(
+        after: Long,
+        asOf: Long,
+        item: PeerMessage.Item,
+        relayInRegion: Boolean = false,
+    ) = PeerMessage.ItemUpdates(0, relayInRegion, listOf(item), after, asOf, 0)
+
+    @Test
+    fun `Given a missed update, when the next one arrives, then its sender is asked at once for what lies between`() {
+        state.received(sameRegion.session, update(after = 9, asOf = 12, PeerMessage.Item("a/x", 12, VALUE)))
+        expectThat(sameRegion.sectionRequests()).isEqualTo(listOf(listOf(7L, 7L)))
+        expectThat(state.asOf()).isEqualTo(listOf(7L, 7L))
+        expectThat(published.takenOut).isEqualTo(setOf(FailureDomainId("a/x")))
+    }
+
+    @Test
+    fun `Given updates without a gap, when they arrive, then the copy is complete up to the last`() {
+        state.received(sameRegion.session, update(after = 5, asOf = 9, PeerMessage.Item("a/x", 9, VALUE)))
+        state.received(sameRegion.session, update(after = 9, asOf = 12, PeerMessage.Item("a/x", 12)))
+        expectThat(sameRegion.sectionRequests()).isEmpty()
+        expectThat(state.asOf()).isEqualTo(listOf(12L, 7L))
+        expectThat(published.takenOut).isEmpty()
+    }
+
+    @Test
+    fun `Given a difference from an item that is not here, when it arrives, then the item is requested`() {
+        val delta = PeerMessage.Delta(8, listOf(0, 1), listOf(""))
+        state.received(sameRegion.session, update(after = 7, asOf = 12, PeerMessage.Item("a/x", 12, delta = delta)))
+        expectThat(state.asOf()).isEqualTo(listOf(7L, 7L))
+        expectThat(sameRegion.sectionRequests()).isEqualTo(listOf(listOf(7L, 7L)))
+    }
+
+    @Test
+    fun `Given a whole region that missed an update, when its daemons agree, then another region is asked still`() {
+        ping(otherRegion, digest = published.digest() + 1, asOf = listOf(9, 7))
+        clock.advance(200.milliseconds)
+        ping(sameRegion, digest = published.digest())
+        clock.advance(200.milliseconds)
+        state.tick()
+        expectThat(otherRegion.sectionRequests()).isEqualTo(listOf(listOf(7L, 7L)))
+    }
+
+    @Test
+    fun `Given a request without an answer, when time passes, then it is repeated until the copy is complete`() {
+        ping(sameRegion, digest = published.digest() + 1, asOf = listOf(7, 9))
+        repeat(2) {
+            clock.advance(300.milliseconds)
+            state.tick()
+        }
+        expectThat(sameRegion.sectionRequests().size).isEqualTo(3)
+        state.received(sameRegion.session, PeerMessage.SectionSnapshot(1, 9, emptyList(), base = 7))
+        clock.advance(300.milliseconds)
+        state.tick()
+        expectThat(sameRegion.sectionRequests()).isEmpty()
+    }
+
+    @Test
+    fun `Given a snapshot of another region, when it has news, then it is relayed in the own region once`() {
+        val snapshot = PeerMessage.SectionSnapshot(0, 9, listOf(PeerMessage.Item("a/x", 9, VALUE)), base = 7)
+        repeat(2) { state.received(otherRegion.session, snapshot) }
+        expectThat(sameRegion.messages()).isEqualTo(listOf(snapshot))
+    }
+
+    @Test
+    fun `Given a copy, when a snapshot as of an older revision arrives, then its later items are applied`() {
+        val later = PeerMessage.Item("a/x", 10, VALUE)
+        state.received(sameRegion.session, PeerMessage.SectionSnapshot(0, 6, listOf(later)))
+        expectThat(published.takenOut).isEqualTo(setOf(FailureDomainId("a/x")))
+        expectThat(state.asOf()).isEqualTo(listOf(7L, 7L))
+    }
+
     private inner class TestPeers : PeerGroup {
-        override fun sessions(): Collection<PeerSession> = regions.keys
+        override fun sessions(): Collection<StatePeer> = regions.keys
 
-        override fun regionOf(session: PeerSession): RegionId? = regions[session]
+        override fun regionOf(peer: StatePeer): RegionId? = regions[peer]
 
         override val ownRegion = RegionId("north")
     }
 
-    private object NoItems : PublishedItemDecoder {
-        override fun decode(item: SourceItem): PublishedItem = PublishedItem.Unusable("none is used here")
+    private object TakenOutItems : PublishedItemDecoder {
+        override fun decode(item: SourceItem): PublishedItem = PublishedItem.TakenOut(FailureDomainId(item.key))
     }
 
     private object NoListener : PeerListener {
@@ -101,4 +179,8 @@
 
         override fun failed(session: PeerSession, cause: Throwable) = Unit
     }
+
+    private companion object {
+        val VALUE = "out".encodeToByteArray()
+    }
 }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/version/SourceFollowerTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/version/SourceFollowerTest.kt
@@ -9,7 +9,7 @@
 import kingcuptide.coordination.version.ReaderState
 import kingcuptide.coordination.version.SourceItem
 import kingcuptide.forwarder.VirtualTime
-import kingcuptide.forwarder.connection.PeerSession
+import kingcuptide.forwarder.connection.StatePeer
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import org.junit.jupiter.api.Nested
@@ -152,9 +152,9 @@
     }
 
     private object NoPeers : PeerGroup {
-        override fun sessions(): Collection<PeerSession> = emptyList()
+        override fun sessions(): Collection<StatePeer> = emptyList()
 
-        override fun regionOf(session: PeerSession): RegionId? = null
+        override fun regionOf(peer: StatePeer): RegionId? = null
 
         override val ownRegion = RegionId("north")
     }
--- /dev/null
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/version/StateFleetSimulation.kt
@@ -0,0 +1,245 @@
+package kingcuptide.forwarder.version
+
+import kingcuptide.coordination.version.SourceItem
+import kingcuptide.forwarder.VirtualTime
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * A fleet of daemons on virtual time that keep the published state equal while the source changes.
+ *
+ * Connections close or fall silent with all that is in transit, hosts are cut off, restart or turn slow, and the readers
+ * change. [run] returns the daemons that did not have a change in time though nothing disturbed them.
+ */
+internal class StateFleetSimulation(
+    seed: Int,
+) {
+    private val random = Random(seed)
+    private val time = VirtualTime()
+    private val source = SimulatedSource()
+    private val daemons = createDaemons()
+    private val links = createLinks()
+    private val linksByDaemon = daemons.associateWith { daemon -> links.filter { daemon in it.pair }.map { it.link } }
+    private val faults = ArrayList<String>()
+    private var readers = emptyList<SimulatedDaemon>()
+    private val latestEffects = HashMap<String, Long>()
+    private var version = 0L
+
+    private class Pair(val pair: List<SimulatedDaemon>, val link: SimulatedLink)
+
+    private fun createDaemons(): List<SimulatedDaemon> {
+        val domains = REGIONS.flatMap { region -> listOf("$region-a" to region, "$region-b" to region) }
+        return domains.flatMap { (domain, region) -> List(DAEMONS_PER_DOMAIN) { domain to region } }
+            .mapIndexed { number, (domain, region) ->
+                SimulatedDaemon(time, source, number, region, domain) {
+                    linksByDaemon.getValue(it).filter(SimulatedLink::isOpen)
+                }
+            }
+    }
+
+    private fun createLinks(): List<Pair> = daemons.flatMapIndexed { index, first ->
+        daemons.drop(index + 1).map { Pair(listOf(first, it), SimulatedLink(time, first, it, delayBetween(first, it))) }
+    }
+
+    private fun delayBetween(first: SimulatedDaemon, second: SimulatedDaemon): Duration = when {
+        first.failureDomain == second.failureDomain -> SimulatedLink.SAME_DOMAIN_DELAY
+        first.region == second.region -> SimulatedLink.SAME_REGION_DELAY
+        else -> SimulatedLink.OTHER_REGION_DELAY
+    }
+
+    fun run(): List<String> {
+        writeFirst()
+        daemons.forEach { it.readSource() }
+        links.forEach { it.link.open() }
+        changeReaders()
+        daemons.forEach { daemon ->
+            every({ PING_INTERVAL }, PING_INTERVAL * random.nextDouble()) { daemon.sendPings() }
+            every({ TICK_INTERVAL }, TICK_INTERVAL * random.nextDouble()) { daemon.tick() }
+            every({ WATCH_INTERVAL }, WATCH_INTERVAL * random.nextDouble()) {
+                if (daemon in
+                    readers
+                ) {
+                    daemon.readSource()
+                }
+            }
+        }
+        targetKeys().forEach { key ->
+            every({ REPORT_INTERVAL }, REPORT_INTERVAL * random.nextDouble()) { report(key) }
+        }
+        every({ randomTime(READER_CHANGE_INTERVAL) }) { changeReaders() }
+        every({ randomTime(TARGET_CHANGE_INTERVAL) }) { changeTarget() }
+        every({ randomTime(DOMAIN_CHANGE_INTERVAL) }) { changeDomain() }
+        every({ configurationPause() }) { changeConfiguration() }
+        scheduleDisturbances()
+        time.advance(DURATION)
+        return faults
+    }
+
+    private fun scheduleDisturbances() {
+        every({ randomTime(BREAK_INTERVAL) }) { breakLink() }
+        every({ randomTime(SILENCE_INTERVAL) }) { silenceLink() }
+        every({ randomTime(HOST_FAULT_INTERVAL) }) { disturbHost() }
+    }
+
+    private fun every(interval: () -> Duration, first: Duration = interval(), action: () -> Unit) {
+        time.after(first) {
+            action()
+            every(interval, action = action)
+        }
+    }
+
+    /** Returns a random time with the mean [mean]. */
+    private fun randomTime(mean: Duration): Duration = mean * (0.1 + 1.8 * random.nextDouble())
+
+    private fun writeFirst() {
+        changeConfiguration()
+        targetKeys().forEach { source.write(it, "target:ready:0") }
+    }
+
+    private fun targetKeys(): List<String> = daemons.map { "${SimulatedDaemon.TARGET_PREFIX}${it.number}" }
+
+    private fun changeReaders() {
+        val able = daemons.filter { it.isUp && it.excusedUntil <= time.now() }
+        readers = able.shuffled(random).take(READERS)
+    }
+
+    private fun report(key: String) {
+        val value = source.item(key)?.value?.decodeToString() ?: return
+        source.write(key, value.substringBeforeLast(':') + ":" + source.revision)
+    }
+
+    private fun changeTarget() {
+        val key = targetKeys().random(random)
+        val value = source.item(key)?.value?.decodeToString()
+        val changed = when {
+            value == null -> source.write(key, "target:ready:0")
+            "leaving" in value || random.nextBoolean() -> source.write(key, null)
+            else -> source.write(key, "target:leaving:0")
+        }
+        expectInTime(changed)
+    }
+
+    private fun changeDomain() {
+        val key = "${SimulatedDaemon.OPERATOR_PREFIX}out-${random.nextInt(OUT_KEYS)}"
+        expectInTime(source.write(key, if (source.item(key)?.value == null) "out" else null))
+    }
+
+    /** Configurations come in quick succession in a part of the time. */
+    private fun configurationPause(): Duration =
+        if (time.now().inWholeSeconds % 8 < 2) STORM_INTERVAL else randomTime(CONFIGURATION_INTERVAL)
+
+    private fun changeConfiguration() {
+        version += 1 + random.nextInt(3)
+        expectInTime(
+            source.write("${SimulatedDaemon.OPERATOR_PREFIX}config", "config:$version:" + "route ".repeat(900)),
+        )
+    }
+
+    private fun expectInTime(change: SourceItem) {
+        val writtenAt = time.now()
+        latestEffects[change.key] = change.revision
+        time.after(BOUND) { check(change, writtenAt) }
+    }
+
+    private fun check(change: SourceItem, writtenAt: Duration) {
+        val isSuperseded = latestEffects.getValue(change.key) > change.revision
+        if (isSuperseded && !change.key.endsWith("config")) return
+        val missing = daemons.filter { it.isUp && it.excusedUntil <= writtenAt && !has(it, change) }
+        missing.forEach { faults += "$it lacks ${change.key} at ${change.revision} after $BOUND" }
+    }
+
+    private fun has(daemon: SimulatedDaemon, change: SourceItem): Boolean {
+        val value = change.value?.decodeToString()
+        if (change.key.endsWith("config")) {
+            val wanted = checkNotNull(value).split(':')[1].toLong()
+            return (daemon.published.routing?.number ?: 0) >= wanted
+        }
+        if (change.key.startsWith(SimulatedDaemon.OPERATOR_PREFIX)) {
+            return daemon.published.takenOut.any { it.value == change.key } == (value != null)
+        }
+        val target = daemon.published.targets.firstOrNull { it.entry.id.value == change.key }
+        return if (value == null) target == null else target?.entry?.leaving == ("leaving" in value)
+    }
+
+    private fun breakLink() {
+        val link = links.random(random).link
+        link.close()
+        time.after(randomTime(RECONNECT_TIME)) { link.open() }
+    }
+
+    private fun silenceLink() {
+        val link = links.random(random).link
+        link.fallSilent()
+        time.after(SILENCE_TIMEOUT) {
+            link.close()
+            time.after(randomTime(RECONNECT_TIME)) { link.open() }
+        }
+    }
+
+    private fun disturbHost() {
+        val daemon = daemons.random(random)
+        if (daemon in readers && readers.size == 1) return
+        val lasts = randomTime(HOST_FAULT_TIME)
+        daemon.excusedUntil = maxOf(daemon.excusedUntil, time.now() + lasts + STABLE_WINDOW)
+        when (random.nextInt(3)) {
+            0 -> cutOff(daemon, lasts)
+            1 -> restart(daemon, lasts)
+            else -> slowDown(daemon, lasts)
+        }
+    }
+
+    private fun cutOff(daemon: SimulatedDaemon, lasts: Duration) {
+        readers = readers - daemon
+        val own = linksByDaemon.getValue(daemon)
+        own.forEach { it.fallSilent() }
+        time.after(lasts) {
+            own.forEach { it.close() }
+            time.after(RECONNECT_TIME) { own.forEach { it.open() } }
+        }
+    }
+
+    private fun restart(daemon: SimulatedDaemon, lasts: Duration) {
+        readers = readers - daemon
+        daemon.isUp = false
+        linksByDaemon.getValue(daemon).forEach { it.close() }
+        time.after(lasts) {
+            daemon.restart()
+            linksByDaemon.getValue(daemon).forEach { it.open() }
+        }
+    }
+
+    private fun slowDown(daemon: SimulatedDaemon, lasts: Duration) {
+        readers = readers - daemon
+        val until = time.now() + lasts
+        daemon.slowness = { if (time.now() < until) SLOW_DELAY else Duration.ZERO }
+    }
+
+    companion object {
+        /** Time in which a change must be in force everywhere: the shortest that the users set. */
+        val BOUND = 2.seconds
+        private val REGIONS = listOf("north", "central", "south")
+        private const val DAEMONS_PER_DOMAIN = 4
+        private const val READERS = 2
+        private const val OUT_KEYS = 3
+        private val DURATION = 20.seconds
+        private val PING_INTERVAL = 1.seconds
+        private val TICK_INTERVAL = 100.milliseconds
+        private val WATCH_INTERVAL = 800.milliseconds
+        private val REPORT_INTERVAL = 1_500.milliseconds
+        private val READER_CHANGE_INTERVAL = 3.seconds
+        private val TARGET_CHANGE_INTERVAL = 600.milliseconds
+        private val DOMAIN_CHANGE_INTERVAL = 2.seconds
+        private val CONFIGURATION_INTERVAL = 1_200.milliseconds
+        private val STORM_INTERVAL = 200.milliseconds
+        private val BREAK_INTERVAL = 80.milliseconds
+        private val SILENCE_INTERVAL = 500.milliseconds
+        private val HOST_FAULT_INTERVAL = 2.seconds
+        private val HOST_FAULT_TIME = 3.seconds
+        private val STABLE_WINDOW = 3.seconds
+        private val RECONNECT_TIME = 300.milliseconds
+        private val SILENCE_TIMEOUT = 2_500.milliseconds
+        private val SLOW_DELAY = 600.milliseconds
+    }
+}
