Read fractional bounds: round extra retries down, keep the slack of cold targets

Change: extraRetries is rounded down, so that the bound holds; coldSlack is kept. A bad value is refused with its key, the value and what was expected, also if it is not finite.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
@@ -32,7 +32,7 @@
     val isFirstStart: Boolean,
     val stopLimit: Duration,
     val coldRateFactor: Double,
-    val coldSlack: Int,
+    val coldSlack: Double,
     val retries: RetryAllowanceSettings,
 ) {
     /** Returns the settings that can't change while the process runs. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/SettingsFile.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/SettingsFile.kt
@@ -13,6 +13,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import java.net.InetSocketAddress
+import kotlin.math.floor
 import kotlin.time.Duration
 
 /**
@@ -44,17 +45,19 @@
     val isFirstStart: Boolean = false,
     val stopLimit: String,
     val coldRateFactor: Double,
-    val coldSlack: Int,
+    val coldSlack: Double,
     val retryRatio: Double,
-    val extraRetries: Int,
+    val extraRetries: Double,
     val retryWindow: String,
 ) {
     fun toSettings(): ForwarderSettings {
         require(peerPort in PORTS) { "peerPort: $peerPort is not a port from 1 to 65535" }
-        require(coldRateFactor > 0) { "coldRateFactor: must be greater than 0" }
-        require(coldSlack >= 0 && extraRetries >= 0 && retryRatio >= 0) {
-            "coldSlack, extraRetries, retryRatio: must not be negative"
+        require(coldRateFactor > 0 && coldRateFactor.isFinite()) {
+            "coldRateFactor: $coldRateFactor is not a number greater than 0"
         }
+        requireCount("coldSlack", coldSlack)
+        requireCount("extraRetries", extraRetries)
+        requireCount("retryRatio", retryRatio)
         addressOf("targetAddress", targetAddress)
         return ForwarderSettings(
             host = HostId(host),
@@ -72,10 +75,16 @@
             stopLimit = durationOf("stopLimit", stopLimit),
             coldRateFactor = coldRateFactor,
             coldSlack = coldSlack,
-            retries = RetryAllowanceSettings(retryRatio, extraRetries, durationOf("retryWindow", retryWindow)),
+            retries = RetryAllowanceSettings(retryRatio, wholeRetries(), durationOf("retryWindow", retryWindow)),
         )
     }
 
+    /** Rounds down, since a fraction of a retry can't be sent within the bound. */
+    private fun wholeRetries(): Int = floor(extraRetries).toInt()
+
+    private fun requireCount(field: String, value: Double) =
+        require(value >= 0 && value <= MAX_COUNT) { "$field: $value is not a number from 0 to $MAX_COUNT" }
+
     private fun durationOf(field: String, value: String): Duration {
         val duration = Duration.parseOrNull(value)
         require(duration != null && duration.isPositive()) {
@@ -92,6 +101,7 @@
 }
 
 private val PORTS = 1..65_535
+private const val MAX_COUNT = 1_000_000_000
 
 private val settingsJson =
     Json {
--- /dev/null
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/process/SettingsFileTest.kt
@@ -0,0 +1,85 @@
+package kingcuptide.forwarder.process
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import kingcuptide.coordination.process.ResultCode
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+internal class SettingsFileTest {
+    private fun settingsWith(field: String, value: String): String {
+        val fields = linkedMapOf(
+            "host" to "\"a\"",
+            "ip" to "\"192.0.2.1\"",
+            "failureDomain" to "\"north-a\"",
+            "region" to "\"north\"",
+            "regionByFailureDomain" to "{\"north-a\": \"north\"}",
+            "service" to "\"s\"",
+            "targetAddress" to "\"192.0.2.1:1\"",
+            "callerAddress" to "\"192.0.2.1:2\"",
+            "readinessAddress" to "\"192.0.2.1:3\"",
+            "peerPort" to "4",
+            "sourceAddress" to "\"192.0.2.9:5\"",
+            "stopLimit" to "\"6s\"",
+            "coldRateFactor" to "1.5",
+            "coldSlack" to "5",
+            "retryRatio" to "0.2",
+            "extraRetries" to "58",
+            "retryWindow" to "\"10s\"",
+        )
+        fields[field] = value
+        return fields.entries.joinToString(",\n", "{\n// bounds\n", ",\n}") { "\"${it.key}\": ${it.value}" }
+    }
+
+    @Nested
+    inner class `Given bounds that a small fleet has as fractions` {
+        @Test
+        fun `when the extra retries are read, then they are rounded down`() {
+            val settings = readForwarderSettings(settingsWith("extraRetries", "17.9")).get()
+            expectThat(settings).isNotNull().get { retries.extraRetries }.isEqualTo(17)
+        }
+
+        @Test
+        fun `when there is less than one extra retry, then there is none`() {
+            val settings = readForwarderSettings(settingsWith("extraRetries", "0.99")).get()
+            expectThat(settings).isNotNull().get { retries.extraRetries }.isEqualTo(0)
+        }
+
+        @Test
+        fun `when the slack of cold targets is read, then it is kept`() {
+            val settings = readForwarderSettings(settingsWith("coldSlack", "2.5")).get()
+            expectThat(settings).isNotNull().get { coldSlack }.isEqualTo(2.5)
+        }
+    }
+
+    @Nested
+    inner class `Given a value that is no number of retries` {
+        @Test
+        fun `when it is negative, then the fault names the key, the value and what was expected`() {
+            val fault = readForwarderSettings(settingsWith("extraRetries", "-1.5")).getError()
+            expectThat(fault).isNotNull().get { code }.isEqualTo(ResultCode.SETTINGS_VALUE_OUT_OF_RANGE)
+            expectThat(fault).isNotNull().get { reason }.contains("extraRetries: -1.5 is not a number from 0 to")
+        }
+
+        @Test
+        fun `when it is not finite, then it is refused`() {
+            for (value in listOf("NaN", "1e999", "Infinity", "\"NaN\"")) {
+                val result = readForwarderSettings(settingsWith("extraRetries", value))
+                expectThat(result.get()).describedAs(value).isNull()
+                expectThat(result.getError()).isNotNull().get { reason }.contains("extraRetries")
+            }
+        }
+
+        @Test
+        fun `when it is text, then the fault names the key, the value and what was expected`() {
+            val fault = readForwarderSettings(settingsWith("extraRetries", "\"many\"")).getError()
+            expectThat(fault).isNotNull().get { code }.isEqualTo(ResultCode.SETTINGS_UNREADABLE)
+            expectThat(fault).isNotNull().get { reason }.contains("extraRetries").contains("many").contains("double")
+        }
+    }
+}
