Tell a response that breaks off right after its head from none

Traced by the exceptions: 'chunked transfer encoding, state: READING_LENGTH' and 'fixed content-length: 50, bytes received: 5', both from the reader of a body, 27 of 400 at load 10. Ruled out: a cancelled call (none was seen).

Change: the head is noted by the response adapter, which the engine calls when the head arrives.

The forwarder's HttpConnection notes the head itself; 200 responses that end right after it, and 200 that end before it, are told apart (HttpConnectionTest).

--- a/daemon/src/main/kotlin/kingcuptide/daemon/request/TargetClient.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/request/TargetClient.kt
@@ -2,6 +2,9 @@
 
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.java.Java
+import io.ktor.client.request.HttpRequestData
+import io.ktor.client.request.ResponseAdapter
+import io.ktor.client.request.ResponseAdapterAttributeKey
 import io.ktor.client.request.header
 import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.request
@@ -9,12 +12,15 @@
 import io.ktor.client.request.url
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
+import io.ktor.http.Headers
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpMethod
+import io.ktor.http.HttpStatusCode
 import io.ktor.http.content.OutgoingContent
 import io.ktor.http.contentLength
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.InternalAPI
 import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.writeFully
 import kingcuptide.coordination.connection.Header
@@ -32,9 +38,11 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import java.net.ConnectException
 import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.coroutines.CoroutineContext
 import kotlin.time.Duration
 
 /** Sends admitted requests to the target on this host and checks its health. */
+@OptIn(InternalAPI::class)
 class TargetClient(
     private val settings: TargetSettings,
 ) : AutoCloseable {
@@ -62,10 +70,11 @@
                 client.prepareRequest {
                     method = HttpMethod.parse(head.method)
                     url("http://${settings.ip}:${settings.port}${head.pathAndQuery}")
+                    setAttributes { put(ResponseAdapterAttributeKey, HeadObserver(progress)) }
                     copyHeaders(head, remaining)
                     if (body != null) setBody(StreamedBody(head, body, progress))
                 }
-            request.execute { response -> forwardResponse(response, head.method, sink, progress) }
+            request.execute { response -> forwardResponse(response, head.method, sink) }
         } catch (exception: CancellationException) {
             currentCoroutineContext().ensureActive()
             progress.failure(exception)
@@ -110,9 +119,7 @@
         response: HttpResponse,
         method: String,
         sink: ResponseSink,
-        progress: TargetProgress,
     ): TargetFailure? {
-        progress.responseStarted = true
         sink.head(response.status.value, response.headers.endToEnd())
         val expected = response.contentLength().takeUnless { method == HttpMethod.Head.value }
         val received = forwardBody(response.bodyAsChannel(), sink)
@@ -157,6 +164,27 @@
     val outcome: Outcome,
 )
 
+/**
+ * Notes the head of a response when it arrives. The engine fails the call with what ends the body, also if it has not
+ * yet delivered the head, so that a response which breaks off right after its head would pass for none at all.
+ */
+@OptIn(InternalAPI::class)
+private class HeadObserver(
+    private val progress: TargetProgress,
+) : ResponseAdapter {
+    override fun adapt(
+        data: HttpRequestData,
+        status: HttpStatusCode,
+        headers: Headers,
+        responseBody: ByteReadChannel,
+        outgoingContent: OutgoingContent,
+        callContext: CoroutineContext,
+    ): Any? {
+        progress.responseStarted = true
+        return null
+    }
+}
+
 private class TargetProgress {
     val bodyStarted = AtomicBoolean()
 
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/HttpConnectionTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/HttpConnectionTest.kt
@@ -69,6 +69,37 @@
 
     private fun HttpResult.body(): String = (this as HttpResult.Answered).response.body.decodeToString()
 
+    @Nested
+    inner class `Responses that end right after their head` {
+        private val heads =
+            listOf(
+                "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+                "Content-Length: 50\r\n\r\nhello",
+                "Content-Length: 50\r\n\r\n",
+            )
+
+        /** The connection ends at once after the bytes, so that both may arrive together. */
+        @Test
+        fun `Given many servers that close after the head, when it arrives, then each response counts as started`() {
+            repeat(TIMES) { time ->
+                script("HTTP/1.1 200 OK\r\n" + heads[time % heads.size])
+                withConnection { connection ->
+                    expectThat(connection.get()).isA<HttpResult.Broken>().get { responseStarted }.isTrue()
+                }
+            }
+        }
+
+        @Test
+        fun `Given many servers that close before the head, when they do, then no response counts as started`() {
+            repeat(TIMES) {
+                script("")
+                withConnection { connection ->
+                    expectThat(connection.get()).isA<HttpResult.Broken>().get { responseStarted }.isFalse()
+                }
+            }
+        }
+    }
+
     @Nested
     inner class `Complete responses` {
         @Test
@@ -154,6 +185,7 @@
     }
 
     private companion object {
+        const val TIMES = 200
         const val END_OF_HEAD = "\r\n\r\n"
     }
 }
