Tell calls of a target by their id, and leave out targets whose address has a later one

Cause: callers are on the hosts, so the address of a connection says nothing; every request passed for a call of the target. Seen by a trial that printed the requests: the id of a call begins with that of the request that made it.

Change: RunningRequests knows the ids that run at the target; a request whose id continues one of them is a call. Of targets of a service at one address only the latest is used.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedState.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedState.kt
@@ -63,13 +63,20 @@
         return digest.value != before
     }
 
-    /** Returns the targets of [service]. */
+    /**
+     * Returns the targets of [service]: at each address the latest. An earlier one there has ended, though its entry
+     * may stay for some time.
+     */
     public fun targetsOf(service: ServiceId): List<KnownTarget> {
-        val grouped =
-            targetsByService ?: targetsByKey.values.groupBy { it.entry.service }.also { targetsByService = it }
+        val grouped = targetsByService ?: latestByService().also { targetsByService = it }
         return grouped[service].orEmpty()
     }
 
+    private fun latestByService(): Map<ServiceId, List<KnownTarget>> =
+        targetsByKey.values.groupBy { it.entry.service }.mapValues { (_, targets) ->
+            targets.groupBy { it.entry.address }.values.map { atAddress -> atAddress.maxBy { it.revision } }
+        }
+
     /** Returns the newest target at [address], or null. */
     public fun targetAt(address: String): KnownTarget? =
         targetsByKey.values.filter { it.entry.address == address }.maxByOrNull { it.revision }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/PublishedStateTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/PublishedStateTest.kt
@@ -41,7 +41,7 @@
         TargetId(id),
         ServiceId(service),
         "192.0.2.1",
-        80,
+        portOf(id),
         FailureDomainId("a"),
         "v1",
         12,
@@ -51,6 +51,9 @@
         reports,
     )
 
+    /** Keys that differ only behind a slash stand for targets that follow each other at one address. */
+    private fun portOf(id: String) = id.substringBefore('/').first().code
+
     @Nested
     inner class `A copy of a section` {
         private val section = PublishedSection("t/")
@@ -159,6 +162,17 @@
             expectThat(state.digest()).isNotEqualTo(before)
         }
 
+        @Test
+        fun `Given a target that ended without a word, when another is at its address, then only that one is used`() {
+            state.apply(listOf(item("t/old", 5, "target:s:ready:1"), item("u", 6, "target:s:ready:1")))
+            state.apply(listOf(item("t/new", 7, "target:s:ready:1")))
+            expectThat(state.targetsOf(ServiceId("s")).map { it.entry.id.value })
+                .containsExactlyInAnyOrder("t/new", "u")
+            state.apply(listOf(item("t/new", 9, null)))
+            expectThat(state.targetsOf(ServiceId("s")).map { it.entry.id.value })
+                .containsExactlyInAnyOrder("t/old", "u")
+        }
+
         @Test
         fun `Given two targets, when one leaves and the other is back, then the digest differs`() {
             state.apply(listOf(item("t", 5, "target:s:ready:1"), item("u", 6, "target:s:leaving:1")))
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
@@ -32,7 +32,6 @@
     private val scope: CoroutineScope,
     private val clock: Clock,
     private val limits: CallerLimits,
-    private val fromTarget: Boolean,
     private val serve: suspend (CallerRequest) -> BufferedResponse,
     private val onClosed: (CallerConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
@@ -166,7 +165,6 @@
                 request.headers().map { it.key to it.value },
                 body.toByteArray(),
                 clock.now(),
-                fromTarget,
             )
         val serving = scope.launch { respond(serveOrFail(callerRequest), keepAlive) }
         if (serving.isActive) job = serving
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
@@ -73,7 +73,6 @@
                 scope,
                 clock,
                 limits(),
-                fromTarget = channel.remoteAddress().address == address.address,
                 serve,
                 onClosed = { connections -= it },
             )
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -31,6 +31,7 @@
 import kingcuptide.forwarder.request.GateEndpoint
 import kingcuptide.forwarder.request.GateService
 import kingcuptide.forwarder.request.PeerGateTransport
+import kingcuptide.forwarder.request.RunningRequests
 import kingcuptide.forwarder.request.TargetClient
 import kingcuptide.forwarder.request.TargetMonitor
 import kingcuptide.forwarder.request.toGateLoadReport
@@ -71,9 +72,21 @@
     private val targetAddress = addressOf(settings.targetAddress)
     private val targetMonitor =
         TargetMonitor(loop, scope, clock, targetAddress, platform.names, gate, ::ownTraits, ::targetChanged)
+    private val running = RunningRequests()
     private val targetClient = TargetClient(loop, clock, targetAddress)
     private val gateService =
-        GateService(scope, clock, gate, targetClient, platform.names, ::currentTarget, targetMonitor, suspects, metrics)
+        GateService(
+            scope,
+            clock,
+            gate,
+            targetClient,
+            platform.names,
+            ::currentTarget,
+            targetMonitor,
+            suspects,
+            running,
+            metrics,
+        )
     private val gateEndpoint = GateEndpoint(gateService, gate::loadReport)
     private val mesh: PeerMesh =
         PeerMesh(loop, clock, settings.ip, settings.peerPort, hello(), PeerEvents(), ::isSameRegion, ::ping, counts)
@@ -97,7 +110,7 @@
         EntryService(
             clock,
             platform.names,
-            EntryDependencies({ settings.service }, location, published, picker, allowance, suspects),
+            EntryDependencies({ settings.service }, location, published, picker, allowance, suspects, running),
             gateTransport,
             metrics,
             counts,
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -54,6 +54,7 @@
     val picker: TargetPicker,
     val allowance: RetryAllowance,
     val suspects: CrashSuspects,
+    val running: RunningRequests,
 )
 
 /** Serves the requests of callers: matches the route, picks targets and retries where that is safe. */
@@ -115,8 +116,10 @@
         private val deadline = request.receivedAt + timeout
         private val objectiveAt = request.receivedAt + route.objective
 
+        private val isCall = dependencies.running.hasMade(requestId)
+
         /** A call from a running request should be fast, but its response is of use until the deadline. */
-        private val queueTimeout = if (request.fromTarget) timeout else route.objective
+        private val queueTimeout = if (isCall) timeout else route.objective
         private val headers = forwardedHeaders(request.headers)
         private val triedTargets = LinkedHashSet<TargetId>()
         private var targetsReached = 0
@@ -197,7 +200,7 @@
                     request.receivedAt + queueTimeout - now,
                     queueTimeout,
                     route.id,
-                    if (request.fromTarget) INTERNAL_PRIORITY else route.priority,
+                    if (isCall) INTERNAL_PRIORITY else route.priority,
                     route.idempotent,
                     target.entry.id,
                 )
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -45,6 +45,7 @@
     private val currentTarget: () -> TargetId?,
     private val targetObserver: TargetObserver,
     private val suspects: CrashSuspects,
+    private val running: RunningRequests,
     private val metrics: DaemonMetrics,
 ) {
     private val runningCalls = LinkedHashSet<GateCall>()
@@ -139,6 +140,7 @@
             job = scope.launch {
                 var hasResponse = false
                 runningCalls += this@GateCall
+                running.started(call.requestId)
                 try {
                     val startedAt = clock.now()
                     sentAt = startedAt
@@ -147,6 +149,7 @@
                     complete(result)
                 } finally {
                     runningCalls -= this@GateCall
+                    running.ended(call.requestId)
                     gate.ended(request, hasResponse)
                 }
             }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
@@ -30,7 +30,7 @@
     private var pendingResponse: CompletableDeferred<BufferedResponse>? = null
     private var cancelled = false
     private val connection =
-        CallerConnection(CoroutineScope(Dispatchers.Unconfined), clock, limits, false, ::serve) { }
+        CallerConnection(CoroutineScope(Dispatchers.Unconfined), clock, limits, ::serve) { }
     private val channel =
         EmbeddedChannel(
             connection.activityHandler,
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -38,6 +38,7 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import kotlin.random.Random
@@ -62,6 +63,7 @@
             },
         )
     }
+    private val running = RunningRequests()
     private val results = ArrayDeque<ForwardResult>()
     private val sent = ArrayList<Pair<String, ForwardCall>>()
     private val transport = object : GateTransport {
@@ -85,6 +87,7 @@
                 TargetPicker(clock, location, Random(1)),
                 allowance,
                 CrashSuspects(HostId("h"), 1, clock),
+                running,
             ),
             transport,
             DaemonMetrics(),
@@ -112,7 +115,7 @@
         "h",
         prefix,
         idempotent,
-        1,
+        ROUTE_PRIORITY,
         2.seconds,
         500.milliseconds,
         2,
@@ -123,7 +126,7 @@
     private fun target(domain: String) = TargetEntry(
         TargetId("t-$domain"),
         ServiceId("s"),
-        "192.0.2.1",
+        "192.0.2.${domain.first().code}",
         80,
         FailureDomainId(domain),
         "v1",
@@ -136,7 +139,7 @@
 
     private fun serve(path: String, vararg headers: Pair<String, String>): BufferedResponse = runBlocking {
         val all = listOf("Host" to "h:80", "Id" to "7", "Left" to "3000") + headers
-        entry.serve(CallerRequest("GET", path, all, NO_BYTES, clock.now(), fromTarget = false))
+        entry.serve(CallerRequest("GET", path, all, NO_BYTES, clock.now()))
     }
 
     private fun answered(status: Int) = ForwardResult.Answered(
@@ -163,7 +166,7 @@
         fun `Given a path without route or a request without id, when it arrives, then it gets a client error`() {
             start()
             expectThat(serve("/other/x").status).isEqualTo(404)
-            val noId = CallerRequest("GET", "/read/x", listOf("Host" to "h"), NO_BYTES, clock.now(), false)
+            val noId = CallerRequest("GET", "/read/x", listOf("Host" to "h"), NO_BYTES, clock.now())
             expectThat(runBlocking { entry.serve(noId) }.status).isEqualTo(400)
             expectThat(sent).isEmpty()
         }
@@ -171,7 +174,7 @@
         @Test
         fun `Given a daemon that stops, when a late request arrives, then it gets 503 and a retry delay`() {
             start()
-            val late = CallerRequest("GET", "/read/x", listOf("Id" to "7"), NO_BYTES, clock.now(), false)
+            val late = CallerRequest("GET", "/read/x", listOf("Id" to "7"), NO_BYTES, clock.now())
             val response = entry.refuseAtStop(late)
             expectThat(response.status).isEqualTo(503)
             expectThat(response.headers.first("Retry-After")).isNotNull()
@@ -273,10 +276,26 @@
         fun `Given a call from a running request, when it is forwarded, then it may queue until its deadline`() {
             start()
             results += answered(200)
-            val headers = listOf("Host" to "h:80", "Id" to "7", "Left" to "900")
-            val call = CallerRequest("GET", "/read/x", headers, NO_BYTES, clock.now(), fromTarget = true)
+            running.started("6")
+            val headers = listOf("Host" to "h:80", "Id" to "6.7", "Left" to "900")
+            val call = CallerRequest("GET", "/read/x", headers, NO_BYTES, clock.now())
             runBlocking { entry.serve(call) }
             expectThat(sent.single().second.untilObjective).isEqualTo(900.milliseconds)
+            expectThat(sent.single().second.priority).isLessThan(ROUTE_PRIORITY)
         }
+
+        @Test
+        fun `Given a caller on the same host, when its request is forwarded, then its route's objective and rank hold`() {
+            start()
+            running.started("6")
+            results += answered(200)
+            serve("/read/x")
+            expectThat(sent.single().second.untilObjective).isEqualTo(500.milliseconds)
+            expectThat(sent.single().second.priority).isEqualTo(ROUTE_PRIORITY)
+        }
+    }
+
+    private companion object {
+        const val ROUTE_PRIORITY = 1
     }
 }
