Count the objective of a request from its caller's first attempt

Cause: after an outage all callers come back at once, and each retry counted as a new request with its whole objective, so that it stood before requests that could still be on time, and all became late.

Change: CallerWaits learns with which deadline callers of a route start and takes what is missing for time already waited; the gate then starts such a retry after those that can be on time. A cold target gets 0.6 in place of 0.4 of the slack that the bound leaves, since a start reaches it within milliseconds.

--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/GateSimulation.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/GateSimulation.kt
@@ -35,24 +35,49 @@
     val served: Double get() = onTime + late
 }
 
-/** Simulates a gate and a target with log-normal run times under a load of several [kinds], on a manual clock. */
+/**
+ * A target that comes back cold at the start, after callers found nobody for a time.
+ *
+ * @property absence time before the start in which requests failed to connect
+ * @property cold time from the start until the target is warm
+ * @property coldPerSecond requests that it bears in any second until then
+ */
+internal data class ColdReturn(
+    val absence: Duration,
+    val cold: Duration,
+    val coldPerSecond: Int,
+)
+
+/**
+ * Simulates a gate and a target with log-normal run times under a load of several [kinds], on a manual clock.
+ *
+ * With [learnsWaits] the gate is told when a request became late by what the entry knows, the deadlines, and not by
+ * when the caller sent its first attempt. Only requests first sent [measuredAfter] the start count.
+ */
 internal class GateSimulation(
     private val kinds: List<RequestKind>,
     private val sigma: Double,
     seed: Long,
+    private val coldReturn: ColdReturn? = null,
+    private val learnsWaits: Boolean = false,
+    private val measuredAfter: Duration = Duration.ZERO,
 ) {
     private val clock = ManualClock()
     private val random = Random(seed)
     private val gate = TargetGate(clock).apply {
         slots = SLOTS
-        coldFor(Duration.ZERO)
+        coldFor(coldReturn?.cold ?: Duration.ZERO)
+        if (coldReturn != null) coldRequestsPerSecond = coldReturn.coldPerSecond
     }
+    private val waits = CallerWaits()
+    private val startedAt = clock.now()
     private val events = PriorityQueue<Event>()
     private val counts = kinds.associate { it.name to Counts() }
 
     fun run(length: Duration = 20.seconds): Map<String, KindResult> {
         val end = clock.now() + length
         kinds.forEach { scheduleArrivals(it, end) }
+        if (coldReturn != null) kinds.forEach { scheduleAbsentArrivals(it, coldReturn) }
         var tick = clock.now()
         while (tick < end) {
             tick += TargetGate.MAX_SERVE_INTERVAL
@@ -73,14 +98,33 @@
             next += meanInterval * -ln(1 - random.nextDouble())
             val firstSentAt = next
             schedule(firstSentAt) {
-                counts.getValue(kind.name).attempted++
-                attempt(kind, firstSentAt, kind.retries)
+                if (isMeasured(firstSentAt)) counts.getValue(kind.name).attempted++
+                attempt(kind, firstSentAt, kind.retries, patience())
             }
         }
     }
 
-    private fun attempt(kind: RequestKind, firstSentAt: Duration, retries: Int) {
-        val deadline = firstSentAt + kind.deadline
+    /** Callers that found nobody come back within a third of the time that they have left. */
+    private fun scheduleAbsentArrivals(kind: RequestKind, coldReturn: ColdReturn) {
+        val meanInterval = kind.meanRunTime / (kind.load * SLOTS)
+        repeat((coldReturn.absence / meanInterval).toInt()) {
+            val firstSentAt = startedAt - coldReturn.absence * random.nextDouble()
+            val backAt = startedAt + kind.deadline * (random.nextDouble() / MAX_WAIT_DIVISOR)
+            schedule(backAt) { attempt(kind, firstSentAt, kind.retries - 1, patience()) }
+        }
+    }
+
+    private fun objectiveAt(kind: RequestKind, firstSentAt: Duration, deadline: Duration): Duration {
+        if (!learnsWaits) return firstSentAt + kind.objective
+        val now = clock.now()
+        return now + kind.objective - waits.record(RouteId(kind.name), deadline - now)
+    }
+
+    /** Where deadlines matter to the estimate, callers start with ones that differ a little. */
+    private fun patience(): Double = if (learnsWaits) 1 - MAX_IMPATIENCE * random.nextDouble() else 1.0
+
+    private fun attempt(kind: RequestKind, firstSentAt: Duration, retries: Int, patience: Double) {
+        val deadline = firstSentAt + kind.deadline * patience
         val offeredAt = clock.now()
         val count = counts.getValue(kind.name)
         lateinit var request: GateRequest
@@ -88,7 +132,7 @@
             RouteId(kind.name),
             kind.priority,
             deadline,
-            objectiveAt = firstSentAt + kind.objective,
+            objectiveAt = objectiveAt(kind, firstSentAt, deadline),
             objective = kind.objective,
             onStart = {
                 count.recordWait(clock.now() - offeredAt)
@@ -99,7 +143,7 @@
                 val remaining = deadline - clock.now()
                 val wait = minOf(refusal.retryAfter, remaining / MAX_WAIT_DIVISOR)
                 if (retries > 0 && remaining > Duration.ZERO) {
-                    schedule(clock.now() + wait) { attempt(kind, firstSentAt, retries - 1) }
+                    schedule(clock.now() + wait) { attempt(kind, firstSentAt, retries - 1, patience) }
                 }
             },
         )
@@ -109,14 +153,16 @@
     private fun finish(kind: RequestKind, firstSentAt: Duration, request: GateRequest) {
         val took = clock.now() - firstSentAt
         val count = counts.getValue(kind.name)
-        if (took <= kind.objective) {
+        if (isMeasured(firstSentAt) && took <= kind.objective) {
             count.onTime++
-        } else if (took < kind.deadline) {
+        } else if (isMeasured(firstSentAt) && took < kind.deadline) {
             count.late++
         }
         gate.ended(request, completed = took < kind.deadline)
     }
 
+    private fun isMeasured(firstSentAt: Duration): Boolean = firstSentAt >= startedAt + measuredAfter
+
     private fun runTime(kind: RequestKind): Duration =
         kind.meanRunTime * exp(sigma * random.asJavaRandom().nextGaussian() - sigma * sigma / 2)
 
@@ -145,6 +191,7 @@
 
     companion object {
         const val SLOTS = 12
+        private const val MAX_IMPATIENCE = 0.15
 
         /** Callers wait at most a third of their remaining time before a retry. */
         private const val MAX_WAIT_DIVISOR = 3
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -346,7 +346,7 @@
         val DEFAULT_CALLER_LIMITS = CallerLimits(16_384, 1_048_576, 3.seconds, 15.seconds)
 
         /** Share of the allowed slack that is used; the rest is for requests in transit. */
-        const val COLD_SLACK_SHARE = 0.4
+        const val COLD_SLACK_SHARE = 0.6
 
         val STOP_CHECK_INTERVAL = 50.milliseconds
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -3,6 +3,7 @@
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.request.CallerWaits
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.DaemonLocation
 import kingcuptide.coordination.request.Outcome
@@ -67,6 +68,7 @@
     private val counts: TrafficCounts,
 ) {
     private val roundRobin = WeightedRoundRobin()
+    private val callerWaits = CallerWaits()
 
     /** Returns the final response to [request]; cancellation also cancels the attempt in flight. */
     suspend fun serve(request: CallerRequest): BufferedResponse {
@@ -96,7 +98,8 @@
         val service = roundRobin.next(route)
         if (isQuarantined(route, request)) return refuse(request, ResultCode.QUARANTINED, QUARANTINE_RETRY_AFTER)
         dependencies.allowance.recordRequest(service)
-        val execution = Execution(request, requestId, route, service, minOf(requestedTimeout, route.timeout))
+        val waited = callerWaits.record(route.id, requestedTimeout)
+        val execution = Execution(request, requestId, route, service, minOf(requestedTimeout, route.timeout), waited)
         return execution.run()
     }
 
@@ -112,14 +115,18 @@
         private val route: ForwardRoute,
         private val service: ServiceId,
         timeout: Duration,
+        waited: Duration,
     ) {
         private val deadline = request.receivedAt + timeout
-        private val objectiveAt = request.receivedAt + route.objective
+
+        /** Counts from the first attempt of the caller, so that a retry does not delay requests that can be on time. */
+        private val objectiveAt = request.receivedAt + route.objective - waited
 
         private val isCall = dependencies.running.hasMade(requestId)
 
         /** A call from a running request should be fast, but its response is of use until the deadline. */
         private val queueTimeout = if (isCall) timeout else route.objective
+        private val queueUntil = if (isCall) deadline else objectiveAt
         private val headers = forwardedHeaders(request.headers)
         private val triedTargets = LinkedHashSet<TargetId>()
         private var targetsReached = 0
@@ -197,7 +204,7 @@
                     headers,
                     request.body,
                     deadline - now,
-                    request.receivedAt + queueTimeout - now,
+                    queueUntil - now,
                     queueTimeout,
                     route.id,
                     if (isCall) INTERNAL_PRIORITY else route.priority,
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -284,6 +284,17 @@
             expectThat(sent.single().second.priority).isLessThan(ROUTE_PRIORITY)
         }
 
+        @Test
+        fun `Given a caller that retries, when it is forwarded, then its objective counts from its first attempt`() {
+            start()
+            repeat(2) { results += answered(200) }
+            serve("/read/x")
+            val retry = listOf("Host" to "h:80", "Id" to "8", "Left" to "2000")
+            runBlocking { entry.serve(CallerRequest("GET", "/read/x", retry, NO_BYTES, clock.now())) }
+            expectThat(sent.map { it.second.untilObjective })
+                .isEqualTo(listOf(500.milliseconds, (-500).milliseconds))
+        }
+
         @Test
         fun `Given a caller on the same host, when its request is forwarded, then its route's objective and rank hold`() {
             start()
