Let callers try the next target at once when one rejects a request with room to spare

Change: while nothing waits at the gate, the retry delay after a rejection by the target is 20 ms; under load and while the target is cold it stays at 200 ms.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
@@ -152,6 +152,13 @@
         }
     }
 
+    /**
+     * Returns the retry delay for a request that the target itself has rejected. While nothing waits here, the target
+     * has not rejected it for its load, and another target may take it at once.
+     */
+    public fun retryAfterRejection(): Duration =
+        if (waiting.isEmpty() && !isCold()) IDLE_REJECTION_RETRY_AFTER else REJECTION_RETRY_AFTER
+
     /** Returns the current load report. */
     public fun loadReport(): GateLoadReport {
         val now = clock.now()
@@ -286,5 +293,7 @@
         private const val LATE_QUEUE_TIMEOUT_SHARE = 0.25
         private val CLOSED_RETRY_AFTER = 200.milliseconds
         private val MIN_RETRY_AFTER = 50.milliseconds
+        private val REJECTION_RETRY_AFTER = 200.milliseconds
+        private val IDLE_REJECTION_RETRY_AFTER = 20.milliseconds
     }
 }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetGateTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetGateTest.kt
@@ -46,6 +46,29 @@
         return request
     }
 
+    /** Targets that reject a share of the requests whatever their load: callers should try the next one at once. */
+    @Nested
+    inner class `Rejections by the target itself` {
+        @Test
+        fun `Given a gate where nothing waits, when its target rejects a request, then another may be tried at once`() {
+            offer("a")
+            offer("b")
+            expectThat(gate.retryAfterRejection()).isLessThanOrEqualTo(QUICK_RETRY)
+        }
+
+        @Test
+        fun `Given requests that wait, when the target rejects one, then callers stay away for longer`() {
+            repeat(4) { offer("$it") }
+            expectThat(gate.retryAfterRejection()).isGreaterThan(QUICK_RETRY)
+        }
+
+        @Test
+        fun `Given a cold target, when it rejects a request, then callers stay away for longer`() {
+            gate.coldFor(1.seconds)
+            expectThat(gate.retryAfterRejection()).isGreaterThan(QUICK_RETRY)
+        }
+    }
+
     private fun end(name: String) = gate.ended(running.getValue(name), completed = true)
 
     /** Runs requests that take [took], so that the gate expects that run time. */
@@ -207,6 +230,8 @@
     }
 
     private companion object {
+        /** A delay that leaves most of any objective. */
+        val QUICK_RETRY = 50.milliseconds
         val ROUTE = RouteId("parcels")
     }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -210,7 +210,7 @@
                 (names.expectedTarget to call.targetId.value)
 
         private fun refused(code: ResultCode, reachedTarget: Boolean) =
-            ForwardResult.Refused(code, TARGET_RETRY_AFTER, reachedTarget, gate.loadReport())
+            ForwardResult.Refused(code, gate.retryAfterRejection(), reachedTarget, gate.loadReport())
 
         private fun outcomeUnknown(code: ResultCode, reason: String): ForwardResult {
             log.info(
@@ -237,9 +237,6 @@
         const val MISDIRECTED_REQUEST = 421
         const val CONTENT_ENCODING = "Content-Encoding"
         val SUCCESS_STATUSES = 200..299
-
-        /** Retry delay after a refusal by the target itself. */
-        val TARGET_RETRY_AFTER = 200.milliseconds
         val log = eventLog("gate")
     }
 }
