--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -296,7 +296,7 @@
         }
 
         @Test
-        fun `Given a caller on the same host, when its request is forwarded, then its route's objective and rank hold`() {
+        fun `Given a caller on the same host, when its request is forwarded, then its route decides`() {
             start()
             running.started("6")
             results += answered(200)
