--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -45,6 +45,7 @@
     private val currentTarget: () -> TargetId?,
     private val targetObserver: TargetObserver,
     private val suspects: CrashSuspects,
+    private val running: RunningRequests,
     private val metrics: DaemonMetrics,
 ) {
     private val runningCalls = LinkedHashSet<GateCall>()
@@ -139,6 +140,7 @@
             job = scope.launch {
                 var hasResponse = false
                 runningCalls += this@GateCall
+                running.started(call.requestId)
                 try {
                     val startedAt = clock.now()
                     sentAt = startedAt
@@ -147,6 +149,7 @@
                     complete(result)
                 } finally {
                     runningCalls -= this@GateCall
+                    running.ended(call.requestId)
                     gate.ended(request, hasResponse)
                 }
             }
@@ -207,7 +210,7 @@
                 (names.expectedTarget to call.targetId.value)
 
         private fun refused(code: ResultCode, reachedTarget: Boolean) =
-            ForwardResult.Refused(code, TARGET_RETRY_AFTER, reachedTarget, gate.loadReport())
+            ForwardResult.Refused(code, gate.retryAfterRejection(), reachedTarget, gate.loadReport())
 
         private fun outcomeUnknown(code: ResultCode, reason: String): ForwardResult {
             log.info(
@@ -234,9 +237,6 @@
         const val MISDIRECTED_REQUEST = 421
         const val CONTENT_ENCODING = "Content-Encoding"
         val SUCCESS_STATUSES = 200..299
-
-        /** Retry delay after a refusal by the target itself. */
-        val TARGET_RETRY_AFTER = 200.milliseconds
         val log = eventLog("gate")
     }
 }
