--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedState.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedState.kt
@@ -74,7 +74,7 @@
 
     private fun latestByService(): Map<ServiceId, List<KnownTarget>> =
         targetsByKey.values.groupBy { it.entry.service }.mapValues { (_, targets) ->
-            targets.groupBy { it.entry.address }.values.map { atAddress -> atAddress.maxBy { it.revision } }
+            targets.groupBy { it.entry.address }.values.map { it.maxWith(BY_START) }
         }
 
     /** Returns the newest target at [address], or null. */
@@ -191,6 +191,9 @@
     }
 
     private companion object {
+        /** A report of an earlier target may be stored after the first of its successor. */
+        val BY_START: Comparator<KnownTarget> = compareBy({ it.entry.startedAtUnixMs }, { it.revision })
+
         /** Key of the configuration version in the digest; no item has it, since all keys have a prefix. */
         const val ROUTING_TERM = "routing"
 
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/PublishedStateTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/PublishedStateTest.kt
@@ -26,18 +26,28 @@
         value?.encodeToByteArray(),
     )
 
-    /** Values are `config:N`, `out:DOMAIN`, `target:SERVICE:STATE:REPORTS` or anything else. */
+    /** Values are `config:N`, `out:DOMAIN`, `target:SERVICE:STATE:REPORTS` with `:START` or without, or anything else. */
     private fun decode(item: SourceItem): PublishedItem {
         val parts = checkNotNull(item.value).decodeToString().split(':')
         return when (parts[0]) {
             "config" -> PublishedItem.Configuration(RoutingVersion(parts[1].toLong(), emptyList(), emptyMap(), LIMITS))
             "out" -> PublishedItem.TakenOut(FailureDomainId(parts[1]))
-            "target" -> PublishedItem.Target(entry(item.key, parts[1], parts[2] == "leaving", parts[3].toLong()))
+            "target" -> PublishedItem.Target(
+                entry(
+                    item.key,
+                    parts[1],
+                    parts[2] == "leaving",
+                    parts[3].toLong(),
+                    parts.getOrElse(4) {
+                        "0"
+                    }.toLong(),
+                ),
+            )
             else -> PublishedItem.Unusable("unknown")
         }
     }
 
-    private fun entry(id: String, service: String, leaving: Boolean, reports: Long) = TargetEntry(
+    private fun entry(id: String, service: String, leaving: Boolean, reports: Long, start: Long) = TargetEntry(
         TargetId(id),
         ServiceId(service),
         "192.0.2.1",
@@ -47,7 +57,7 @@
         12,
         leaving,
         Duration.ZERO,
-        0,
+        start,
         reports,
     )
 
@@ -173,6 +183,14 @@
                 .containsExactlyInAnyOrder("t/old", "u")
         }
 
+        @Test
+        fun `Given a target that follows another, when a late report of the earlier is stored, then it stays unused`() {
+            state.apply(listOf(item("t/old", 5, "target:s:ready:1:1000")))
+            state.apply(listOf(item("t/new", 7, "target:s:ready:1:2000")))
+            state.apply(listOf(item("t/old", 8, "target:s:leaving:2:1000")))
+            expectThat(state.targetsOf(ServiceId("s")).map { it.entry.id.value }).containsExactly("t/new")
+        }
+
         @Test
         fun `Given two targets, when one leaves and the other is back, then the digest differs`() {
             state.apply(listOf(item("t", 5, "target:s:ready:1"), item("u", 6, "target:s:leaving:1")))
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/PublishedStateSync.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/PublishedStateSync.kt
@@ -94,13 +94,13 @@
         val listing = SectionListing(message.base, message.asOf, items, message.unchangedKeys)
         val changed = section.apply(listing)
         if (changed == null) {
-            logSkipped("snapshot_skipped", section, message.base)
+            log.info("snapshot_skipped", *fieldsOf(section, message.base))
             if (!needsWhole) requestWhole(peer)
             needsWhole = true
             return
         }
         if (message.base == 0L) needsWhole = false
-        if (message.asOf < section.asOf) logSkipped("snapshot_older", section, message.asOf)
+        if (message.asOf < section.asOf) log.info("snapshot_older", *fieldsOf(section, message.asOf))
         val effective = apply(message.section, changed)
         if (effective.isEmpty()) return
         announced[message.section] = maxOf(announced[message.section], message.asOf)
@@ -120,7 +120,7 @@
             if (message.contactAgeMs >= 0) published.confirmed(message.contactAgeMs.milliseconds)
             return
         }
-        logSkipped("update_incomplete", section, message.after)
+        log.info("update_incomplete", *fieldsOf(section, message.after))
         apply(message.section, section.merge(items))
         gap.offered(peer, asOf().toMutableList().also { it[message.section] = message.asOf })
         requestMissing()
@@ -223,8 +223,8 @@
         return SourceItem(item.key, item.revision, value)
     }
 
-    private fun logSkipped(event: String, section: PublishedSection, offered: Long) =
-        log.info(event, "section" to section.prefix, "held" to section.asOf, "offered" to offered)
+    private fun fieldsOf(section: PublishedSection, offered: Long): Array<Pair<String, Any?>> =
+        arrayOf("section" to section.prefix, "held" to section.asOf, "offered" to offered)
 
     private companion object {
         /** Time after which daemons that differ request everything; updates reach a region in a fraction of it. */
