Ask for what was missed on the connection that is open, and estimate no wait of calls

Cause, found by reading: two daemons have two connections, each sends updates on the one that it opened, and the group of peers names one for each host. A gap seen by an update was offered by a connection that the group does not name, so its offer was dropped and nobody was asked before the next ping. The simulation has one connection for each pair and did not show it. Besides, a call has what is left of its parent's deadline, which says nothing of a retry.

Change: an offer counts as long as its connection is open; calls are left out of the estimate of waits. PublishedStateSyncTest, a missed update on the other connection.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
@@ -35,7 +35,7 @@
 
     override val failureDomain: FailureDomainId? get() = peer?.let { FailureDomainId(it.failureDomain) }
 
-    val isOpen: Boolean get() = peer != null && channel?.isActive == true
+    override val isOpen: Boolean get() = peer != null && channel?.isActive == true
 
     override fun send(message: PeerMessage) = send(message, NO_BYTES)
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/StatePeer.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/StatePeer.kt
@@ -8,6 +8,8 @@
     /** Failure domain of its host; null until its hello has arrived. */
     val failureDomain: FailureDomainId?
 
+    val isOpen: Boolean
+
     /** When its last message arrived. */
     val lastReceivedAt: Duration
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -98,8 +98,10 @@
         val service = roundRobin.next(route)
         if (isQuarantined(route, request)) return refuse(request, ResultCode.QUARANTINED, QUARANTINE_RETRY_AFTER)
         dependencies.allowance.recordRequest(service)
-        val waited = callerWaits.record(route.id, requestedTimeout)
-        val execution = Execution(request, requestId, route, service, minOf(requestedTimeout, route.timeout), waited)
+        val isCall = dependencies.running.hasMade(requestId)
+        val waited = if (isCall) Duration.ZERO else callerWaits.record(route.id, requestedTimeout)
+        val timeout = minOf(requestedTimeout, route.timeout)
+        val execution = Execution(request, requestId, route, service, timeout, waited, isCall)
         return execution.run()
     }
 
@@ -116,14 +118,13 @@
         private val service: ServiceId,
         timeout: Duration,
         waited: Duration,
+        private val isCall: Boolean,
     ) {
         private val deadline = request.receivedAt + timeout
 
         /** Counts from the first attempt of the caller, so that a retry does not delay requests that can be on time. */
         private val objectiveAt = request.receivedAt + route.objective - waited
 
-        private val isCall = dependencies.running.hasMade(requestId)
-
         /** A call from a running request should be fast, but its response is of use until the deadline. */
         private val queueTimeout = if (isCall) timeout else route.objective
         private val queueUntil = if (isCall) deadline else objectiveAt
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/PublishedStateSync.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/PublishedStateSync.kt
@@ -140,7 +140,7 @@
     private fun requestMissing() {
         gap.closeIfFilled(asOf())
         if (!gap.isOpen) return
-        gap.nextToAsk(peers.sessions())?.send(if (needsWhole) wholeRequest() else PeerMessage.SectionRequest(asOf()))
+        gap.nextToAsk()?.send(if (needsWhole) wholeRequest() else PeerMessage.SectionRequest(asOf()))
     }
 
     private fun requestWhole(peer: StatePeer) {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/StateGap.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/StateGap.kt
@@ -38,10 +38,10 @@
         timesAsked.clear()
     }
 
-    /** Returns the peer of [connected] to be asked now, which is then counted as asked, or null. */
-    fun nextToAsk(connected: Collection<StatePeer>): StatePeer? {
+    /** Returns the peer to be asked now, which is then counted as asked, or null. */
+    fun nextToAsk(): StatePeer? {
         if (!mayAsk()) return null
-        timesAsked.keys.retainAll(connected.toSet())
+        timesAsked.keys.removeAll { !it.isOpen }
         val age = since?.let { clock.now() - it } ?: return null
         val askable = timesAsked.keys.filter { isSameRegion(it) || age >= OTHER_REGION_DELAY }
         val peer = askable.minByOrNull { timesAsked.getValue(it) } ?: return null
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/version/PublishedStateSyncTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/version/PublishedStateSyncTest.kt
@@ -8,6 +8,7 @@
 import kingcuptide.coordination.version.PublishedState
 import kingcuptide.coordination.version.SourceItem
 import kingcuptide.forwarder.ManualClock
+import kingcuptide.forwarder.connection.PeerCodec
 import kingcuptide.forwarder.connection.PeerFrame
 import kingcuptide.forwarder.connection.PeerListener
 import kingcuptide.forwarder.connection.PeerMessage
@@ -24,6 +25,7 @@
     private val regions = HashMap<StatePeer, RegionId>()
     private val published = PublishedState(clock, TakenOutItems)
     private val state = PublishedStateSync(clock, listOf("a/", "b/"), published, TestPeers()) {}
+    private val unlisted = HashSet<StatePeer>()
     private val sameRegion = peerIn("north")
     private val otherRegion = peerIn("south")
 
@@ -39,9 +41,10 @@
     }
 
     private fun peerIn(region: String): Peer {
-        val session = PeerSession(clock, NoListener, PeerMessage.Hello(1, region, region, 1), isOutbound = true)
+        val hello = PeerMessage.Hello(PeerCodec.PROTOCOL_VERSION, region, region, 1)
+        val session = PeerSession(clock, NoListener, hello, isOutbound = true)
         regions[session] = RegionId(region)
-        return Peer(session, EmbeddedChannel(session))
+        return Peer(session, EmbeddedChannel(session).also { it.writeInbound(PeerFrame(hello)) })
     }
 
     private fun ping(peer: Peer, digest: Long, asOf: List<Long> = listOf(7, 7)) = state.pinged(
@@ -102,6 +105,24 @@
         expectThat(published.takenOut).isEqualTo(setOf(FailureDomainId("a/x")))
     }
 
+    /** Two daemons have two connections; each sends its updates on the one that it opened. */
+    @Test
+    fun `Given a missed update, when the next comes on the other connection to its sender, then it is asked there`() {
+        val accepted = peerIn("north")
+        unlisted += accepted.session
+        state.received(accepted.session, update(after = 9, asOf = 12, PeerMessage.Item("a/x", 12, VALUE)))
+        expectThat(accepted.sectionRequests()).isEqualTo(listOf(listOf(7L, 7L)))
+    }
+
+    @Test
+    fun `Given a peer that has closed its connection, when it alone was ahead, then nobody is asked`() {
+        ping(otherRegion, digest = published.digest() + 1, asOf = listOf(9, 7))
+        otherRegion.session.close()
+        clock.advance(500.milliseconds)
+        state.tick()
+        expectThat(otherRegion.sectionRequests()).isEmpty()
+    }
+
     @Test
     fun `Given updates without a gap, when they arrive, then the copy is complete up to the last`() {
         state.received(sameRegion.session, update(after = 5, asOf = 9, PeerMessage.Item("a/x", 9, VALUE)))
@@ -159,7 +180,7 @@
     }
 
     private inner class TestPeers : PeerGroup {
-        override fun sessions(): Collection<StatePeer> = regions.keys
+        override fun sessions(): Collection<StatePeer> = regions.keys - unlisted
 
         override fun regionOf(peer: StatePeer): RegionId? = regions[peer]
 
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/version/SimulatedLink.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/version/SimulatedLink.kt
@@ -45,6 +45,7 @@
 
     private inner class End(val owner: SimulatedDaemon, private val other: SimulatedDaemon) : StatePeer {
         override val failureDomain = FailureDomainId(other.failureDomain)
+        override val isOpen get() = this@SimulatedLink.isOpen
         override var lastReceivedAt = time.now()
 
         fun opened() {
