Let a stopping daemon neither read the source nor connect again

A daemon that had closed its connections for its exit lost sight of the readers, took up their duty for its last 0.1 s, opened its connections again and announced a version to those few daemons that it reached. The regular readers were among them and took the version for announced.

Now a stopping daemon resigns from reading when its stop begins, unless its state becomes stale while it still serves; peers count it neither as a reader nor as a successor; and a closed mesh stays closed.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ReaderRole.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ReaderRole.kt
@@ -14,18 +14,28 @@
 ) {
     private val maxStateAge = MIN_STALE_AGE + STALE_AGE_STEP * ownHost.hashCode().mod(STALE_AGE_STEPS)
 
+    private var hasResigned = false
+
     /** Whether this daemon reads the source. */
     public var readsSource: Boolean = true
         private set
 
+    /** Gives up the role for good, as far as peers keep the state up to date: a daemon that stops reads for nobody. */
+    public fun resign() {
+        hasResigned = true
+    }
+
     /** Decides from the [reports] of live peers, the own rank and the [age] of the state; returns [readsSource]. */
     public fun decide(reports: List<ReaderReport>, ownRank: Int, age: Duration): Boolean {
         val own = ReaderReport(ownHost, ownRank, ReaderState.IDLE, age)
         val readers = reports.filter { it.state == ReaderState.READING && it.contactAge <= MAX_CONTACT_AGE }
         val betterReaders = readers.count { isBefore(it, own) }
         val betterIdle = reports.count { it.state == ReaderState.IDLE && isBefore(it, own) }
-        val hasEnough =
-            if (readsSource) betterReaders >= READERS else readers.size + betterIdle / STARTERS_PER_READER >= READERS
+        val hasEnough = when {
+            hasResigned -> true
+            readsSource -> betterReaders >= READERS
+            else -> readers.size + betterIdle / STARTERS_PER_READER >= READERS
+        }
         readsSource = !hasEnough || age > maxStateAge
         return readsSource
     }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/ReaderRoleTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/ReaderRoleTest.kt
@@ -33,6 +33,22 @@
         expectThat(role.readsSource).isTrue()
     }
 
+    /** Guards against a stopping daemon that reads a change in its last moments and announces it to a few daemons only. */
+    @Test
+    fun `Given a daemon that resigns, when it sees no peer any more, then it does not read`() {
+        val role = ReaderRole("a")
+        expectThat(role.readsSource).isTrue()
+        role.resign()
+        expectThat(role.decide(emptyList(), 0, freshAge)).isFalse()
+    }
+
+    @Test
+    fun `Given a daemon that resigns slowly, when its state becomes stale, then it reads, since it still serves`() {
+        val role = ReaderRole("a")
+        role.resign()
+        expectThat(role.decide(emptyList(), 0, ReaderRole.MAX_STALE_AGE + 1.milliseconds)).isTrue()
+    }
+
     @Test
     fun `Given enough readers, when the state of this daemon is stale, then it reads as well`() {
         val role = ReaderRole("z")
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
@@ -38,6 +38,7 @@
     private val accepted = LinkedHashMap<PeerSession, Int>()
     private var acceptedCount = 0
     private var server: Channel? = null
+    private var isClosed = false
     private var lastPingAt = clock.now()
     private var pingCount = 0
 
@@ -71,6 +72,7 @@
 
     /** Keeps an outbound connection to each of [ips], and closes those to others. */
     fun retain(ips: Set<String>) {
+        if (isClosed) return
         for (ip in ips) {
             if (ip != ownIp && ip !in linksByIp) linksByIp[ip] = Link(ip).also { connect(it) }
         }
@@ -79,6 +81,7 @@
 
     /** Pings, replaces silent connections and reconnects lost ones; called at least every [MAX_TICK_INTERVAL]. */
     fun tick() {
+        if (isClosed) return
         val now = clock.now()
         if (now - lastPingAt >= PING_INTERVAL) {
             lastPingAt = now
@@ -102,8 +105,9 @@
         }
     }
 
-    /** Closes all connections. */
+    /** Closes all connections for good; a connection that is being opened is closed once it is open. */
     fun close() {
+        isClosed = true
         server?.close()
         linksByIp.values.forEach(::disconnect)
         accepted.keys.toList().forEach { it.close() }
@@ -140,7 +144,11 @@
             .connect(InetSocketAddress(link.ip, port))
             .addListener { done ->
                 link.connecting = false
-                if (done.isSuccess) link.session = session else link.retryAt = clock.now() + RECONNECT_INTERVAL
+                when {
+                    isClosed -> session.close()
+                    done.isSuccess -> link.session = session
+                    else -> link.retryAt = clock.now() + RECONNECT_INTERVAL
+                }
             }
     }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -179,6 +179,8 @@
         log.info("stop_begun", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
         callers.closeAfterResponses()
         updateGate()
+        readerRole.resign()
+        roleMonitor.tick()
         mesh.pingNow()
         scope.launch { awaitIdle(onStopped) }
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/ReaderRoleMonitor.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/ReaderRoleMonitor.kt
@@ -48,8 +48,9 @@
         log.info("reader_duty", "reads" to readerRole.readsSource, "age_ms" to published.age().inWholeMilliseconds)
     }
 
+    /** Returns null for a peer that stops: it has resigned, so it neither counts as a reader nor as a successor. */
     private fun reportOf(session: PeerSession): ReaderReport? {
-        val ping = session.lastPing ?: return null
+        val ping = session.lastPing?.takeUnless { it.leaving } ?: return null
         val pingAgeMs = (clock.now() - session.lastPingAt).inWholeMilliseconds
         val maxPingAgeMs =
             if (isSameRegion(session)) MAX_PING_AGE_MS else MAX_PING_AGE_MS * PeerMesh.PINGS_PER_REMOTE_PING
