Simulate readers that end while they announce a change

The fleet of the simulation gains daemons that read a change, announce it on some of their connections and end 5 ms later.

--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/version/StateFleetSimulation.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/version/StateFleetSimulation.kt
@@ -81,6 +81,7 @@
         every({ randomTime(BREAK_INTERVAL) }) { breakLink() }
         every({ randomTime(SILENCE_INTERVAL) }) { silenceLink() }
         every({ randomTime(HOST_FAULT_INTERVAL) }) { disturbHost() }
+        every({ randomTime(HALF_ANNOUNCED_INTERVAL) }) { readAndEnd() }
     }
 
     private fun every(interval: () -> Duration, first: Duration = interval(), action: () -> Unit) {
@@ -210,6 +211,16 @@
         }
     }
 
+    /** A daemon reads what changed, announces it on some of its connections and ends before other regions have it. */
+    private fun readAndEnd() {
+        val daemon = daemons.filter { it.isUp && it !in readers }.random(random)
+        val lasts = randomTime(HOST_FAULT_TIME)
+        daemon.excusedUntil = maxOf(daemon.excusedUntil, time.now() + lasts + STABLE_WINDOW)
+        linksByDaemon.getValue(daemon).filter { random.nextBoolean() }.forEach { it.close() }
+        daemon.readSource()
+        time.after(TIME_TO_END) { restart(daemon, lasts) }
+    }
+
     private fun slowDown(daemon: SimulatedDaemon, lasts: Duration) {
         readers = readers - daemon
         val until = time.now() + lasts
@@ -237,6 +248,8 @@
         private val SILENCE_INTERVAL = 500.milliseconds
         private val HOST_FAULT_INTERVAL = 2.seconds
         private val HOST_FAULT_TIME = 3.seconds
+        private val HALF_ANNOUNCED_INTERVAL = 3.seconds
+        private val TIME_TO_END = 5.milliseconds
         private val STABLE_WINDOW = 3.seconds
         private val RECONNECT_TIME = 300.milliseconds
         private val SILENCE_TIMEOUT = 2_500.milliseconds
