Announce what changed several times between two reads

A daemon announces the changes that have an effect on the state that it derives from them. An item that changed and changed back between two of its reads has none there, but other daemons may hold what was between: they had it from a reader that read in between and ended, or was cut off. They took the update for complete, kept the older item and agreed with each other, so nothing asked for it again. On seed 705 of the simulation eleven daemons lacked the leaving of a target for more than two seconds.

Now all changes of a watch reach the exchange in their order; an item that changed more than once between two reads counts as one with an effect, and so does all that a peer has sent, when it is passed on. After a whole read all that changed counts, since what was between is unknown.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedSection.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedSection.kt
@@ -51,7 +51,10 @@
     /** Applies those of [items] that are later than [asOf], without changing it; returns those that changed the copy. */
     public fun merge(items: List<SourceItem>): List<SourceItem> = items.filter { it.revision > asOf && put(it) }
 
-    /** Records that [changed] items of the copy had an effect on the state that is derived from it. */
+    /**
+     * Records that [changed] items of the copy had an effect on the state that is derived from it, here or at a daemon
+     * that has sent them: a copy that was elsewhere in between may differ in them.
+     */
     public fun recordEffect(changed: List<SourceItem>) {
         for (item in changed) {
             if (items[item.key] === item) effectiveRevisions[item.key] = item.revision
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/PublishedStateSync.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/PublishedStateSync.kt
@@ -47,15 +47,27 @@
     fun readAll(prefix: String, items: List<SourceItem>, asOf: Long) {
         val index = indexOf(prefix)
         val isFirst = sections[index].asOf == 0L
-        val effective = apply(index, sections[index].replace(items, asOf))
-        if (isFirst) announced[index] = asOf else announce(index, effective)
-    }
-
-    /** Applies changes from the source between revisions [after] and [asOf]; returns false on a gap before [after]. */
+        val changed = sections[index].replace(items, asOf)
+        apply(changed)
+        sections[index].recordEffect(changed)
+        if (isFirst) announced[index] = asOf else announce(index, changed)
+    }
+
+    /**
+     * Applies all changes from the source between revisions [after] and [asOf], in their order; returns false on a gap
+     * before [after].
+     *
+     * An item that changed several times has an effect even if it equals the one held: peers may hold what was between.
+     */
     fun readChanges(prefix: String, after: Long, items: List<SourceItem>, asOf: Long): Boolean {
         val index = indexOf(prefix)
-        val changed = sections[index].advance(after, items, asOf) ?: return false
-        announce(index, apply(index, changed))
+        val changesByKey = items.filter { it.revision > sections[index].asOf }.groupBy { it.key }
+        val latest = changesByKey.values.map { it.last() }
+        val changed = sections[index].advance(after, latest, asOf) ?: return false
+        val effectiveHere = apply(changed).toSet()
+        val effective = latest.filter { it in effectiveHere || changesByKey.getValue(it.key).size > 1 }
+        sections[index].recordEffect(effective)
+        announce(index, effective)
         return true
     }
 
@@ -101,8 +113,8 @@
         }
         if (message.base == 0L) needsWhole = false
         if (message.asOf < section.asOf) log.info("snapshot_older", *fieldsOf(section, message.asOf))
-        val effective = apply(message.section, changed)
-        if (effective.isEmpty()) return
+        val effective = applyFromPeer(message.section, changed)
+        if (effective.isEmpty() && (message.base == 0L || changed.isEmpty())) return
         announced[message.section] = maxOf(announced[message.section], message.asOf)
         if (!isSameRegion(peer)) sendToOwnRegion(message)
     }
@@ -116,12 +128,12 @@
         val items = message.items.mapNotNull { fromWire(section, it) }
         val changed = if (items.size < message.items.size) null else section.advance(message.after, items, message.asOf)
         if (changed != null) {
-            apply(message.section, changed)
+            applyFromPeer(message.section, changed)
             if (message.contactAgeMs >= 0) published.confirmed(message.contactAgeMs.milliseconds)
             return
         }
         log.info("update_incomplete", *fieldsOf(section, message.after))
-        apply(message.section, section.merge(items))
+        applyFromPeer(message.section, section.merge(items))
         gap.offered(peer, asOf().toMutableList().also { it[message.section] = message.asOf })
         requestMissing()
     }
@@ -152,13 +164,18 @@
 
     private fun isSameRegion(peer: StatePeer): Boolean = peers.regionOf(peer) == peers.ownRegion
 
-    private fun apply(index: Int, changed: List<SourceItem>): List<SourceItem> {
+    private fun apply(changed: List<SourceItem>): List<SourceItem> {
         val effective = published.apply(changed)
-        sections[index].recordEffect(effective)
         if (effective.isNotEmpty()) onChange()
         return effective
     }
 
+    /** Applies what a peer has sent since it had an effect there or elsewhere; returns what had one here. */
+    private fun applyFromPeer(index: Int, changed: List<SourceItem>): List<SourceItem> {
+        sections[index].recordEffect(changed)
+        return apply(changed)
+    }
+
     /** Sends the [effective] changes, all since the last announcement, to the own region and to relays elsewhere. */
     private fun announce(index: Int, effective: List<SourceItem>) {
         if (effective.isEmpty()) return
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/Source.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/Source.kt
@@ -17,7 +17,7 @@
     /** Returns the time that opening a connection to the source takes, or null on failure; makes no call. */
     suspend fun measureConnectTime(): Duration?
 
-    /** Waits a bounded time for changes after revision [after]; one call covers all parts. */
+    /** Waits a bounded time for changes after revision [after], all in their order; one call covers all parts. */
     suspend fun watch(after: Long): SourceResult
 }
 
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/version/PublishedStateSyncTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/version/PublishedStateSyncTest.kt
@@ -123,6 +123,25 @@
         expectThat(otherRegion.sectionRequests()).isEmpty()
     }
 
+    /** Guards against a region that keeps a change which another reader has announced and this one never saw. */
+    @Test
+    fun `Given an item that is added and removed between two reads, when they are announced, then peers get its removal`() {
+        val added = SourceItem("a/x", 8, VALUE)
+        state.readChanges("a/", 7, listOf(added, SourceItem("a/x", 9, null)), 9)
+        val items = sameRegion.messages().filterIsInstance<PeerMessage.ItemUpdates>().flatMap { it.items }
+        expectThat(items.map { it.key to it.revision }).isEqualTo(listOf("a/x" to 9L))
+    }
+
+    @Test
+    fun `Given a removed item that a peer has restored, when it is here already, then others still get it from here`() {
+        state.received(sameRegion.session, update(after = 7, asOf = 8, PeerMessage.Item("a/x", 8, VALUE)))
+        state.received(sameRegion.session, update(after = 8, asOf = 10, PeerMessage.Item("a/x", 10, VALUE)))
+        sameRegion.messages()
+        state.sectionsRequested(sameRegion.session, PeerMessage.SectionRequest(listOf(9, 7)))
+        val snapshot = sameRegion.messages().filterIsInstance<PeerMessage.SectionSnapshot>().single()
+        expectThat(snapshot.items.map { it.revision }).isEqualTo(listOf(10L))
+    }
+
     @Test
     fun `Given updates without a gap, when they arrive, then the copy is complete up to the last`() {
         state.received(sameRegion.session, update(after = 5, asOf = 9, PeerMessage.Item("a/x", 9, VALUE)))
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/version/SimulatedSource.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/version/SimulatedSource.kt
@@ -2,9 +2,10 @@
 
 import kingcuptide.coordination.version.SourceItem
 
-/** The source of a simulated fleet: the latest item of each key, also of those removed, under one revision counter. */
+/** The source of a simulated fleet: all changes, under one revision counter. */
 internal class SimulatedSource {
     private val latest = LinkedHashMap<String, SourceItem>()
+    private val history = ArrayList<SourceItem>()
 
     var revision = 1L
         private set
@@ -13,6 +14,7 @@
     fun write(key: String, value: String?): SourceItem {
         val item = SourceItem(key, ++revision, value?.encodeToByteArray())
         latest[key] = item
+        history += item
         return item
     }
 
@@ -22,5 +24,5 @@
         latest.values.filter { it.value != null && it.key.startsWith(prefix) }
 
     fun changesAfter(after: Long, prefix: String): List<SourceItem> =
-        latest.values.filter { it.revision > after && it.key.startsWith(prefix) }.sortedBy { it.revision }
+        history.takeLastWhile { it.revision > after }.filter { it.key.startsWith(prefix) }
 }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/version/StateFleetConvergenceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/version/StateFleetConvergenceTest.kt
@@ -6,17 +6,21 @@
 
 /** Lost and crossed messages, changing readers and disturbed hosts: every other daemon has each change in time. */
 internal class StateFleetConvergenceTest {
-    private val seeds = 1..(System.getProperty("kingcuptide.seeds")?.toInt() ?: SEEDS)
+    private val seeds =
+        (1..(System.getProperty("kingcuptide.seeds")?.toInt() ?: SEEDS)).toSet() + FORMERLY_FAILING_SEEDS
 
     @Test
     fun `Given connections and hosts that fail, when the source changes, then undisturbed daemons have it in time`() {
         val failed = seeds.associateWith { StateFleetSimulation(it).run() }.filterValues { it.isNotEmpty() }
-        println("seeds=${seeds.last} failed=${failed.size}")
+        println("seeds=${seeds.size} failed=${failed.size}")
         failed.entries.take(5).forEach { (seed, faults) -> println("seed=$seed ${faults.size} ${faults.take(3)}") }
         expectThat(failed.keys).isEmpty()
     }
 
     private companion object {
         const val SEEDS = 100
+
+        /** Readers that end while they announce a change, and changes that are undone between two reads. */
+        val FORMERLY_FAILING_SEEDS = setOf(705, 1692, 2972)
     }
 }
