Show by a failing simulation that named rates are not respected

The simulation has six hosts, each an entry and a gate beside a target; two targets name a rate, change it and withdraw it, while hosts restart. Callers retry. It counts by the users' rule. The target's client gets an interface and virtual time its timeouts, so that entries and gates run without a network.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
@@ -49,4 +49,6 @@
     val targetSignature: String,
     val targetId: String,
     val coldMs: String,
+    val rateLimit: String,
+    val leaving: String,
 )
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -40,7 +40,7 @@
     private val scope: CoroutineScope,
     private val clock: Clock,
     private val gate: TargetGate,
-    private val client: TargetClient,
+    private val client: TargetCalls,
     private val names: HeaderNames,
     private val currentTarget: () -> TargetId?,
     private val targetObserver: TargetObserver,
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
@@ -13,6 +13,15 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** Sends requests to the target beside this daemon. */
+fun interface TargetCalls {
+    /**
+     * Sends [call] once and returns its result; responses whose headers [accepts] rejects belong to earlier calls and are
+     * skipped. [idempotent] allows a connection that the target may be about to close.
+     */
+    suspend fun call(call: HttpCall, idempotent: Boolean, accepts: (Headers) -> Boolean): HttpResult
+}
+
 /**
  * Calls the target beside this daemon over a pool of persistent connections.
  *
@@ -23,11 +32,11 @@
     private val loop: EventLoop,
     private val clock: Clock,
     private val address: InetSocketAddress,
-) {
+) : TargetCalls {
     private val pool = ArrayDeque<PooledConnection>()
     private val idleLimit = IdleLimit(clock)
 
-    suspend fun call(call: HttpCall, idempotent: Boolean, accepts: (Headers) -> Boolean): HttpResult {
+    override suspend fun call(call: HttpCall, idempotent: Boolean, accepts: (Headers) -> Boolean): HttpResult {
         val pooled = acquirePooled(idempotent) ?: return callOnNewConnection(call, accepts)
         val sentAt = clock.now()
         val result = exchange(pooled.connection, call, accepts)
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/VirtualTime.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/VirtualTime.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.Delay
+import kotlinx.coroutines.DisposableHandle
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.InternalCoroutinesApi
 import kotlinx.coroutines.Runnable
@@ -25,10 +26,18 @@
 
     override fun now(): Duration = now
 
-    override fun dispatch(context: CoroutineContext, block: Runnable) = schedule(now) { block.run() }
+    override fun dispatch(context: CoroutineContext, block: Runnable) {
+        schedule(now) { block.run() }
+    }
 
-    override fun scheduleResumeAfterDelay(timeMillis: Long, continuation: CancellableContinuation<Unit>) =
+    override fun scheduleResumeAfterDelay(timeMillis: Long, continuation: CancellableContinuation<Unit>) {
         schedule(now + timeMillis.milliseconds) { with(this) { with(continuation) { resumeUndispatched(Unit) } } }
+    }
+
+    override fun invokeOnTimeout(timeMillis: Long, block: Runnable, context: CoroutineContext): DisposableHandle {
+        val task = schedule(now + timeMillis.milliseconds) { block.run() }
+        return DisposableHandle { tasks.remove(task) }
+    }
 
     /** Advances the time by [by] and runs the tasks due by then in the order of their time. */
     fun advance(by: Duration) {
@@ -43,12 +52,12 @@
     }
 
     /** Runs [action] when the time has advanced by [delay]. */
-    fun after(delay: Duration, action: () -> Unit) = schedule(now + delay, action)
-
-    private fun schedule(at: Duration, action: () -> Unit) {
-        tasks += Task(at, ++lastNumber, action)
+    fun after(delay: Duration, action: () -> Unit) {
+        schedule(now + delay, action)
     }
 
+    private fun schedule(at: Duration, action: () -> Unit): Task = Task(at, ++lastNumber, action).also { tasks += it }
+
     private class Task(
         val at: Duration,
         val number: Long,
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -49,7 +49,8 @@
 /** One entry with three targets whose gates give scripted results. */
 internal class EntryServiceTest {
     private val clock = ManualClock()
-    private val names = HeaderNames("Id", "Left", "Caller", "Expected", "Not-Run", "Proof", "Target", "Cold")
+    private val names =
+        HeaderNames("Id", "Left", "Caller", "Expected", "Not-Run", "Proof", "Target", "Cold", "Rate", "Leaving")
     private val items = HashMap<String, PublishedItem>()
     private val published = PublishedState(clock, { items.getValue(it.key) })
     private val location = DaemonLocation(FailureDomainId("a"), RegionId("north")) {
