Respect the request rate that a target names

All requests of all hosts pass the gate beside the target, so the gate reads the rate from each response and holds it with a token bucket, which serves fractions too. Requests that would wait too long are refused at once as not run with the code 218 and the time until there is room; the load report carries the rate, so that entries choose other targets, however old the report is.

A rate holds until a response names none to a request sent after the last that named one. A header that can't be read changes nothing and is logged once. Another target at the address starts without a rate. A target that names nearly nothing still gets a request every two seconds, since only responses tell when that ends, unless its health checks tell the rate.

--- a/cli/src/main/kotlin/kingcuptide/cli/RequestStory.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/RequestStory.kt
@@ -122,6 +122,7 @@
     ResultCode.DEADLINE_PASSED_RUNNING -> "its deadline passed while a target ran it"
     ResultCode.QUARANTINED -> "such requests have crashed targets and are quarantined"
     ResultCode.PEER_UNREACHABLE -> "the daemon beside the target could not be reached"
+    ResultCode.TARGET_RATE_SPENT -> "the last target tried had had as many requests as the rate that it named allows"
     ResultCode.VERSION_BEHIND -> "the target had been replaced by another"
     ResultCode.ANSWER_LOST -> "the connection closed before a response arrived"
     ResultCode.ANSWER_TRUNCATED -> "the response was truncated, or did not come from the target"
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
@@ -49,6 +49,7 @@
     ENTRY_FULL(215, 503, Outcome.NOT_RUN),
     PEER_UNREACHABLE(216, 503, Outcome.NOT_RUN, retryable = true),
     VERSION_BEHIND(217, 503, Outcome.NOT_RUN, retryable = true),
+    TARGET_RATE_SPENT(218, 503, Outcome.NOT_RUN, retryable = true),
 
     // 3xx: the request may have run
     ANSWER_LOST(300, 502, Outcome.UNKNOWN),
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
@@ -40,6 +40,7 @@
  * @property queued number of queued requests that can still meet their objective
  * @property limit greatest number of requests in flight; 0 if the target is not open
  * @property wait expected queue time of the next request
+ * @property ratePerSecond requests a second that the target has named as its limit, or null for none
  */
 public data class GateLoadReport(
     val inFlight: Int,
@@ -47,6 +48,7 @@
     val limit: Int,
     val wait: Duration,
     val cold: Boolean,
+    val ratePerSecond: Double? = null,
 )
 
 /** Whether the target may receive requests. */
@@ -70,7 +72,7 @@
  * At most [slots] requests run at once. Others are queued by priority while they can still meet their objective. At
  * equal priority the request that is due first starts first, but those that can no longer meet their objective start
  * after those that can; otherwise all of them would be slightly late during an overload. A cold target gets at most
- * [coldRequestsPerSecond] in any second. Not thread-safe.
+ * [coldRequestsPerSecond] in any second, and one that has named a rate gets no more than that. Not thread-safe.
  */
 public class TargetGate(
     private val clock: Clock,
@@ -78,6 +80,7 @@
     private val running = HashSet<GateRequest>()
     private val waiting = ArrayList<GateRequest>()
     private val recentStarts = SlidingWindowCounter(COLD_RATE_WINDOW, MAX_COUNTED_STARTS)
+    private val namedRate = NamedRate()
     private val averages = RouteAverages()
     private var reportedColdUntil = Duration.INFINITE
     private var presumedColdUntil = Duration.ZERO
@@ -98,6 +101,11 @@
     /** Number of queued requests. */
     public val queued: Int get() = waiting.size
 
+    /** Requests a second that the target takes from all hosts together, 0 or more; null if it has named no rate. */
+    public var ratePerSecond: Double?
+        get() = namedRate.perSecond
+        set(value) = namedRate.set(value, clock.now())
+
     /** Whether the target is known or presumed to be cold. */
     public fun isCold(): Boolean = isCold(clock.now())
 
@@ -163,7 +171,7 @@
     public fun loadReport(): GateLoadReport {
         val now = clock.now()
         val onTime = waiting.count { canMeetObjective(it, now) }
-        return GateLoadReport(running.size, onTime, limitNow(), expectedWait(onTime, now), isCold(now))
+        return GateLoadReport(running.size, onTime, limitNow(), expectedWait(onTime, now), isCold(now), ratePerSecond)
     }
 
     private fun refusalOf(request: GateRequest, now: Duration): GateRefusal? {
@@ -177,7 +185,7 @@
         if (queueWait == Duration.ZERO) return null
         val queueTimeout = queueTimeoutOf(request, runTime, now)
         if (queueWait <= queueTimeout) return null
-        return GateRefusal(capacityCode(now), queueWait + MIN_RETRY_AFTER)
+        return GateRefusal(capacityCode(now), minOf(queueWait + MIN_RETRY_AFTER, MAX_RETRY_AFTER))
     }
 
     /** Counts the queued requests that start before [request]; late ones don't start before one that is on time. */
@@ -209,7 +217,7 @@
         val refusalCode = codeIfClosed()
         val expired = waiting.filter { refusalCode != null || now + minRunTime(it) > it.deadline || isTooLate(it, now) }
         waiting.removeAll(expired)
-        val retryAfter = maxOf(CLOSED_RETRY_AFTER, expectedWait(waiting.size, now))
+        val retryAfter = expectedWait(waiting.size, now).coerceIn(CLOSED_RETRY_AFTER, MAX_RETRY_AFTER)
         expired.forEach { it.onRefused(GateRefusal(refusalCode ?: capacityCode(now), retryAfter)) }
     }
 
@@ -228,6 +236,7 @@
             val now = clock.now()
             val request = pollNext(now)
             recentStarts.record(now)
+            namedRate.recordStart(now)
             request.startedAt = now
             running += request
             request.onStart()
@@ -244,19 +253,22 @@
         now + averages.expectedRunTime(request.route, request.objective) <= request.objectiveAt
 
     private fun canStart(now: Duration): Boolean {
-        if (running.size >= limitNow()) return false
+        if (running.size >= limitNow() || !namedRate.canStart(now)) return false
         return !isCold(now) || recentStarts.count(now) < coldRequestsPerSecond
     }
 
     private fun limitNow(): Int = if (state == TargetState.OPEN) slots else 0
 
-    private fun expectedWait(ahead: Int, now: Duration): Duration {
-        val slotWait =
-            if (running.size + ahead < slots) Duration.ZERO else meanRunTime(now) * ((ahead + 1).toDouble() / slots)
-        if (!isCold(now)) return slotWait
-        val rateWait = recentStarts.timeUntilBelow(coldRequestsPerSecond, now) +
+    private fun expectedWait(ahead: Int, now: Duration): Duration =
+        maxOf(slotWait(ahead, now), coldWait(ahead, now), namedRate.timeUntilStart(ahead, now))
+
+    private fun slotWait(ahead: Int, now: Duration): Duration =
+        if (running.size + ahead < slots) Duration.ZERO else meanRunTime(now) * ((ahead + 1).toDouble() / slots)
+
+    private fun coldWait(ahead: Int, now: Duration): Duration {
+        if (!isCold(now) || recentStarts.count(now) + ahead < coldRequestsPerSecond) return Duration.ZERO
+        return recentStarts.timeUntilBelow(coldRequestsPerSecond, now) +
             1.seconds * (ahead.toDouble() / coldRequestsPerSecond)
-        return maxOf(slotWait, if (recentStarts.count(now) + ahead < coldRequestsPerSecond) Duration.ZERO else rateWait)
     }
 
     private fun meanRunTime(now: Duration): Duration {
@@ -267,8 +279,11 @@
         return total / running.size
     }
 
-    private fun capacityCode(now: Duration): ResultCode =
-        if (isCold(now)) ResultCode.TARGET_COLD else ResultCode.TARGET_FULL
+    private fun capacityCode(now: Duration): ResultCode = when {
+        !namedRate.canStart(now) -> ResultCode.TARGET_RATE_SPENT
+        isCold(now) -> ResultCode.TARGET_COLD
+        else -> ResultCode.TARGET_FULL
+    }
 
     /** Counts from the arrival, so a retry after a refusal has no precedence over requests that arrived meanwhile. */
     private fun queueOrderTime(request: GateRequest): Duration = request.arrivedAt + request.objective
@@ -293,6 +308,9 @@
         private const val LATE_QUEUE_TIMEOUT_SHARE = 0.25
         private val CLOSED_RETRY_AFTER = 200.milliseconds
         private val MIN_RETRY_AFTER = 50.milliseconds
+
+        /** Retry delay where the wait is long or unknown, as at a target that takes no requests at present. */
+        private val MAX_RETRY_AFTER = 5.seconds
         private val REJECTION_RETRY_AFTER = 200.milliseconds
         private val IDLE_REJECTION_RETRY_AFTER = 20.milliseconds
     }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -9,6 +9,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 /** Statistics of one target. [reportedAt] is the time of the latest load report, [loadReport]. */
@@ -159,7 +160,20 @@
         val reportWeight = (1 - reportAge / MAX_LOAD_REPORT_AGE).coerceIn(0.0, 1.0)
         val load = (report.inFlight + report.queued) * reportWeight + record.sentSinceReport
         val slotWait = if (load < limit) Duration.ZERO else runTime * ((load - limit + 1) / limit)
-        return maxOf(slotWait, report.wait * reportWeight)
+        val rateWait = report.ratePerSecond?.let { expectedRateWait(record, report, it, reportAge) } ?: Duration.ZERO
+        return maxOf(slotWait, report.wait * reportWeight, rateWait)
+    }
+
+    /** The wait at a target with a named rate ends by its rate alone, however old the report is. */
+    private fun expectedRateWait(
+        record: TargetRecord,
+        report: GateLoadReport,
+        ratePerSecond: Double,
+        reportAge: Duration,
+    ): Duration {
+        if (ratePerSecond == 0.0) return MAX_RATE_WAIT
+        val reportedWait = (report.wait - reportAge).coerceAtLeast(Duration.ZERO)
+        return minOf(reportedWait + 1.seconds * (record.sentSinceReport / ratePerSecond), MAX_RATE_WAIT)
     }
 
     /** Returns the probability that a request expected to take [completionTime] ends within [limit]. */
@@ -215,6 +229,9 @@
         val FAILING_EJECTION_TIME = 1.seconds
         val CLOSED_EJECTION_TIME = 300.milliseconds
 
+        /** Greatest expected wait at a target with a named rate. */
+        val MAX_RATE_WAIT = 1.minutes
+
         /** Age at which a load report has no weight any more. */
         val MAX_LOAD_REPORT_AGE = 1_000.milliseconds
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -68,7 +68,10 @@
         @CborLabel(3) @SerialName("burden") val loadReport: LoadReport,
     ) : PeerMessage
 
-    /** The load of a gate. [waitMs] is the expected queue time of a new request. */
+    /**
+     * The load of a gate. [waitMs] is the expected queue time of a new request, [ratePerSecond] the rate that the target
+     * has named, if any.
+     */
     @Serializable
     data class LoadReport(
         @CborLabel(1) val inFlight: Int,
@@ -76,6 +79,7 @@
         @CborLabel(3) val limit: Int,
         @CborLabel(4) val waitMs: Long,
         @CborLabel(5) val cold: Boolean,
+        @CborLabel(6) val ratePerSecond: Double? = null,
     )
 
     /**
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -34,6 +34,7 @@
 import kingcuptide.forwarder.request.RunningRequests
 import kingcuptide.forwarder.request.TargetClient
 import kingcuptide.forwarder.request.TargetMonitor
+import kingcuptide.forwarder.request.TargetNotices
 import kingcuptide.forwarder.request.toGateLoadReport
 import kingcuptide.forwarder.request.toMessage
 import kingcuptide.forwarder.version.PeerGroup
@@ -70,8 +71,9 @@
     private val counts = TrafficCounts(clock)
     private val suspects = CrashSuspects(settings.host, incarnation, clock)
     private val targetAddress = addressOf(settings.targetAddress)
+    private val notices = TargetNotices(clock, platform.names, gate)
     private val targetMonitor =
-        TargetMonitor(loop, scope, clock, targetAddress, platform.names, gate, ::ownTraits, ::targetChanged)
+        TargetMonitor(loop, scope, clock, targetAddress, platform.names, gate, notices, ::ownTraits, ::targetChanged)
     private val running = RunningRequests()
     private val targetClient = TargetClient(loop, clock, targetAddress)
     private val gateService =
@@ -83,6 +85,7 @@
             platform.names,
             ::currentTarget,
             targetMonitor,
+            notices,
             suspects,
             running,
             metrics,
@@ -129,6 +132,7 @@
         metrics.registerGauge("kingcuptide_entry_requests_in_flight") { callers.inFlight }
         metrics.registerGauge("kingcuptide_gate_requests_in_flight") { gate.inFlight }
         metrics.registerGauge("kingcuptide_gate_requests_waiting") { gate.queued }
+        metrics.registerGauge("kingcuptide_target_rate_per_second") { gate.ratePerSecond ?: -1 }
         metrics.registerGauge("kingcuptide_configuration_version") { published.routing?.number ?: 0L }
         metrics.registerGauge("kingcuptide_knowledge_age_ms") { stateAgeMs() }
         metrics.registerGauge("kingcuptide_source_calls_made") { follower.calls }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -371,7 +371,12 @@
         val NO_TARGET_RETRY_AFTER = 300.milliseconds
 
         /** Refusals by a gate that is open; any other code means that it is closed. */
-        val BUSY_CODES = setOf(ResultCode.TARGET_FULL, ResultCode.TARGET_COLD, ResultCode.DEADLINE_PASSED)
+        val BUSY_CODES = setOf(
+            ResultCode.TARGET_FULL,
+            ResultCode.TARGET_COLD,
+            ResultCode.TARGET_RATE_SPENT,
+            ResultCode.DEADLINE_PASSED,
+        )
         val RETRYABLE_CODES =
             setOf(
                 ResultCode.ANSWER_LOST,
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -44,6 +44,7 @@
     private val names: HeaderNames,
     private val currentTarget: () -> TargetId?,
     private val targetObserver: TargetObserver,
+    private val notices: TargetNotices,
     private val suspects: CrashSuspects,
     private val running: RunningRequests,
     private val metrics: DaemonMetrics,
@@ -178,7 +179,10 @@
                         result.reason,
                     )
                 }
-                is HttpResult.Answered -> validated(result.response, clock.now() - startedAt)
+                is HttpResult.Answered -> {
+                    notices.responded(result.response.headers, startedAt)
+                    validated(result.response, clock.now() - startedAt)
+                }
             }
         }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -11,6 +11,7 @@
 import kingcuptide.forwarder.connection.PeerMessage
 import kingcuptide.forwarder.connection.PeerSession
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 
 /** Sends requests to the gate on this host directly, and to other gates over outbound peer connections. */
 class PeerGateTransport(
@@ -122,7 +123,14 @@
     flattened.chunked(2).filter { it.size == 2 }.map { it[0] to it[1] }
 
 internal fun GateLoadReport.toMessage() =
-    PeerMessage.LoadReport(inFlight, queued, limit, wait.inWholeMilliseconds, cold)
+    PeerMessage.LoadReport(
+        inFlight,
+        queued,
+        limit,
+        minOf(wait, MAX_REPORTED_WAIT).inWholeMilliseconds,
+        cold,
+        ratePerSecond,
+    )
 
 internal fun PeerMessage.LoadReport.toGateLoadReport() = GateLoadReport(
     inFlight,
@@ -130,4 +138,8 @@
     limit,
     waitMs.milliseconds,
     cold,
+    ratePerSecond,
 )
+
+/** Greatest wait in a load report; a target that takes nothing at present has an infinite one. */
+private val MAX_REPORTED_WAIT = 1.minutes
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetMonitor.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetMonitor.kt
@@ -35,6 +35,7 @@
     private val address: InetSocketAddress,
     private val names: HeaderNames,
     private val gate: TargetGate,
+    private val notices: TargetNotices,
     private val traits: () -> ServiceTraits?,
     private val onChange: () -> Unit,
 ) : TargetObserver {
@@ -89,9 +90,10 @@
 
     private suspend fun check(traits: ServiceTraits) {
         val call = HttpCall("GET", traits.healthPath, listOf("Host" to "${address.hostString}:${address.port}"))
+        val sentAt = clock.now()
         val result = withTimeoutOrNull(RESPONSE_TIMEOUT.inWholeMilliseconds) { exchange(call) }
         when (result) {
-            is HttpResult.Answered -> applyResponse(result.response, traits)
+            is HttpResult.Answered -> applyResponse(result.response, sentAt)
             is HttpResult.NotSent -> unreachable(result.reason)
             else -> noResponse()
         }
@@ -120,12 +122,14 @@
         return used.exchange(call)
     }
 
-    private fun applyResponse(response: BufferedResponse, traits: ServiceTraits) {
+    private fun applyResponse(response: BufferedResponse, sentAt: Duration) {
         val id = response.headers.first(names.targetId)?.let(::TargetId)
         if (id != null && id != targetId) {
             log.info("target_identified", "target" to id, "before" to targetId)
+            if (targetId != null) notices.targetReplaced()
             targetId = id
         }
+        notices.healthChecked(response.headers, sentAt)
         lastResponseAt = clock.now()
         if (isDown) {
             log.info("target_back", "address" to address)
--- /dev/null
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetNotices.kt
@@ -0,0 +1,73 @@
+package kingcuptide.forwarder.request
+
+import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.request.TargetGate
+import kingcuptide.forwarder.connection.Headers
+import kingcuptide.forwarder.process.HeaderNames
+import kingcuptide.forwarder.process.eventLog
+import kotlin.time.Duration
+
+/**
+ * Applies to the gate what the target beside this daemon says of itself in its responses.
+ *
+ * A rate holds until a response to a request that was sent after the last response that named one names none. Used on the
+ * event loop.
+ */
+class TargetNotices(
+    private val clock: Clock,
+    private val names: HeaderNames,
+    private val gate: TargetGate,
+) {
+    private var namedAt = -Duration.INFINITE
+    private var isNamedByHealthChecks = false
+    private var lastInvalid: String? = null
+
+    /** The target has sent a response with [headers] to a request that was sent at [sentAt]. */
+    fun responded(headers: Headers, sentAt: Duration) = apply(headers, sentAt, "response")
+
+    /** The same for a health check, which withdraws a rate only if health checks have named it. */
+    fun healthChecked(headers: Headers, sentAt: Duration) {
+        val isNamed = rateNoticeIn(headers, names.rateLimit) != RateNotice.Absent
+        if (!isNamed && !isNamedByHealthChecks) return
+        isNamedByHealthChecks = isNamed
+        apply(headers, sentAt, "health check")
+    }
+
+    /** Another target responds at the address, of which nothing is known. */
+    fun targetReplaced() {
+        namedAt = -Duration.INFINITE
+        isNamedByHealthChecks = false
+        limitRate(null, "replaced")
+    }
+
+    private fun apply(headers: Headers, sentAt: Duration, origin: String) {
+        when (val notice = rateNoticeIn(headers, names.rateLimit)) {
+            is RateNotice.Named -> {
+                namedAt = clock.now()
+                val minimum = if (isNamedByHealthChecks) 0.0 else MIN_PROBED_RATE_PER_SECOND
+                limitRate(maxOf(notice.perSecond, minimum), origin)
+            }
+            is RateNotice.Invalid -> logInvalid(notice)
+            RateNotice.Absent -> if (sentAt >= namedAt) limitRate(null, origin)
+        }
+    }
+
+    private fun limitRate(perSecond: Double?, origin: String) {
+        val before = gate.ratePerSecond
+        if (perSecond == before) return
+        gate.ratePerSecond = perSecond
+        log.info("target_rate", "per_second" to perSecond, "before" to before, "origin" to origin)
+    }
+
+    private fun logInvalid(notice: RateNotice.Invalid) {
+        if (notice.text == lastInvalid) return
+        lastInvalid = notice.text
+        log.warn("target_rate_invalid", "value" to notice.text, "expected" to "a decimal number of 0 or more")
+    }
+
+    private companion object {
+        /** Rate at which a target gets requests even if it names less: only its responses tell when that ends. */
+        const val MIN_PROBED_RATE_PER_SECOND = 0.5
+        val log = eventLog("target")
+    }
+}
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/NamedRateSimulation.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/NamedRateSimulation.kt
@@ -62,6 +62,7 @@
     fun run(): List<String> {
         publish()
         every({ TICK_INTERVAL }) { hosts.filter { it.isUp }.forEach { it.tick() } }
+        every({ PING_INTERVAL }) { sendPings() }
         hosts.indices.forEach { entry -> every(::timeToNextRequest) { request(entry, RETRIES) } }
         hosts.take(LIMITED_TARGETS).forEach { host ->
             every({ randomTime(CHANGE_INTERVAL) }) { changeRate(host.target) }
@@ -119,6 +120,11 @@
 
     private fun timeToNextRequest(): Duration = (1.seconds / REQUESTS_PER_SECOND) * -ln(1 - random.nextDouble())
 
+    private fun sendPings() {
+        val up = hosts.filter { it.isUp }
+        up.forEach { host -> up.filter { it !== host }.forEach { host.pinged(it) } }
+    }
+
     private fun changeRate(target: SimulatedTarget) {
         val named = target.namedRates.lastOrNull()?.perSecond
         target.name(if (named != null && random.nextInt(3) == 0) null else RATES.random(random))
@@ -228,6 +234,7 @@
         private val DEADLINE = 3.seconds
         private val OBJECTIVE = 500.milliseconds
         private val DURATION = 60.seconds
+        private val PING_INTERVAL = 1.seconds
         private val TICK_INTERVAL = 20.milliseconds
         private val CHANGE_INTERVAL = 8.seconds
         private val RESTART_INTERVAL = 15.seconds
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SimulatedHost.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SimulatedHost.kt
@@ -4,6 +4,7 @@
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.DaemonLocation
+import kingcuptide.coordination.request.GateLoadReport
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.RetryAllowanceSettings
 import kingcuptide.coordination.request.TargetGate
@@ -51,6 +52,12 @@
         parts = Parts()
     }
 
+    /** The load report that pings of this host carry. */
+    fun loadReport(): GateLoadReport = parts.targetGate.loadReport()
+
+    /** A ping of [other] has arrived. */
+    fun pinged(other: SimulatedHost) = parts.picker.recordLoadReport(other.targetId, other.loadReport())
+
     fun tick() = parts.targetGate.serve()
 
     private inner class Parts {
@@ -69,10 +76,12 @@
             names,
             { targetId },
             NoObserver,
+            TargetNotices(time, names, targetGate),
             suspects,
             running,
             DaemonMetrics(),
         )
+        val picker = TargetPicker(time, location, random)
         private val allowance = RetryAllowance(time, { RetryAllowanceSettings(0.2, 58, 10.seconds) }) { 1 }
         val entry = EntryService(
             time,
@@ -81,7 +90,7 @@
                 { ServiceId("own") },
                 location,
                 published,
-                TargetPicker(time, location, random),
+                picker,
                 allowance,
                 suspects,
                 running,
