--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
@@ -84,6 +84,16 @@
             expectThat(picker.pick(all, request())).isEqualTo(own)
         }
 
+        @Test
+        fun `Given a target whose named rate is spent, when its report is old, then another is still picked`() {
+            val report = loadReport(0, wait = 10.seconds).copy(ratePerSecond = 0.1)
+            picker.recordLoadReport(own.entry.id, report)
+            clock.advance(3.seconds)
+            expectThat(picker.pick(all, request())).isEqualTo(near)
+            clock.advance(10.seconds)
+            expectThat(picker.pick(all, request())).isEqualTo(own)
+        }
+
         @Test
         fun `Given a tried target, when one is picked, then it is another`() {
             expectThat(picker.pick(all, request(setOf(own.entry.id)))).isEqualTo(near)
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/NamedRateTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/NamedRateFleetTest.kt
@@ -5,7 +5,7 @@
 import strikt.assertions.isEmpty
 
 /** Guards against targets that get far more requests a second than the rate that they name (LIMIT of the users). */
-internal class NamedRateTest {
+internal class NamedRateFleetTest {
     private val seeds = 1..(System.getProperty("kingcuptide.seeds")?.toInt() ?: SEEDS)
 
     @Test
--- /dev/null
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/TargetNoticesTest.kt
@@ -0,0 +1,107 @@
+package kingcuptide.forwarder.request
+
+import kingcuptide.coordination.request.TargetGate
+import kingcuptide.forwarder.ManualClock
+import kingcuptide.forwarder.process.HeaderNames
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import kotlin.time.Duration.Companion.milliseconds
+
+internal class TargetNoticesTest {
+    private val clock = ManualClock()
+    private val names =
+        HeaderNames("Id", "Left", "Caller", "Expected", "Not-Run", "Proof", "Target", "Cold", "Rate", "Leaving")
+    private val gate = TargetGate(clock)
+    private val notices = TargetNotices(clock, names, gate)
+
+    /** A response to a request that was sent just now. */
+    private fun responded(vararg rates: String) {
+        clock.advance(10.milliseconds)
+        notices.responded(rates.map { "rate" to it }, clock.now())
+    }
+
+    private fun healthChecked(vararg rates: String) {
+        clock.advance(10.milliseconds)
+        notices.healthChecked(rates.map { "rate" to it }, clock.now())
+    }
+
+    @Nested
+    inner class `Named rates` {
+        @Test
+        fun `Given responses with rates, when a later one names another, then the later holds`() {
+            responded("12.9")
+            responded("5.6")
+            expectThat(gate.ratePerSecond).isEqualTo(5.6)
+        }
+
+        @Test
+        fun `Given a rate, when a later request gets a response without one, then nothing is limited`() {
+            responded("5.6")
+            responded()
+            expectThat(gate.ratePerSecond).isNull()
+        }
+
+        @Test
+        fun `Given a rate, when an earlier request gets a response without one, then the rate holds`() {
+            val sentAt = clock.now()
+            responded("5.6")
+            notices.responded(emptyList(), sentAt)
+            expectThat(gate.ratePerSecond).isEqualTo(5.6)
+        }
+
+        @Test
+        fun `Given a target that names nearly nothing, when only its responses tell, then it gets a few requests`() {
+            responded("0")
+            expectThat(gate.ratePerSecond).isEqualTo(0.5)
+        }
+
+        @Test
+        fun `Given another target at the address, when it is identified, then it starts without a rate`() {
+            responded("5.6")
+            notices.targetReplaced()
+            expectThat(gate.ratePerSecond).isNull()
+        }
+    }
+
+    @Nested
+    inner class `Headers that cannot be read` {
+        @Test
+        fun `Given a rate, when a response names no decimal number, then the rate before holds`() {
+            responded("5.6")
+            for (text in listOf("", "-1", "NaN", "1e400", "many", "0x10", "1 2", "99999999999")) {
+                responded(text)
+                expectThat(gate.ratePerSecond).describedAs(text).isEqualTo(5.6)
+            }
+        }
+
+        @Test
+        fun `Given two rates in one response, when they differ, then the rate before holds`() {
+            responded("5.6")
+            responded("1", "2")
+            expectThat(gate.ratePerSecond).isEqualTo(5.6)
+            responded("3", "3")
+            expectThat(gate.ratePerSecond).isEqualTo(3.0)
+        }
+    }
+
+    @Nested
+    inner class `Health checks` {
+        @Test
+        fun `Given a rate named in responses, when health checks never name one, then it holds`() {
+            responded("5.6")
+            healthChecked()
+            expectThat(gate.ratePerSecond).isEqualTo(5.6)
+        }
+
+        @Test
+        fun `Given a rate named in health checks, when a later one names none, then nothing is limited`() {
+            healthChecked("0")
+            expectThat(gate.ratePerSecond).isEqualTo(0.0)
+            healthChecked()
+            expectThat(gate.ratePerSecond).isNull()
+        }
+    }
+}
