Send nothing more to a target that says in a response that it leaves

The gate beside it closes with the first such response, hands queued requests back as not run and pings at once; load reports name the target, and each entry that passes on such a response, or hears of it, leaves the target out. It holds for the instance: another id, or a later start under the same id, gets requests.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
@@ -3,6 +3,7 @@
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.RouteId
+import kingcuptide.coordination.version.TargetId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -41,6 +42,7 @@
  * @property limit greatest number of requests in flight; 0 if the target is not open
  * @property wait expected queue time of the next request
  * @property ratePerSecond requests a second that the target has named as its limit, or null for none
+ * @property leavingTarget the target, if it has said in a response that it leaves
  */
 public data class GateLoadReport(
     val inFlight: Int,
@@ -49,6 +51,7 @@
     val wait: Duration,
     val cold: Boolean,
     val ratePerSecond: Double? = null,
+    val leavingTarget: TargetId? = null,
 )
 
 /** Whether the target may receive requests. */
@@ -101,6 +104,9 @@
     /** Number of queued requests. */
     public val queued: Int get() = waiting.size
 
+    /** The target beside this daemon, if it has said in a response that it leaves; load reports tell other daemons. */
+    public var leavingTarget: TargetId? = null
+
     /** Requests a second that the target takes from all hosts together, 0 or more; null if it has named no rate. */
     public var ratePerSecond: Double?
         get() = namedRate.perSecond
@@ -171,7 +177,8 @@
     public fun loadReport(): GateLoadReport {
         val now = clock.now()
         val onTime = waiting.count { canMeetObjective(it, now) }
-        return GateLoadReport(running.size, onTime, limitNow(), expectedWait(onTime, now), isCold(now), ratePerSecond)
+        val wait = expectedWait(onTime, now)
+        return GateLoadReport(running.size, onTime, limitNow(), wait, isCold(now), ratePerSecond, leavingTarget)
     }
 
     private fun refusalOf(request: GateRequest, now: Duration): GateRefusal? {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -70,7 +70,7 @@
 
     /**
      * The load of a gate. [waitMs] is the expected queue time of a new request, [ratePerSecond] the rate that the target
-     * has named, if any.
+     * has named, if any, and [leavingTarget] the id of the target if it has said that it leaves.
      */
     @Serializable
     data class LoadReport(
@@ -80,6 +80,7 @@
         @CborLabel(4) val waitMs: Long,
         @CborLabel(5) val cold: Boolean,
         @CborLabel(6) val ratePerSecond: Double? = null,
+        @CborLabel(7) val leavingTarget: String? = null,
     )
 
     /**
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -7,11 +7,13 @@
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.DaemonLocation
 import kingcuptide.coordination.request.Fingerprint
+import kingcuptide.coordination.request.LeavingTargets
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.TargetGate
 import kingcuptide.coordination.request.TargetPicker
 import kingcuptide.coordination.request.TargetState
 import kingcuptide.coordination.version.CallerLimits
+import kingcuptide.coordination.version.KnownTarget
 import kingcuptide.coordination.version.PublishedState
 import kingcuptide.coordination.version.ReaderRole
 import kingcuptide.coordination.version.ServiceTraits
@@ -71,7 +73,8 @@
     private val counts = TrafficCounts(clock)
     private val suspects = CrashSuspects(settings.host, incarnation, clock)
     private val targetAddress = addressOf(settings.targetAddress)
-    private val notices = TargetNotices(clock, platform.names, gate)
+    private val leaving = LeavingTargets()
+    private val notices = TargetNotices(clock, platform.names, gate, ::targetLeaves)
     private val targetMonitor =
         TargetMonitor(loop, scope, clock, targetAddress, platform.names, gate, notices, ::ownTraits, ::targetChanged)
     private val running = RunningRequests()
@@ -109,11 +112,13 @@
     private val location = DaemonLocation(settings.failureDomain, settings.region) { settings.regionByDomain[it] }
     private val picker = TargetPicker(clock, location, random)
     private val allowance = RetryAllowance(clock, { settings.retries }) { published.targets.size }
+    private val entryDependencies =
+        EntryDependencies({ settings.service }, location, published, picker, allowance, suspects, running, leaving)
     private val entry =
         EntryService(
             clock,
             platform.names,
-            EntryDependencies({ settings.service }, location, published, picker, allowance, suspects, running),
+            entryDependencies,
             gateTransport,
             metrics,
             counts,
@@ -228,7 +233,7 @@
         }
         if (target != null) gate.slots = target.entry.slots
         gate.state = when {
-            stop.isStopping || target?.entry?.leaving == true -> TargetState.LEAVING
+            stop.isStopping || isTargetLeaving(target) -> TargetState.LEAVING
             settings.failureDomain in published.takenOut -> TargetState.TAKEN_OUT
             targetMonitor.isDown -> TargetState.DOWN
             else -> TargetState.OPEN
@@ -238,6 +243,21 @@
         }
     }
 
+    private fun isTargetLeaving(target: KnownTarget?): Boolean {
+        if (target?.entry?.leaving == true) return true
+        val id = currentTarget() ?: return false
+        return leaving.isLeaving(id, target?.entry?.startedAtUnixMs)
+    }
+
+    /** The target beside this daemon says that it leaves: requests that wait for it go back to their entries. */
+    private fun targetLeaves(id: TargetId) {
+        if (!leaving.record(id, published.target(id)?.entry?.startedAtUnixMs)) return
+        log.info("target_said_leaving", "target" to id, "queued" to gate.queued)
+        updateGate()
+        gate.serve()
+        mesh.pingNow()
+    }
+
     /** The target that responds at the address, or else the newest that is published for it. */
     private fun currentTarget(): TargetId? =
         targetMonitor.targetId ?: published.targetAt(settings.targetAddress)?.entry?.id
@@ -335,7 +355,7 @@
             val host = session.peer?.host ?: return
             if (!session.isOutbound || host == settings.host.value) return
             published.targets.filter { mesh.outboundSession(it.entry.ip) === session }
-                .forEach { picker.recordLoadReport(it.entry.id, ping.loadReport.toGateLoadReport()) }
+                .forEach { entryDependencies.recordLoadReport(it.entry, ping.loadReport.toGateLoadReport()) }
         }
     }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -6,6 +6,8 @@
 import kingcuptide.coordination.request.CallerWaits
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.DaemonLocation
+import kingcuptide.coordination.request.GateLoadReport
+import kingcuptide.coordination.request.LeavingTargets
 import kingcuptide.coordination.request.Outcome
 import kingcuptide.coordination.request.PickRequest
 import kingcuptide.coordination.request.RetryAllowance
@@ -17,6 +19,7 @@
 import kingcuptide.coordination.version.ForwardRoute
 import kingcuptide.coordination.version.KnownTarget
 import kingcuptide.coordination.version.PublishedState
+import kingcuptide.coordination.version.TargetEntry
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.BufferedResponse
 import kingcuptide.forwarder.connection.CallerRequest
@@ -56,7 +59,24 @@
     val allowance: RetryAllowance,
     val suspects: CrashSuspects,
     val running: RunningRequests,
-)
+    val leaving: LeavingTargets,
+) {
+    /** Records a load report of the gate of [target]. */
+    fun recordLoadReport(target: TargetEntry, report: GateLoadReport) {
+        picker.recordLoadReport(target.id, report)
+        if (report.leavingTarget == target.id) recordLeaving(target)
+    }
+
+    /** Records that [target] has said that it leaves. */
+    fun recordLeaving(target: TargetEntry) {
+        if (!leaving.record(target.id, target.startedAtUnixMs)) return
+        log.info("target_said_leaving", "target" to target.id, "service" to target.service)
+    }
+
+    private companion object {
+        val log = eventLog("entry")
+    }
+}
 
 /** Serves the requests of callers: matches the route, picks targets and retries where that is safe. */
 class EntryService(
@@ -155,7 +175,7 @@
                 val target = pick() ?: return noCandidateLeft()
                 triedTargets += target.entry.id
                 val result = attempt(target)
-                result.loadReport?.let { dependencies.picker.recordLoadReport(target.entry.id, it) }
+                result.loadReport?.let { dependencies.recordLoadReport(target.entry, it) }
                 val response = when (result) {
                     is ForwardResult.Answered -> handleResponse(target, result)
                     is ForwardResult.Refused -> handleRefusal(target, result)
@@ -175,7 +195,7 @@
         private fun pick(): KnownTarget? {
             val takenOut = dependencies.published.takenOut
             val candidates = dependencies.published.targetsOf(service).filter {
-                !it.entry.leaving && it.entry.failureDomain !in takenOut && isHome(it) && transport.canSend(it)
+                !isLeaving(it) && it.entry.failureDomain !in takenOut && isHome(it) && transport.canSend(it)
             }
             val now = clock.now()
             return dependencies.picker.pick(
@@ -191,6 +211,9 @@
             )
         }
 
+        private fun isLeaving(target: KnownTarget): Boolean =
+            target.entry.leaving || dependencies.leaving.isLeaving(target.entry.id, target.entry.startedAtUnixMs)
+
         private fun isHome(target: KnownTarget): Boolean =
             route.homeRegions.isEmpty() ||
                 dependencies.location.regionOf(target.entry.failureDomain) in route.homeRegions
@@ -229,6 +252,7 @@
             val successful = result.response.status < FIRST_SERVER_ERROR
             val bytes = result.response.body.size
             dependencies.picker.answered(target.entry.id, route.id, route.objective, result.runTime, bytes, successful)
+            if (saysLeaving(result.response.headers, names)) dependencies.recordLeaving(target.entry)
             targetsReached++
             counts.exchanged(dependencies.location.distanceTo(target.entry.failureDomain), request.body.size + bytes)
             if (!successful && route.idempotent && acquireRetry()) {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -180,7 +180,7 @@
                     )
                 }
                 is HttpResult.Answered -> {
-                    notices.responded(result.response.headers, startedAt)
+                    notices.responded(call.targetId, result.response.headers, startedAt)
                     validated(result.response, clock.now() - startedAt)
                 }
             }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -4,6 +4,7 @@
 import kingcuptide.coordination.request.GateLoadReport
 import kingcuptide.coordination.request.Outcome
 import kingcuptide.coordination.version.KnownTarget
+import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.BufferedResponse
 import kingcuptide.forwarder.connection.Headers
 import kingcuptide.forwarder.connection.PeerFrame
@@ -130,6 +131,7 @@
         minOf(wait, MAX_REPORTED_WAIT).inWholeMilliseconds,
         cold,
         ratePerSecond,
+        leavingTarget?.value,
     )
 
 internal fun PeerMessage.LoadReport.toGateLoadReport() = GateLoadReport(
@@ -139,6 +141,7 @@
     waitMs.milliseconds,
     cold,
     ratePerSecond,
+    leavingTarget?.let(::TargetId),
 )
 
 /** Greatest wait in a load report; a target that takes nothing at present has an infinite one. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetNotices.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetNotices.kt
@@ -2,7 +2,9 @@
 
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.request.TargetGate
+import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.Headers
+import kingcuptide.forwarder.connection.first
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.eventLog
 import kotlin.time.Duration
@@ -10,20 +12,26 @@
 /**
  * Applies to the gate what the target beside this daemon says of itself in its responses.
  *
- * A rate holds until a response to a request that was sent after the last response that named one names none. Used on the
- * event loop.
+ * A rate holds until a response to a request that was sent after the last response that named one names none. Leaving holds
+ * for the target that has said so, which [onLeaving] gets with each such response. Used on the event loop.
  */
 class TargetNotices(
     private val clock: Clock,
     private val names: HeaderNames,
     private val gate: TargetGate,
+    private val onLeaving: (TargetId) -> Unit,
 ) {
     private var namedAt = -Duration.INFINITE
     private var isNamedByHealthChecks = false
     private var lastInvalid: String? = null
 
-    /** The target has sent a response with [headers] to a request that was sent at [sentAt]. */
-    fun responded(headers: Headers, sentAt: Duration) = apply(headers, sentAt, "response")
+    /** The target [id] has sent a response with [headers] to a request that was sent at [sentAt]. */
+    fun responded(id: TargetId, headers: Headers, sentAt: Duration) {
+        apply(headers, sentAt, "response")
+        if (!saysLeaving(headers, names)) return
+        gate.leavingTarget = id
+        onLeaving(id)
+    }
 
     /** The same for a health check, which withdraws a rate only if health checks have named it. */
     fun healthChecked(headers: Headers, sentAt: Duration) {
@@ -37,6 +45,7 @@
     fun targetReplaced() {
         namedAt = -Duration.INFINITE
         isNamedByHealthChecks = false
+        gate.leavingTarget = null
         limitRate(null, "replaced")
     }
 
@@ -71,3 +80,9 @@
         val log = eventLog("target")
     }
 }
+
+/** Returns whether the target that sent [headers] says in them that it leaves. */
+internal fun saysLeaving(headers: Headers, names: HeaderNames): Boolean =
+    headers.first(names.leaving)?.trim() == LEAVING_VALUE
+
+private const val LEAVING_VALUE = "1"
