--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/PublishedStateTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/PublishedStateTest.kt
@@ -277,6 +277,90 @@
         }
     }
 
+    /** Revisions of the source go back when it is restored; its era rises. */
+    @Nested
+    inner class `A source that comes back from an older copy` {
+        private val section = PublishedSection("t/", state)
+
+        private fun later(key: String, revision: Long, value: String?) = item(
+            key,
+            SourcePosition.of(1, revision),
+            value,
+        )
+
+        private fun restored(vararg items: SourceItem, asOf: Long = 150, keepsLost: Boolean = true) {
+            state.sourceRestored(1)
+            state.apply(section.replace(items.toList(), SourcePosition.of(1, asOf), keepsLost))
+        }
+
+        private fun read(vararg items: SourceItem) {
+            val changed = section.replace(items.toList(), 209)
+            section.recordEffect(changed)
+            state.apply(changed)
+        }
+
+        @Test
+        fun `Given a later era, when its revisions are lower, then they still replace those before`() {
+            read(item("t/a", 200, "target:s:ready:5"))
+            restored(later("t/a", 140, "target:s:ready:6"))
+            expectThat(section.asOf).isEqualTo(SourcePosition.of(1, 150))
+            expectThat(section.item("t/a")?.revision).isEqualTo(SourcePosition.of(1, 140))
+        }
+
+        @Test
+        fun `Given a lost document, when the older one is offered, then the later one stays and is passed on`() {
+            read(item("t/c", 200, "config:41"))
+            restored(later("t/c", 100, "config:40"))
+            expectThat(state.routing?.number).isEqualTo(41)
+            expectThat(section.listingSince(0).items.map { it.value?.decodeToString() }).containsExactly("config:41")
+            state.apply(
+                section.advance(section.asOf, listOf(later("t/c", 160, "config:45")), section.asOf + 10).orEmpty(),
+            )
+            expectThat(state.routing?.number).isEqualTo(45)
+        }
+
+        @Test
+        fun `Given a lost failure domain, when it stays away, then it stays out until all is read once more`() {
+            read(item("t/o", 200, "out:a"))
+            restored()
+            expectThat(state.takenOut).containsExactly(FailureDomainId("a"))
+            restored(asOf = 170, keepsLost = false)
+            expectThat(state.takenOut).isEmpty()
+        }
+
+        @Test
+        fun `Given a target that the copy lacks, when it does not report again, then it goes after two seconds`() {
+            read(item("t/a", 200, "target:s:ready:5"))
+            restored()
+            clock.advance(1_900.milliseconds)
+            state.tick()
+            expectThat(state.targets.map { it.entry.id.value }).containsExactly("t/a")
+            clock.advance(200.milliseconds)
+            state.tick()
+            expectThat(state.targets).isEmpty()
+        }
+
+        @Test
+        fun `Given a removed target, when the copy offers it, then only a further report brings it back`() {
+            read(item("t/a", 200, "target:s:ready:5"))
+            state.apply(listOf(item("t/a", 205, null)))
+            section.merge(listOf(item("t/a", 210, null)))
+            restored(later("t/a", 140, "target:s:ready:7"))
+            expectThat(state.targets).isEmpty()
+            state.apply(listOf(later("t/a", 155, "target:s:ready:8")))
+            expectThat(state.targets.map { it.entry.id.value }).containsExactly("t/a")
+        }
+
+        @Test
+        fun `Given a leaving target, when the copy says that it is ready, then it stays leaving until it reports again`() {
+            read(item("t/a", 200, "target:s:leaving:5"))
+            restored(later("t/a", 140, "target:s:ready:4"))
+            expectThat(state.targets.single().entry.leaving).isEqualTo(true)
+            state.apply(listOf(later("t/a", 155, "target:s:ready:6")))
+            expectThat(state.targets.single().entry.leaving).isEqualTo(false)
+        }
+    }
+
     private companion object {
         val LIMITS = CallerLimits(1, 1, 1.seconds, 1.seconds)
     }
