Name the instance that leaves, and take notices from valid responses only

Found on reading the change: a load report named a leaving target by its id alone, so a target that had started again under that id would have been left out for good by entries that heard the report late. It now bears the start of the instance, and the gate names it only while that instance is there. A response that is not the target's own, or that is no valid answer, changed the rate; now only valid ones and the target's own rejections do. A gate whose target takes nothing reported an infinite wait, which an entry on the same host multiplied by zero; reports are bounded.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/LeavingTargets.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/LeavingTargets.kt
@@ -2,6 +2,12 @@
 
 import kingcuptide.coordination.version.TargetId
 
+/** A target that has said in a response that it leaves; [startedAtUnixMs] is the start of its instance. */
+public data class LeavingTarget(
+    val id: TargetId,
+    val startedAtUnixMs: Long,
+)
+
 /**
  * Targets that have said in a response that they leave. It holds for the instance that has said so: one that started later
  * under the same id is another. Not thread-safe.
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
@@ -3,9 +3,9 @@
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.RouteId
-import kingcuptide.coordination.version.TargetId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -51,7 +51,7 @@
     val wait: Duration,
     val cold: Boolean,
     val ratePerSecond: Double? = null,
-    val leavingTarget: TargetId? = null,
+    val leavingTarget: LeavingTarget? = null,
 )
 
 /** Whether the target may receive requests. */
@@ -105,7 +105,7 @@
     public val queued: Int get() = waiting.size
 
     /** The target beside this daemon, if it has said in a response that it leaves; load reports tell other daemons. */
-    public var leavingTarget: TargetId? = null
+    public var leavingTarget: LeavingTarget? = null
 
     /** Requests a second that the target takes from all hosts together, 0 or more; null if it has named no rate. */
     public var ratePerSecond: Double?
@@ -177,7 +177,7 @@
     public fun loadReport(): GateLoadReport {
         val now = clock.now()
         val onTime = waiting.count { canMeetObjective(it, now) }
-        val wait = expectedWait(onTime, now)
+        val wait = minOf(expectedWait(onTime, now), MAX_REPORTED_WAIT)
         return GateLoadReport(running.size, onTime, limitNow(), wait, isCold(now), ratePerSecond, leavingTarget)
     }
 
@@ -318,6 +318,9 @@
 
         /** Retry delay where the wait is long or unknown, as at a target that takes no requests at present. */
         private val MAX_RETRY_AFTER = 5.seconds
+
+        /** Greatest wait in a load report; that of a target which takes no requests at present is infinite. */
+        private val MAX_REPORTED_WAIT = 1.minutes
         private val REJECTION_RETRY_AFTER = 200.milliseconds
         private val IDLE_REJECTION_RETRY_AFTER = 20.milliseconds
     }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/NamedRateTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/NamedRateTest.kt
@@ -78,6 +78,7 @@
             expectThat(starts).isEmpty()
             expectThat(refused.map { it.code }.toSet()).containsExactly(ResultCode.TARGET_RATE_SPENT)
             expectThat(refused.maxOf { it.retryAfter }).isLessThanOrEqualTo(5.seconds)
+            expectThat(gate.loadReport().wait.isFinite()).isEqualTo(true)
         }
 
         @Test
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -70,7 +70,7 @@
 
     /**
      * The load of a gate. [waitMs] is the expected queue time of a new request, [ratePerSecond] the rate that the target
-     * has named, if any, and [leavingTarget] the id of the target if it has said that it leaves.
+     * has named, if any, and [leavingTarget] the id of the target if it has said that it leaves, with its start.
      */
     @Serializable
     data class LoadReport(
@@ -81,6 +81,7 @@
         @CborLabel(5) val cold: Boolean,
         @CborLabel(6) val ratePerSecond: Double? = null,
         @CborLabel(7) val leavingTarget: String? = null,
+        @CborLabel(8) val leavingStartedAtUnixMs: Long = 0,
     )
 
     /**
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -7,6 +7,7 @@
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.DaemonLocation
 import kingcuptide.coordination.request.Fingerprint
+import kingcuptide.coordination.request.LeavingTarget
 import kingcuptide.coordination.request.LeavingTargets
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.TargetGate
@@ -234,6 +235,7 @@
             gate.coldRequestsPerSecond = perSecond.toInt().coerceAtLeast(1)
         }
         if (target != null) gate.slots = target.entry.slots
+        gate.leavingTarget = leavingTarget()
         gate.state = when {
             stop.isStopping || isTargetLeaving(target) -> TargetState.LEAVING
             settings.failureDomain in published.takenOut -> TargetState.TAKEN_OUT
@@ -251,6 +253,13 @@
         return leaving.isLeaving(id, target?.entry?.startedAtUnixMs)
     }
 
+    /** The target beside this daemon if it has said that it leaves and the start of its instance is known. */
+    private fun leavingTarget(): LeavingTarget? {
+        val entry = currentTarget()?.let(published::target)?.entry ?: return null
+        if (!leaving.isLeaving(entry.id, entry.startedAtUnixMs)) return null
+        return LeavingTarget(entry.id, entry.startedAtUnixMs)
+    }
+
     /** The target beside this daemon says that it leaves: requests that wait for it go back to their entries. */
     private fun targetLeaves(id: TargetId) {
         if (!leaving.record(id, published.target(id)?.entry?.startedAtUnixMs)) return
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -7,6 +7,7 @@
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.DaemonLocation
 import kingcuptide.coordination.request.GateLoadReport
+import kingcuptide.coordination.request.LeavingTarget
 import kingcuptide.coordination.request.LeavingTargets
 import kingcuptide.coordination.request.Outcome
 import kingcuptide.coordination.request.PickRequest
@@ -64,13 +65,12 @@
     /** Records a load report of the gate of [target]. */
     fun recordLoadReport(target: TargetEntry, report: GateLoadReport) {
         picker.recordLoadReport(target.id, report)
-        if (report.leavingTarget == target.id) recordLeaving(target)
+        report.leavingTarget?.let(::recordLeaving)
     }
 
     /** Records that [target] has said that it leaves. */
-    fun recordLeaving(target: TargetEntry) {
-        if (!leaving.record(target.id, target.startedAtUnixMs)) return
-        log.info("target_said_leaving", "target" to target.id, "service" to target.service)
+    fun recordLeaving(target: LeavingTarget) {
+        if (leaving.record(target.id, target.startedAtUnixMs)) log.info("target_said_leaving", "target" to target.id)
     }
 
     private companion object {
@@ -252,7 +252,9 @@
             val successful = result.response.status < FIRST_SERVER_ERROR
             val bytes = result.response.body.size
             dependencies.picker.answered(target.entry.id, route.id, route.objective, result.runTime, bytes, successful)
-            if (saysLeaving(result.response.headers, names)) dependencies.recordLeaving(target.entry)
+            if (saysLeaving(result.response.headers, names)) {
+                dependencies.recordLeaving(LeavingTarget(target.entry.id, target.entry.startedAtUnixMs))
+            }
             targetsReached++
             counts.exchanged(dependencies.location.distanceTo(target.entry.failureDomain), request.body.size + bytes)
             if (!successful && route.idempotent && acquireRetry()) {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -179,17 +179,18 @@
                         result.reason,
                     )
                 }
-                is HttpResult.Answered -> {
-                    notices.responded(call.targetId, result.response.headers, startedAt)
-                    validated(result.response, clock.now() - startedAt)
-                }
+                is HttpResult.Answered -> validated(result.response, startedAt)
             }
         }
 
-        private fun validated(response: BufferedResponse, runTime: Duration): ForwardResult {
-            targetObserver.responded(clock.now() - runTime)
+        private fun validated(response: BufferedResponse, startedAt: Duration): ForwardResult {
+            val runTime = clock.now() - startedAt
+            targetObserver.responded(startedAt)
             metrics.recordTargetRunTime(runTime)
-            if (response.headers.first(names.notRun) != null) return refused(ResultCode.TARGET_FULL, true)
+            if (response.headers.first(names.notRun) != null) {
+                if (response.status != MISDIRECTED_REQUEST) noticed(response, startedAt)
+                return refused(ResultCode.TARGET_FULL, true)
+            }
             if (response.status == MISDIRECTED_REQUEST) {
                 targetObserver.suspect("another target responded")
                 return refused(ResultCode.TARGET_DOWN, true)
@@ -204,10 +205,14 @@
                     "status ${response.status}: invalid response",
                 )
             }
+            noticed(response, startedAt)
             if (!suspects.isEmpty) suspects.answered(call.fingerprint)
             return ForwardResult.Answered(response, runTime, gate.loadReport())
         }
 
+        private fun noticed(response: BufferedResponse, startedAt: Duration) =
+            notices.responded(call.targetId, response.headers, startedAt)
+
         private fun headersOf(remaining: Duration) =
             call.headers +
                 (names.remainingMs to remaining.inWholeMilliseconds.coerceAtLeast(1).toString()) +
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -2,6 +2,7 @@
 
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.request.GateLoadReport
+import kingcuptide.coordination.request.LeavingTarget
 import kingcuptide.coordination.request.Outcome
 import kingcuptide.coordination.version.KnownTarget
 import kingcuptide.coordination.version.TargetId
@@ -12,7 +13,6 @@
 import kingcuptide.forwarder.connection.PeerMessage
 import kingcuptide.forwarder.connection.PeerSession
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.minutes
 
 /** Sends requests to the gate on this host directly, and to other gates over outbound peer connections. */
 class PeerGateTransport(
@@ -128,10 +128,11 @@
         inFlight,
         queued,
         limit,
-        minOf(wait, MAX_REPORTED_WAIT).inWholeMilliseconds,
+        wait.inWholeMilliseconds,
         cold,
         ratePerSecond,
-        leavingTarget?.value,
+        leavingTarget?.id?.value,
+        leavingTarget?.startedAtUnixMs ?: 0,
     )
 
 internal fun PeerMessage.LoadReport.toGateLoadReport() = GateLoadReport(
@@ -141,8 +142,5 @@
     waitMs.milliseconds,
     cold,
     ratePerSecond,
-    leavingTarget?.let(::TargetId),
+    leavingTarget?.let { LeavingTarget(TargetId(it), leavingStartedAtUnixMs) },
 )
-
-/** Greatest wait in a load report; a target that takes nothing at present has an infinite one. */
-private val MAX_REPORTED_WAIT = 1.minutes
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetNotices.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetNotices.kt
@@ -25,12 +25,10 @@
     private var isNamedByHealthChecks = false
     private var lastInvalid: String? = null
 
-    /** The target [id] has sent a response with [headers] to a request that was sent at [sentAt]. */
+    /** The target [id] has sent a valid response with [headers] to a request that was sent at [sentAt]. */
     fun responded(id: TargetId, headers: Headers, sentAt: Duration) {
         apply(headers, sentAt, "response")
-        if (!saysLeaving(headers, names)) return
-        gate.leavingTarget = id
-        onLeaving(id)
+        if (saysLeaving(headers, names)) onLeaving(id)
     }
 
     /** The same for a health check, which withdraws a rate only if health checks have named it. */
@@ -45,7 +43,6 @@
     fun targetReplaced() {
         namedAt = -Duration.INFINITE
         isNamedByHealthChecks = false
-        gate.leavingTarget = null
         limitRate(null, "replaced")
     }
 
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -9,6 +9,7 @@
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.DaemonLocation
 import kingcuptide.coordination.request.GateLoadReport
+import kingcuptide.coordination.request.LeavingTarget
 import kingcuptide.coordination.request.LeavingTargets
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.RetryAllowanceSettings
@@ -329,13 +330,27 @@
         @Test
         fun `Given a load report that names the target, when it arrives with a refusal, then the target gets no more`() {
             start()
-            val report = GateLoadReport(0, 0, 0, Duration.ZERO, false, leavingTarget = TargetId("t-a"))
+            val report =
+                GateLoadReport(0, 0, 0, Duration.ZERO, false, leavingTarget = LeavingTarget(TargetId("t-a"), 0))
             results += ForwardResult.Refused(ResultCode.DRAINING, 200.milliseconds, reachedTarget = false, report)
             repeat(20) { results += answered(200) }
             repeat(20) { serve("/read/x") }
             expectThat(sent.count { it.first == "t-a" }).isEqualTo(1)
         }
 
+        /** Guards against a target that restarts under its id and never gets a request, since its daemon is late to hear. */
+        @Test
+        fun `Given a load report that names an earlier instance, when it arrives, then the present one gets requests`() {
+            start()
+            publish("t-a", PublishedItem.Target(target("a").copy(startedAtUnixMs = 9)))
+            val report =
+                GateLoadReport(0, 0, 10, Duration.ZERO, false, leavingTarget = LeavingTarget(TargetId("t-a"), 8))
+            results += ForwardResult.Answered(BufferedResponse(200, emptyList(), NO_BYTES), 5.milliseconds, report)
+            serve("/read/x")
+            expectThat(leaving.isLeaving(TargetId("t-a"), 8)).isEqualTo(true)
+            expectThat(leaving.isLeaving(TargetId("t-a"), 9)).isEqualTo(false)
+        }
+
         @Test
         fun `Given a target that left, when another starts later under its id, then that one gets requests`() {
             start()
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SimulatedHost.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SimulatedHost.kt
@@ -5,6 +5,7 @@
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.DaemonLocation
 import kingcuptide.coordination.request.GateLoadReport
+import kingcuptide.coordination.request.LeavingTarget
 import kingcuptide.coordination.request.LeavingTargets
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.RetryAllowanceSettings
@@ -89,6 +90,7 @@
 
         private fun targetLeaves(id: TargetId) {
             leaving.record(id, 0)
+            targetGate.leavingTarget = LeavingTarget(id, 0)
             targetGate.state = TargetState.LEAVING
             targetGate.serve()
         }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/TargetNoticesTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/TargetNoticesTest.kt
@@ -94,12 +94,9 @@
     @Nested
     inner class `A target that leaves` {
         @Test
-        fun `Given a response that says so, when it arrives, then load reports tell it until the target is replaced`() {
+        fun `Given a response that says so, when it arrives, then it is passed on`() {
             notices.responded(ID, listOf("leaving" to "1"), clock.now())
             expectThat(left).containsExactly(ID)
-            expectThat(gate.loadReport().leavingTarget).isEqualTo(ID)
-            notices.targetReplaced()
-            expectThat(gate.loadReport().leavingTarget).isNull()
         }
 
         @Test
