--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/NamedRateTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/NamedRateTest.kt
@@ -82,7 +82,7 @@
         }
 
         @Test
-        fun `Given a rate that is spent, when a request can't wait for the next token, then it hears when one is there`() {
+        fun `Given a spent rate, when a request can't wait for the next token, then it hears when one is there`() {
             gate.ratePerSecond = 1.0
             offer(objective = 100.milliseconds)
             expectThat(refused.single().code).isEqualTo(ResultCode.TARGET_RATE_SPENT)
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/PublishedStateTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/PublishedStateTest.kt
@@ -352,7 +352,7 @@
         }
 
         @Test
-        fun `Given a leaving target, when the copy says that it is ready, then it stays leaving until it reports again`() {
+        fun `Given a leaving target, when the copy says it is ready, then it stays leaving until it reports again`() {
             read(item("t/a", 200, "target:s:leaving:5"))
             restored(later("t/a", 140, "target:s:ready:4"))
             expectThat(state.targets.single().entry.leaving).isEqualTo(true)
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -328,7 +328,7 @@
         }
 
         @Test
-        fun `Given a load report that names the target, when it arrives with a refusal, then the target gets no more`() {
+        fun `Given a load report that names the target, when it comes with a refusal, then the target gets no more`() {
             start()
             val report =
                 GateLoadReport(0, 0, 0, Duration.ZERO, false, leavingTarget = LeavingTarget(TargetId("t-a"), 0))
@@ -340,7 +340,7 @@
 
         /** Guards against a target that restarts under its id and never gets a request, since its daemon is late to hear. */
         @Test
-        fun `Given a load report that names an earlier instance, when it arrives, then the present one gets requests`() {
+        fun `Given a load report of an earlier instance, when it arrives, then the present one still gets requests`() {
             start()
             publish("t-a", PublishedItem.Target(target("a").copy(startedAtUnixMs = 9)))
             val report =
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/version/PublishedStateSyncTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/version/PublishedStateSyncTest.kt
@@ -125,7 +125,7 @@
 
     /** Guards against a region that keeps a change which another reader has announced and this one never saw. */
     @Test
-    fun `Given an item that is added and removed between two reads, when they are announced, then peers get its removal`() {
+    fun `Given an item added and removed between two reads, when they are announced, then peers get its removal`() {
         val added = SourceItem("a/x", 8, VALUE)
         state.readChanges("a/", 7, listOf(added, SourceItem("a/x", 9, null)), 9)
         val items = sameRegion.messages().filterIsInstance<PeerMessage.ItemUpdates>().flatMap { it.items }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/version/StateFleetConvergenceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/version/StateFleetConvergenceTest.kt
@@ -28,7 +28,7 @@
     }
 
     @Test
-    fun `Given an order by revision alone, when the source comes back from older copies, then the simulation shows it`() {
+    fun `Given an order by revision alone, when the source comes back older, then the simulation shows it`() {
         val failed = (1..10).count {
             StateFleetSimulation(it, withRestores = true, withEras = false).run().isNotEmpty()
         }
