--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/TargetNoticeFleetTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/TargetNoticeFleetTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
+import strikt.assertions.isGreaterThan
 
 /**
  * Guards against targets that get far more requests a second than the rate that they name (LIMIT of the users), or
@@ -19,7 +20,17 @@
         expectThat(failed.keys).isEmpty()
     }
 
+    @Test
+    fun `Given other targets with room for all, when some name a rate or leave, then requests are served there`() {
+        val shares = seeds.map { seed -> TargetNoticeSimulation(seed).also { it.run() }.servedShare }
+        println("served: least=${shares.min()} mean=${shares.average()}")
+        expectThat(shares.min()).isGreaterThan(MIN_SERVED_SHARE)
+    }
+
     private companion object {
         const val SEEDS = 20
+
+        /** Share of the requests that must be served, of those sent to entries that are up; some are cut by restarts. */
+        const val MIN_SERVED_SHARE = 0.95
     }
 }
