--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -4,23 +4,15 @@
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.CallerWaits
-import kingcuptide.coordination.request.CrashSuspects
-import kingcuptide.coordination.request.DaemonLocation
-import kingcuptide.coordination.request.GateLoadReport
 import kingcuptide.coordination.request.LeavingTarget
-import kingcuptide.coordination.request.LeavingTargets
 import kingcuptide.coordination.request.Outcome
 import kingcuptide.coordination.request.PickRequest
-import kingcuptide.coordination.request.RetryAllowance
-import kingcuptide.coordination.request.TargetPicker
 import kingcuptide.coordination.request.Verdict
 import kingcuptide.coordination.request.WeightedRoundRobin
 import kingcuptide.coordination.request.codeAfterEarlierAttempts
 import kingcuptide.coordination.request.fingerprintOf
 import kingcuptide.coordination.version.ForwardRoute
 import kingcuptide.coordination.version.KnownTarget
-import kingcuptide.coordination.version.PublishedState
-import kingcuptide.coordination.version.TargetEntry
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.BufferedResponse
 import kingcuptide.forwarder.connection.CallerRequest
@@ -42,42 +34,6 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
-/** Sends requests from this daemon to the gates of targets. */
-interface GateTransport {
-    /** Whether a request can be sent to the gate of [target] now. */
-    fun canSend(target: KnownTarget): Boolean
-
-    /** Sends [call]; [onResult] is called once, possibly before this returns, unless the call is cancelled. */
-    fun submit(target: KnownTarget, call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation
-}
-
-/** What an [EntryService] depends on: the published state, target selection and retry limits. */
-class EntryDependencies(
-    val service: () -> ServiceId,
-    val location: DaemonLocation,
-    val published: PublishedState,
-    val picker: TargetPicker,
-    val allowance: RetryAllowance,
-    val suspects: CrashSuspects,
-    val running: RunningRequests,
-    val leaving: LeavingTargets,
-) {
-    /** Records a load report of the gate of [target]. */
-    fun recordLoadReport(target: TargetEntry, report: GateLoadReport) {
-        picker.recordLoadReport(target.id, report)
-        report.leavingTarget?.let(::recordLeaving)
-    }
-
-    /** Records that [target] has said that it leaves. */
-    fun recordLeaving(target: LeavingTarget) {
-        if (leaving.record(target.id, target.startedAtUnixMs)) log.info("target_said_leaving", "target" to target.id)
-    }
-
-    private companion object {
-        val log = eventLog("entry")
-    }
-}
-
 /** Serves the requests of callers: matches the route, picks targets and retries where that is safe. */
 class EntryService(
     private val clock: Clock,
