Add the types that API keys, quotas and fair sharing have in common

Cause: the parts of docs/design/workspace-plan.md are built in parallel and need the same fields. Change: workspaces in a routing version, anonymous routes, the workspace of a forwarded request, and the result codes 111, 112 and 219. Nothing sets or reads them yet, so behaviour does not change.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
@@ -30,6 +30,8 @@
     BAD_DEADLINE(108, 400, Outcome.NOT_RUN),
     BAD_IDEMPOTENCY_KEY(109, 400, Outcome.NOT_RUN),
     LENGTH_REQUIRED(110, 411, Outcome.NOT_RUN),
+    KEY_MISSING(111, 401, Outcome.NOT_RUN),
+    KEY_UNKNOWN(112, 401, Outcome.NOT_RUN),
 
     // 2xx: refused; the request did not run
     NO_CONFIGURATION(200, 503, Outcome.NOT_RUN),
@@ -50,6 +52,7 @@
     PEER_UNREACHABLE(216, 503, Outcome.NOT_RUN, retryable = true),
     VERSION_BEHIND(217, 503, Outcome.NOT_RUN, retryable = true),
     TARGET_RATE_SPENT(218, 503, Outcome.NOT_RUN, retryable = true),
+    QUOTA_SPENT(219, 429, Outcome.NOT_RUN),
 
     // 3xx: the request may have run
     ANSWER_LOST(300, 502, Outcome.UNKNOWN),
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/RoutingVersion.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/RoutingVersion.kt
@@ -11,6 +11,7 @@
     routes: List<ForwardRoute>,
     public val services: Map<ServiceId, ServiceTraits>,
     public val callerLimits: CallerLimits,
+    public val workspaces: Workspaces = Workspaces.NONE,
 ) {
     private val routesByHost: Map<String, Map<String, ForwardRoute>> =
         routes.groupBy { it.host }.mapValues { (_, ofHost) -> ofHost.associateBy { it.pathPrefix } }
@@ -40,6 +41,7 @@
  * @property objective time within which a response has its full value
  * @property maxTargets maximum number of targets to which one request may be sent
  * @property homeRegions the only regions that may serve it; empty means any region
+ * @property allowsAnonymous whether a request needs no API key although the configuration has workspaces
  */
 public data class ForwardRoute(
     val id: RouteId,
@@ -52,6 +54,7 @@
     val maxTargets: Int,
     val destinations: List<WeightedService>,
     val homeRegions: Set<RegionId>,
+    val allowsAnonymous: Boolean = false,
 )
 
 /** A service that gets a share of a route's requests in proportion to [weight]. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -32,6 +32,7 @@
         @CborLabel(10) @SerialName("rank") val priority: Int,
         @CborLabel(11) @SerialName("repeatable") val idempotent: Boolean,
         @CborLabel(12) val targetId: String,
+        @CborLabel(13) val workspace: String? = null,
     ) : PeerMessage
 
     /** Cancels a request: its caller has left, or the entry gave it up. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
@@ -11,7 +11,11 @@
 import kingcuptide.forwarder.connection.Headers
 import kotlin.time.Duration
 
-/** A request on its way from the entry daemon to the one beside its target. Durations count from now. */
+/**
+ * A request on its way from the entry daemon to the one beside its target. Durations count from now.
+ *
+ * @property workspace name of the workspace whose API key the request had, or null
+ */
 class ForwardCall(
     val requestId: String,
     val method: String,
@@ -25,6 +29,7 @@
     val priority: Int,
     val idempotent: Boolean,
     val targetId: TargetId,
+    val workspace: String? = null,
 ) {
     /** Equal for requests with the same route, method, target and body. */
     val fingerprint: Fingerprint by lazy(LazyThreadSafetyMode.NONE) { fingerprintOf(route, method, target, body) }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateEndpoint.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateEndpoint.kt
@@ -75,5 +75,6 @@
             message.priority,
             message.idempotent,
             TargetId(message.targetId),
+            message.workspace,
         )
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -103,6 +103,7 @@
             call.priority,
             call.idempotent,
             call.targetId.value,
+            call.workspace,
         )
 
     private companion object {
