Recognize calls of requests that the daemon has abandoned

Cause: a target may go on with a request after its connection has closed, and the calls that it makes then bear the id of a request that the daemon no longer lists. They would be handled as requests of callers, with an objective in place of the deadline, and would be refused for want of an API key once a configuration has workspaces.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -78,7 +78,7 @@
     private val notices = TargetNotices(clock, platform.names, gate, ::targetLeaves)
     private val targetMonitor =
         TargetMonitor(loop, scope, clock, targetAddress, platform.names, gate, notices, ::ownTraits, ::targetChanged)
-    private val running = RunningRequests()
+    private val running = RunningRequests(clock)
     private val targetClient = TargetClient(loop, clock, targetAddress)
     private val gateService =
         GateService(
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -150,7 +150,7 @@
                     complete(result)
                 } finally {
                     runningCalls -= this@GateCall
-                    running.ended(call.requestId)
+                    if (hasResponse) running.ended(call.requestId) else running.abandoned(call.requestId)
                     gate.ended(request, hasResponse)
                 }
             }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -67,7 +67,7 @@
             },
         )
     }
-    private val running = RunningRequests()
+    private val running = RunningRequests(clock)
     private val results = ArrayDeque<ForwardResult>()
     private val sent = ArrayList<Pair<String, ForwardCall>>()
     private val transport = object : GateTransport {
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SimulatedHost.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SimulatedHost.kt
@@ -65,7 +65,7 @@
 
     private inner class Parts {
         val scope = CoroutineScope(time + Job())
-        private val running = RunningRequests()
+        private val running = RunningRequests(time)
         private val leaving = LeavingTargets()
         private val suspects = CrashSuspects(HostId("h"), 1, time)
         val targetGate = TargetGate(time).apply {
