Tell a gate that has just started the rate that its target has named

Cause: a restarted daemon knew no rate until its target had answered, and let as many requests through meanwhile as the target has slots.

Change: an entry remembers the rate of each target from load reports and responses, for a minute, and passes it along with each request (label 14 of PeerMessage.Forward, optional). A gate whose target has not responded yet keeps the least rate that it was told, at least 0.5 a second; the first response decides. A load report without a rate ends nothing, since a gate that has just started sends such reports.

Ruled out: health checks, which need not carry the header.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -16,6 +16,8 @@
 public class TargetRecord {
     internal var loadReport: GateLoadReport? = null
     internal var reportedAt: Duration = Duration.ZERO
+    internal var ratePerSecond: Double? = null
+    internal var ratedAt: Duration = Duration.ZERO
     internal var sentSinceReport = 0
     internal var outstanding = 0
     internal var failureRate = 0.0
@@ -77,6 +79,24 @@
         record.loadReport = report
         record.reportedAt = clock.now()
         record.sentSinceReport = 0
+        if (report.ratePerSecond != null) recordRate(id, report.ratePerSecond)
+    }
+
+    /**
+     * Records the rate that the gate of [id] knows after a response of its target; null if the target names none.
+     *
+     * A load report without a rate does not end the rate by itself: a gate that has just started knows none.
+     */
+    public fun recordRate(id: TargetId, perSecond: Double?) {
+        val record = recordOf(id)
+        record.ratePerSecond = perSecond
+        record.ratedAt = clock.now()
+    }
+
+    /** Returns the rate that [id] was last known to name, or null if it named none or that was too long ago. */
+    public fun lastRate(id: TargetId): Double? {
+        val record = records[id] ?: return null
+        return record.ratePerSecond.takeIf { clock.now() - record.ratedAt <= MAX_RATE_AGE }
     }
 
     /** Records a response of the target after it ran for [ran]; [successful] is false if the response was a failure. */
@@ -232,6 +252,9 @@
         /** Greatest expected wait at a target with a named rate. */
         val MAX_RATE_WAIT = 1.minutes
 
+        /** Age at which a rate is no longer told to a gate; longer than any restart of a daemon. */
+        val MAX_RATE_AGE = 1.minutes
+
         /** Age at which a load report has no weight any more. */
         val MAX_LOAD_REPORT_AGE = 1_000.milliseconds
     }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
@@ -94,6 +94,22 @@
             expectThat(picker.pick(all, request())).isEqualTo(own)
         }
 
+        @Test
+        fun `Given a rate, when a gate that has just started reports none, then it is known until a response ends it`() {
+            picker.recordLoadReport(own.entry.id, loadReport(0).copy(ratePerSecond = 0.7))
+            picker.recordLoadReport(own.entry.id, loadReport(0))
+            expectThat(picker.lastRate(own.entry.id)).isEqualTo(0.7)
+            picker.recordRate(own.entry.id, null)
+            expectThat(picker.lastRate(own.entry.id)).isNull()
+        }
+
+        @Test
+        fun `Given a rate, when nobody has named it for over a minute, then it is no longer known`() {
+            picker.recordRate(own.entry.id, 0.7)
+            clock.advance(61.seconds)
+            expectThat(picker.lastRate(own.entry.id)).isNull()
+        }
+
         @Test
         fun `Given a tried target, when one is picked, then it is another`() {
             expectThat(picker.pick(all, request(setOf(own.entry.id)))).isEqualTo(near)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -17,7 +17,11 @@
         @CborLabel(4) val incarnation: Long,
     ) : PeerMessage
 
-    /** A request for the target beside the receiver; the request body follows the head. */
+    /**
+     * A request for the target beside the receiver; the request body follows the head.
+     *
+     * @property ratePerSecond the rate that the sender knows the target to have named, if any
+     */
     @Serializable
     data class Forward(
         @CborLabel(1) val number: Long,
@@ -33,6 +37,7 @@
         @CborLabel(11) @SerialName("repeatable") val idempotent: Boolean,
         @CborLabel(12) val targetId: String,
         @CborLabel(13) val workspace: String? = null,
+        @CborLabel(14) val ratePerSecond: Double? = null,
     ) : PeerMessage
 
     /** Cancels a request: its caller has left, or the entry gave it up. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -190,6 +190,7 @@
                     if (isCall) INTERNAL_PRIORITY else route.priority,
                     route.idempotent,
                     target.entry.id,
+                    ratePerSecond = dependencies.picker.lastRate(target.entry.id),
                 )
             dependencies.picker.sent(target.entry.id)
             inFlightTarget = target
@@ -211,6 +212,7 @@
             if (saysLeaving(result.response.headers, names)) {
                 dependencies.recordLeaving(LeavingTarget(target.entry.id, target.entry.startedAtUnixMs))
             }
+            result.loadReport?.let { dependencies.picker.recordRate(target.entry.id, it.ratePerSecond) }
             targetsReached++
             counts.exchanged(dependencies.location.distanceTo(target.entry.failureDomain), request.body.size + bytes)
             if (!successful && route.idempotent && acquireRetry()) {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
@@ -15,6 +15,7 @@
  * A request on its way from the entry daemon to the one beside its target. Durations count from now.
  *
  * @property workspace name of the workspace whose API key the request had, or null
+ * @property ratePerSecond the rate that the entry knows the target to have named, or null
  */
 class ForwardCall(
     val requestId: String,
@@ -30,6 +31,7 @@
     val idempotent: Boolean,
     val targetId: TargetId,
     val workspace: String? = null,
+    val ratePerSecond: Double? = null,
 ) {
     /** Equal for requests with the same route, method, target and body. */
     val fingerprint: Fingerprint by lazy(LazyThreadSafetyMode.NONE) { fingerprintOf(route, method, target, body) }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateEndpoint.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateEndpoint.kt
@@ -76,5 +76,6 @@
             message.idempotent,
             TargetId(message.targetId),
             message.workspace,
+            message.ratePerSecond,
         )
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -55,6 +55,7 @@
     /** Submits [call] to the gate; [onResult] is called once, possibly before this returns, unless cancelled. */
     fun submit(call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation {
         val gateCall = GateCall(call, onResult)
+        if (currentTarget() in setOf(null, call.targetId)) call.ratePerSecond?.let(notices::rateTold)
         gate.offer(gateCall.request)
         return gateCall
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -104,6 +104,7 @@
             call.idempotent,
             call.targetId.value,
             call.workspace,
+            call.ratePerSecond,
         )
 
     private companion object {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetNotices.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetNotices.kt
@@ -13,7 +13,8 @@
  * Applies to the gate what the target beside this daemon says of itself in its responses.
  *
  * A rate holds until a response to a request that was sent after the last response that named one names none. Leaving holds
- * for the target that has said so, which [onLeaving] gets with each such response. Used on the event loop.
+ * for the target that has said so, which [onLeaving] gets with each such response. Until the first response, the least
+ * rate that entries know holds, since a daemon that has just started knows none. Used on the event loop.
  */
 class TargetNotices(
     private val clock: Clock,
@@ -23,10 +24,12 @@
 ) {
     private var namedAt = -Duration.INFINITE
     private var isNamedByHealthChecks = false
+    private var hasResponded = false
     private var lastInvalid: String? = null
 
     /** The target [id] has sent a valid response with [headers] to a request that was sent at [sentAt]. */
     fun responded(id: TargetId, headers: Headers, sentAt: Duration) {
+        hasResponded = true
         apply(headers, sentAt, "response")
         if (saysLeaving(headers, names)) onLeaving(id)
     }
@@ -39,10 +42,18 @@
         apply(headers, sentAt, "health check")
     }
 
+    /** An entry knows that the target has named [perSecond]; the target's own responses take precedence. */
+    fun rateTold(perSecond: Double) {
+        if (hasResponded || isNamedByHealthChecks || !perSecond.isFinite()) return
+        val before = gate.ratePerSecond ?: Double.POSITIVE_INFINITY
+        limitRate(minOf(before, maxOf(perSecond, MIN_PROBED_RATE_PER_SECOND)), "entry")
+    }
+
     /** Another target responds at the address, of which nothing is known. */
     fun targetReplaced() {
         namedAt = -Duration.INFINITE
         isNamedByHealthChecks = false
+        hasResponded = false
         limitRate(null, "replaced")
     }
 
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerCodecTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerCodecTest.kt
@@ -12,7 +12,7 @@
 
 internal class PeerCodecTest {
     private val forward =
-        PeerMessage.Forward(7, "id", "POST", "/a", listOf("Host", "h"), 1_000, 500, 600, "r", 1, false, "t")
+        PeerMessage.Forward(7, "id", "POST", "/a", listOf("Host", "h"), 1_000, 500, 600, "r", 1, false, "t", null, 0.7)
 
     private fun encoded(message: PeerMessage, body: ByteArray = NO_BYTES): ByteBuf {
         val channel = EmbeddedChannel(PeerCodec())
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/TargetNoticesTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/TargetNoticesTest.kt
@@ -70,6 +70,34 @@
         }
     }
 
+    /** Guards against a burst of requests from entries that know the rate at a gate that has just started. */
+    @Nested
+    inner class `Rates that entries know` {
+        @Test
+        fun `Given no response yet, when entries tell rates, then the least holds`() {
+            listOf(5.6, 2.5, 12.9, Double.NaN).forEach(notices::rateTold)
+            expectThat(gate.ratePerSecond).isEqualTo(2.5)
+            notices.rateTold(0.0)
+            expectThat(gate.ratePerSecond).isEqualTo(0.5)
+        }
+
+        @Test
+        fun `Given a rate that entries told, when the target responds, then only its responses count`() {
+            notices.rateTold(2.5)
+            responded("5.6")
+            notices.rateTold(2.5)
+            expectThat(gate.ratePerSecond).isEqualTo(5.6)
+        }
+
+        @Test
+        fun `Given a rate that ended unheard, when the first response names none, then nothing is limited`() {
+            notices.rateTold(2.5)
+            responded()
+            notices.rateTold(2.5)
+            expectThat(gate.ratePerSecond).isNull()
+        }
+    }
+
     @Nested
     inner class `Headers that cannot be read` {
         @Test
