Bound the responses of targets in bytes, in time and in memory

Cause: HttpConnection bounded the body of the response that a call waits for and nothing else. Interim responses, bytes after a switch of protocol, chunk extensions and responses to earlier calls were skipped without end; a head, or the body of an earlier call, that arrives byte by byte took the whole deadline and did not count against its target. One body might have 64 MiB in a heap of 96 MiB, and several at once had no bound; the buffer of a long one was kept as long as its connection. A connection that had brought a second copy of an earlier response was used again.

Change: bytes are counted before they are decoded; a call ends after twice the longest body and 256 KiB, after 16 responses that are interim or of other calls, on a switch of protocol, and if a head takes over 1 s from its first byte. Bodies have at most 16 MiB, and 32 MiB together at one target. What ends so counts as a started response, so that the entry marks the target as failed and no request is suspected of a crash. A connection that brought a response to another call is not used again. A request that cannot be encoded no longer leaves its connection waiting.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
@@ -1,6 +1,7 @@
 package kingcuptide.forwarder.connection
 
 import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
@@ -18,6 +19,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -26,13 +28,17 @@
 import kotlinx.coroutines.suspendCancellableCoroutine
 import java.io.ByteArrayOutputStream
 import java.net.InetSocketAddress
+import java.util.concurrent.Future
+import java.util.concurrent.TimeUnit
 import kotlin.coroutines.resume
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * One connection to an HTTP server, for one call at a time. It never resends a call.
  *
- * A response that the `accepts` of [exchange] rejects belongs to an earlier call and is skipped. Bytes that no call
- * waits for end the connection. Used on its event loop.
+ * A response that the `accepts` of [exchange] rejects belongs to an earlier call and is skipped, and the connection is
+ * not used for another call. Bytes that no call waits for end the connection, and so does a response that is too long or
+ * whose head takes too long; other limits of time are those of the caller, who cancels. Used on its event loop.
  */
 class HttpConnection private constructor(
     private val channel: Channel,
@@ -47,17 +53,18 @@
     /** Sends [call] and waits for a response that [accepts]; cancellation closes the connection. */
     suspend fun exchange(call: HttpCall, accepts: (Headers) -> Boolean = { true }): HttpResult {
         if (!isUsable) return HttpResult.NotSent("connection closed")
+        val request = requestOf(call)
         return suspendCancellableCoroutine { continuation ->
             receiver.awaitResponse(continuation, accepts)
             continuation.invokeOnCancellation { close() }
-            channel.writeAndFlush(requestOf(call)).addListener { sent ->
+            channel.writeAndFlush(request).addListener { sent ->
                 if (!sent.isSuccess) receiver.fail("write failed: ${sent.cause()}")
             }
         }
     }
 
     fun close() {
-        receiver.isReusable = false
+        receiver.abandon()
         channel.close()
     }
 
@@ -72,7 +79,7 @@
     }
 
     private class Receiver(
-        private val maxResponseBytes: Int,
+        private val limits: HttpClientLimits,
     ) : ChannelInboundHandlerAdapter() {
         var isReusable = true
         var idleLimitSeconds: Int? = null
@@ -81,13 +88,39 @@
         private var head: HttpResponse? = null
         private var headers: Headers = emptyList()
         private var skipping = false
-        private val body = ByteArrayOutputStream(INITIAL_BODY_BYTES)
+        private var skippedResponses = 0
+        private var hasOtherResponses = false
+        private var receivedBytes = 0L
+        private var headTimer: Future<*>? = null
+        private var body = ByteArrayOutputStream(INITIAL_BODY_BYTES)
+        private val maxReceivedBytes = limits.maxResponseBytes * FRAMING_FACTOR + MAX_HEADS_BYTES
 
         val isWaiting: Boolean get() = waitingCall != null
 
+        /** Counts the bytes of a call before they are decoded, since the decoder skips some and never ends others. */
+        val byteHandler =
+            object : ChannelInboundHandlerAdapter() {
+                override fun channelRead(context: ChannelHandlerContext, message: Any) {
+                    if (message is ByteBuf && !canReceive(context, message.readableBytes())) {
+                        message.release()
+                    } else {
+                        context.fireChannelRead(message)
+                    }
+                }
+            }
+
         fun awaitResponse(continuation: CancellableContinuation<HttpResult>, accepts: (Headers) -> Boolean) {
             waitingCall = continuation
             this.accepts = accepts
+            receivedBytes = 0
+            skippedResponses = 0
+        }
+
+        /** The connection is closed without a result. */
+        fun abandon() {
+            isReusable = false
+            stopHeadTimer()
+            releaseBody()
         }
 
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
@@ -106,43 +139,79 @@
             context.close()
         }
 
-        fun fail(reason: String) {
-            isReusable = false
-            val responseStarted = head != null
+        fun fail(reason: String, responseStarted: Boolean = head != null) {
+            abandon()
             head = null
+            resume(HttpResult.Broken(reason, responseStarted))
+        }
+
+        private fun resume(result: HttpResult) {
             val continuation = waitingCall ?: return
             waitingCall = null
-            if (continuation.isActive) continuation.resume(HttpResult.Broken(reason, responseStarted))
+            if (continuation.isActive) continuation.resume(result)
+        }
+
+        /** Ends the connection for what the server has sent on it. */
+        private fun breakOff(context: ChannelHandlerContext, reason: String) {
+            fail(reason, responseStarted = receivedBytes > 0)
+            context.close()
+        }
+
+        private fun canReceive(context: ChannelHandlerContext, bytes: Int): Boolean {
+            if (!isReusable) return false
+            receivedBytes += bytes
+            if (receivedBytes > maxReceivedBytes) {
+                breakOff(context, "no end of a response after $receivedBytes bytes")
+                return false
+            }
+            if (isWaiting && (head == null || skipping) && headTimer == null) startHeadTimer(context)
+            return true
+        }
+
+        /** A server sends a head at once when it has it, so one that arrives slowly has no end. */
+        private fun startHeadTimer(context: ChannelHandlerContext) {
+            val timeOut = { breakOff(context, "no complete head in $HEAD_TIMEOUT") }
+            headTimer = context.executor().schedule(timeOut, HEAD_TIMEOUT.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        }
+
+        private fun stopHeadTimer() {
+            headTimer?.cancel(false)
+            headTimer = null
         }
 
         private fun receive(context: ChannelHandlerContext, message: HttpObject) {
             if (!isReusable) return
             if (message.decoderResult().isFailure || waitingCall == null) {
-                fail(if (waitingCall == null) "unexpected bytes" else "malformed response")
-                context.close()
-                return
+                return breakOff(context, if (waitingCall == null) "unexpected bytes" else "malformed response")
             }
-            if (message is HttpResponse) begin(message)
+            if (message is HttpResponse) begin(context, message)
             if (message is HttpContent) append(context, message)
             if (message is LastHttpContent) end(context)
         }
 
-        private fun begin(response: HttpResponse) {
+        private fun begin(context: ChannelHandlerContext, response: HttpResponse) {
             head = response
             headers = response.headers().map { it.key to it.value }
-            body.reset()
-            skipping = response.status().code() < FIRST_FINAL_STATUS || !accepts(headers)
+            val isInterim = response.status().code() < FIRST_FINAL_STATUS
+            val isOther = !isInterim && !accepts(headers)
+            skipping = isInterim || isOther
+            hasOtherResponses = hasOtherResponses || isOther
+            when {
+                response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS ->
+                    breakOff(context, "switches to another protocol")
+                skipping && ++skippedResponses > MAX_SKIPPED_RESPONSES ->
+                    breakOff(context, "no response after $skippedResponses that are interim or of other calls")
+                !skipping -> stopHeadTimer()
+            }
         }
 
         private fun append(context: ChannelHandlerContext, content: HttpContent) {
             val bytes = content.content()
-            if (skipping || !bytes.isReadable) return
-            if (body.size() + bytes.readableBytes() > maxResponseBytes) {
-                fail("response too large")
-                context.close()
-                return
-            }
-            bytes.readBytes(body, bytes.readableBytes())
+            if (head == null || skipping || !bytes.isReadable) return
+            val length = bytes.readableBytes()
+            if (body.size() + length > limits.maxResponseBytes) return breakOff(context, "response too large")
+            if (!limits.buffers.tryReserve(length)) return breakOff(context, "too many bytes of responses are buffered")
+            bytes.readBytes(body, length)
         }
 
         private fun end(context: ChannelHandlerContext) {
@@ -150,15 +219,23 @@
             head = null
             if (!HttpUtil.isKeepAlive(response)) isReusable = false
             if (skipping) {
-                if (!isReusable) fail("connection closed after a response to another call")
+                stopHeadTimer()
+                if (!isReusable) breakOff(context, "connection closed after a response to another call")
                 return
             }
+            if (hasOtherResponses) isReusable = false
             recordIdleLimit(response)
-            val continuation = waitingCall ?: return
-            waitingCall = null
-            if (!isReusable) context.close()
             val buffered = BufferedResponse(response.status().code(), headers, body.toByteArray())
-            if (continuation.isActive) continuation.resume(HttpResult.Answered(buffered))
+            releaseBody()
+            val closes = !isReusable
+            resume(HttpResult.Answered(buffered))
+            if (closes) context.close()
+        }
+
+        /** A new buffer each time, since one that has grown would be kept as long as its connection. */
+        private fun releaseBody() {
+            limits.buffers.release(body.size())
+            body = ByteArrayOutputStream(INITIAL_BODY_BYTES)
         }
 
         private fun recordIdleLimit(response: HttpResponse) {
@@ -176,6 +253,18 @@
         private const val MAX_LINE_BYTES = 8_192
         private const val MAX_HEAD_BYTES = 65_536
 
+        /** Bytes on the wire for each byte of the longest body: small chunks need as much again for their framing. */
+        private const val FRAMING_FACTOR = 2L
+
+        /** Bytes on the wire for heads: those of interim responses, of the response and of its trailers. */
+        private const val MAX_HEADS_BYTES = 4L * MAX_HEAD_BYTES
+
+        /** Interim responses, and responses to earlier calls, before the response to a call. */
+        private const val MAX_SKIPPED_RESPONSES = 16
+
+        /** Time from the first byte of a head to its last, and to the end of a response to an earlier call. */
+        private val HEAD_TIMEOUT = 1.seconds
+
         /** Opens a connection to [address]. Returns null on failure, after passing the reason to [onFailure]. */
         suspend fun open(
             loop: EventLoop,
@@ -183,7 +272,7 @@
             limits: HttpClientLimits,
             onFailure: (String) -> Unit = {},
         ): HttpConnection? {
-            val receiver = Receiver(limits.maxResponseBytes)
+            val receiver = Receiver(limits)
             val connecting = bootstrap(loop, limits, receiver).connect(address)
             return suspendCancellableCoroutine { continuation ->
                 continuation.invokeOnCancellation { connecting.channel().close() }
@@ -209,6 +298,7 @@
                     object : ChannelInitializer<Channel>() {
                         override fun initChannel(channel: Channel) {
                             channel.pipeline().addLast(
+                                receiver.byteHandler,
                                 HttpClientCodec(decoderLimits(), false, false),
                                 receiver,
                             )
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
@@ -69,10 +69,32 @@
     ) : HttpResult
 }
 
-/** Limits of a connection to an HTTP server. */
+/**
+ * Limits of a connection to an HTTP server.
+ *
+ * @property maxResponseBytes greatest length of the body of a response
+ * @property buffers limit of the bodies that several connections buffer together
+ */
 data class HttpClientLimits(
     val connectTimeout: Duration,
     val maxResponseBytes: Int,
+    val buffers: BufferLimit = BufferLimit(Long.MAX_VALUE),
 )
 
+/** Counts the bytes that several connections buffer, of which there may be [maxBytes]. Used on one event loop. */
+class BufferLimit(private val maxBytes: Long) {
+    private var usedBytes = 0L
+
+    /** Reserves [bytes] and returns true, or returns false if they are too many. */
+    fun tryReserve(bytes: Int): Boolean {
+        if (bytes > maxBytes - usedBytes) return false
+        usedBytes += bytes
+        return true
+    }
+
+    fun release(bytes: Int) {
+        usedBytes -= bytes
+    }
+}
+
 internal val NO_BYTES = ByteArray(0)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.request.IdleLimit
+import kingcuptide.forwarder.connection.BufferLimit
 import kingcuptide.forwarder.connection.Headers
 import kingcuptide.forwarder.connection.HttpCall
 import kingcuptide.forwarder.connection.HttpClientLimits
@@ -33,6 +34,7 @@
     private val clock: Clock,
     private val address: InetSocketAddress,
 ) : TargetCalls {
+    private val limits = HttpClientLimits(CONNECT_TIMEOUT, MAX_RESPONSE_BYTES, BufferLimit(MAX_BUFFERED_BYTES))
     private val pool = ArrayDeque<PooledConnection>()
     private val idleLimit = IdleLimit(clock)
 
@@ -51,7 +53,7 @@
     private suspend fun callOnNewConnection(call: HttpCall, accepts: (Headers) -> Boolean): HttpResult {
         var failure = "connect failed"
         val connection =
-            HttpConnection.open(loop, address, CLIENT_LIMITS) { failure = it } ?: return HttpResult.NotSent(failure)
+            HttpConnection.open(loop, address, limits) { failure = it } ?: return HttpResult.NotSent(failure)
         return exchange(connection, call, accepts)
     }
 
@@ -93,7 +95,11 @@
         /** Idle limit of targets that advertise none. */
         val DEFAULT_IDLE_LIMIT = 5.seconds
 
-        /** The target is on this host, so connecting is fast; responses are buffered whole in memory. */
-        val CLIENT_LIMITS = HttpClientLimits(connectTimeout = 500.milliseconds, maxResponseBytes = 64 * 1024 * 1024)
+        /** The target is on this host, so connecting is fast. */
+        val CONNECT_TIMEOUT = 500.milliseconds
+
+        /** Responses are buffered whole, so longer ones, or several long ones at once, would fill the heap of 96 MiB. */
+        const val MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+        const val MAX_BUFFERED_BYTES = 32L * 1024 * 1024
     }
 }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/HttpConnectionTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/HttpConnectionTest.kt
@@ -57,9 +57,12 @@
         }
     }
 
-    private fun withConnection(block: suspend CoroutineScope.(HttpConnection) -> Unit) = runBlocking {
+    private fun withConnection(
+        limits: HttpClientLimits = HttpClientLimits(1.seconds, 1_000),
+        block: suspend CoroutineScope.(HttpConnection) -> Unit,
+    ) = runBlocking {
         withContext(loop.asCoroutineDispatcher()) {
-            val connection = HttpConnection.open(loop, address, HttpClientLimits(1.seconds, 1_000)) { error(it) }
+            val connection = HttpConnection.open(loop, address, limits) { error(it) }
             block(checkNotNull(connection))
         }
     }
@@ -139,14 +142,53 @@
                 "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\na",
                 "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\na" +
                     "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 1\r\n\r\nb",
+                NOT_SENT,
             )
             withConnection {
                 expectThat(it.get("1").body()).isEqualTo("a")
                 expectThat(it.get("2").body()).isEqualTo("b")
+                expectThat(it.isUsable).describedAs("used again after bytes of another call").isFalse()
+            }
+        }
+
+        @Test
+        fun `Given half a duplicate while no call waits, when the next call is sent, then it gets its own response`() {
+            script(
+                "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nId:",
+                " 1\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 1\r\n\r\nb",
+                NOT_SENT,
+            )
+            withConnection {
+                expectThat(it.get("1").body()).isEqualTo("a")
+                expectThat(it.get("2").body()).isEqualTo("b")
+                expectThat(it.isUsable).isFalse()
             }
         }
     }
 
+    /** Guards against several long responses at once, which would fill the memory of the process together. */
+    @Nested
+    inner class `Responses that share a limit` {
+        @Test
+        fun `Given a limit of all connections, when responses exceed it one by one, then each has all of it`() {
+            script(*Array(3) { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello" })
+            withConnection(HttpClientLimits(1.seconds, 1_000, BufferLimit(5))) { connection ->
+                repeat(3) { expectThat(connection.get().body()).isEqualTo("hello") }
+            }
+        }
+
+        @Test
+        fun `Given a limit of all connections, when one uses most of it, then another's response breaks off`() {
+            val limit = BufferLimit(5)
+            expectThat(limit.tryReserve(4)).isTrue()
+            script("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab")
+            withConnection(HttpClientLimits(1.seconds, 1_000, limit)) {
+                expectThat(it.get()).isA<HttpResult.Broken>()
+            }
+            expectThat(limit.tryReserve(1)).describedAs("released by the broken response").isTrue()
+        }
+    }
+
     @Nested
     inner class `Incomplete responses` {
         private fun expectBroken(response: String, resets: Boolean = false) {
@@ -186,6 +228,9 @@
 
     private companion object {
         const val TIMES = 200
+
+        /** A further response in a script, for which its server keeps the connection open. */
+        const val NOT_SENT = ""
         const val END_OF_HEAD = "\r\n\r\n"
     }
 }
