Give each share group a floor at a full gate

Cause: TargetGate applies strict priority, so a full target starves the lowest priority for as long as the overload lasts. A queued request of a group under 0.4 of the ratio over all starts first, and the wait that is estimated at arrival takes this into account on both sides. The fraction of a request that a group with few requests is owed is let pass by a low-discrepancy sequence. GateSimulation can send clumps and reports counts.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
@@ -15,6 +15,7 @@
  * @property deadline when its caller gives up, on this daemon's clock
  * @property objectiveAt when its response loses most of its value, on this daemon's clock
  * @property objective latency objective of its route
+ * @property shareGroup workspace or route whose share of a full target it counts towards
  */
 public class GateRequest(
     public val route: RouteId,
@@ -24,7 +25,9 @@
     public val objective: Duration,
     internal val onStart: () -> Unit,
     internal val onRefused: (GateRefusal) -> Unit,
+    public val shareGroup: String = route.value,
 ) {
+    internal var floorRounding: Double = 0.0
     internal var startedAt: Duration = Duration.ZERO
     internal var arrivedAt: Duration = Duration.ZERO
 }
@@ -74,8 +77,10 @@
  *
  * At most [slots] requests run at once. Others are queued by priority while they can still meet their objective. At
  * equal priority the request that is due first starts first, but those that can no longer meet their objective start
- * after those that can; otherwise all of them would be slightly late during an overload. A cold target gets at most
- * [coldRequestsPerSecond] in any second, and one that has named a rate gets no more than that. Not thread-safe.
+ * after those that can; otherwise all of them would be slightly late during an overload. Requests of a share group that
+ * is below its floor start before all others, in the same order among themselves; otherwise a full gate would starve
+ * the lowest priority. A cold target gets at most [coldRequestsPerSecond] in any second, and one that has named a rate
+ * gets no more than that. Not thread-safe.
  */
 public class TargetGate(
     private val clock: Clock,
@@ -85,6 +90,7 @@
     private val recentStarts = SlidingWindowCounter(COLD_RATE_WINDOW, MAX_COUNTED_STARTS)
     private val namedRate = NamedRate()
     private val averages = RouteAverages()
+    private val shares = ShareFloors()
     private var reportedColdUntil = Duration.INFINITE
     private var presumedColdUntil = Duration.ZERO
     private var isServing = false
@@ -137,7 +143,7 @@
     public fun offer(request: GateRequest) {
         val now = clock.now()
         request.arrivedAt = now
-        val refusal = refusalOf(request, now)
+        val refusal = futileRefusalOf(request, now) ?: capacityRefusalOf(request, now)
         if (refusal != null) return request.onRefused(refusal)
         val at = waiting.indexOfFirst { isBefore(request, it) }
         if (at < 0) waiting.add(request) else waiting.add(at, request)
@@ -181,26 +187,56 @@
         return GateLoadReport(running.size, onTime, limitNow(), wait, isCold(now), ratePerSecond, leavingTarget)
     }
 
-    private fun refusalOf(request: GateRequest, now: Duration): GateRefusal? {
+    /** Returns the recent requests of [group] at this gate, apart from those that came too late to be served. */
+    public fun shareCountsOf(group: String): ShareCounts = shares.countsOf(group, clock.now())
+
+    /** Returns a refusal if [request] could not be served even by an idle target. */
+    private fun futileRefusalOf(request: GateRequest, now: Duration): GateRefusal? {
         val code = codeIfClosed()
         if (code != null) return GateRefusal(code, CLOSED_RETRY_AFTER)
         val runTime = averages.expectedRunTime(request.route, request.objective)
         if (now + runTime * MIN_RUN_TIME_SHARE > request.deadline) {
             return GateRefusal(ResultCode.DEADLINE_PASSED, Duration.ZERO)
         }
+        return null
+    }
+
+    private fun capacityRefusalOf(request: GateRequest, now: Duration): GateRefusal? {
+        request.floorRounding = shares.recordRequest(request.shareGroup, now)
         val queueWait = expectedWait(countAhead(request, now), now)
         if (queueWait == Duration.ZERO) return null
+        val runTime = averages.expectedRunTime(request.route, request.objective)
         val queueTimeout = queueTimeoutOf(request, runTime, now)
         if (queueWait <= queueTimeout) return null
         return GateRefusal(capacityCode(now), minOf(queueWait + MIN_RETRY_AFTER, MAX_RETRY_AFTER))
     }
 
-    /** Counts the queued requests that start before [request]; late ones don't start before one that is on time. */
+    /** Counts the queued requests that start before [request]. */
     private fun countAhead(request: GateRequest, now: Duration): Int {
         val isOnTime = canMeetObjective(request, now)
-        return waiting.count {
-            it.priority < request.priority ||
-                (!isBefore(request, it) && (!isOnTime || canMeetObjective(it, now)))
+        val preferred = belowFloor(now)
+        val preferredOfGroup = preferred.count { it.shareGroup == request.shareGroup }
+        if (shares.isBelowFloor(request.shareGroup, preferredOfGroup, request.floorRounding, now)) {
+            return preferred.count { startsBefore(it, request, isOnTime, now) }
+        }
+        val ahead = waiting.count { it in preferred || startsBefore(it, request, isOnTime, now) }
+        return (ahead / (1 - shares.preferredShare(now))).toInt()
+    }
+
+    /** Returns whether [queued] starts before [request]; a late one does not start before one that is on time. */
+    private fun startsBefore(queued: GateRequest, request: GateRequest, isOnTime: Boolean, now: Duration): Boolean =
+        queued.priority < request.priority ||
+            (!isBefore(request, queued) && (!isOnTime || canMeetObjective(queued, now)))
+
+    /** Returns the queued requests that bring their groups up to their floors. */
+    private fun belowFloor(now: Duration): Set<GateRequest> {
+        if (waiting.isEmpty()) return emptySet()
+        val queuedBefore = HashMap<String, Int>()
+        return waiting.filterTo(HashSet()) {
+            val before = queuedBefore[it.shareGroup] ?: 0
+            val isBelow = shares.isBelowFloor(it.shareGroup, before, it.floorRounding, now)
+            if (isBelow) queuedBefore[it.shareGroup] = before + 1
+            isBelow
         }
     }
 
@@ -251,9 +287,17 @@
     }
 
     private fun pollNext(now: Duration): GateRequest {
-        val priority = waiting.first().priority
-        val onTime = waiting.indexOfFirst { it.priority == priority && canMeetObjective(it, now) }
-        return waiting.removeAt(maxOf(0, onTime))
+        val preferred = waiting.filter { shares.isBelowFloor(it.shareGroup, 0, it.floorRounding, now) }
+        val usual = firstOf(waiting, now)
+        val request = if (preferred.isEmpty()) usual else firstOf(preferred, now)
+        waiting.remove(request)
+        shares.recordStart(request.shareGroup, isPreferred = request !== usual, now)
+        return request
+    }
+
+    private fun firstOf(requests: List<GateRequest>, now: Duration): GateRequest {
+        val priority = requests.first().priority
+        return requests.firstOrNull { it.priority == priority && canMeetObjective(it, now) } ?: requests.first()
     }
 
     private fun canMeetObjective(request: GateRequest, now: Duration): Boolean =
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/GateSimulation.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/GateSimulation.kt
@@ -15,6 +15,7 @@
  *
  * @property load average share of the target's slots that its first attempts would occupy
  * @property retries how often a caller retries after a refusal, at the time stated by the gate
+ * @property clump number of first attempts that arrive at the same moment
  */
 internal data class RequestKind(
     val name: String,
@@ -24,13 +25,21 @@
     val deadline: Duration,
     val priority: Int = 1,
     val retries: Int = 1,
+    val clump: Int = 1,
 )
 
-/** Results of one kind: shares of its requests that got a response, and the longest wait for a decision of the gate. */
+/**
+ * Results of one kind: shares of its first attempts that got a response, and the longest wait for a gate's decision.
+ *
+ * @property attempted number of first attempts
+ * @property requested number of attempts, retries included
+ */
 internal data class KindResult(
     val onTime: Double,
     val late: Double,
     val longestWait: Duration,
+    val attempted: Int,
+    val requested: Int,
 ) {
     val served: Double get() = onTime + late
 }
@@ -95,11 +104,13 @@
         val meanInterval = kind.meanRunTime / (kind.load * SLOTS)
         var next = clock.now()
         while (next < end) {
-            next += meanInterval * -ln(1 - random.nextDouble())
+            next += meanInterval * kind.clump * -ln(1 - random.nextDouble())
             val firstSentAt = next
-            schedule(firstSentAt) {
-                if (isMeasured(firstSentAt)) counts.getValue(kind.name).attempted++
-                attempt(kind, firstSentAt, kind.retries, patience())
+            repeat(kind.clump) {
+                schedule(firstSentAt) {
+                    if (isMeasured(firstSentAt)) counts.getValue(kind.name).attempted++
+                    attempt(kind, firstSentAt, kind.retries, patience())
+                }
             }
         }
     }
@@ -127,6 +138,7 @@
         val deadline = firstSentAt + kind.deadline * patience
         val offeredAt = clock.now()
         val count = counts.getValue(kind.name)
+        if (isMeasured(firstSentAt)) count.requested++
         lateinit var request: GateRequest
         request = GateRequest(
             RouteId(kind.name),
@@ -174,6 +186,7 @@
 
     private class Counts {
         var attempted = 0
+        var requested = 0
         var onTime = 0
         var late = 0
         private var longestWait = Duration.ZERO
@@ -182,7 +195,10 @@
             longestWait = maxOf(longestWait, time)
         }
 
-        fun result() = KindResult(onTime.toDouble() / attempted, late.toDouble() / attempted, longestWait)
+        fun result(): KindResult {
+            val divisor = attempted.toDouble()
+            return KindResult(onTime / divisor, late / divisor, longestWait, attempted, requested)
+        }
     }
 
     private class Event(val at: Duration, val number: Long, val action: () -> Unit) : Comparable<Event> {
