Tell the gate the share group of a request, and log its counts on a refusal

Cause: the gate shares a full target by group, which it does not know, and a refusal did not show the group's share. Change: GateService names the workspace of a forwarded request, else its route, as the group. The line gate_refused has group, group_served and group_requested.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -93,6 +93,7 @@
                 objective = call.objective,
                 onStart = ::start,
                 onRefused = ::refusedByGate,
+                shareGroup = call.workspace ?: call.route.value,
             )
 
         val idempotent: Boolean get() = call.idempotent
@@ -120,6 +121,7 @@
 
         private fun refusedByGate(refusal: GateRefusal) {
             val loadReport = gate.loadReport()
+            val shareCounts = gate.shareCountsOf(request.shareGroup)
             metrics.refused(Side.GATE, refusal.code)
             log.info(
                 "gate_refused",
@@ -132,6 +134,9 @@
                 "limit" to loadReport.limit,
                 "cold" to loadReport.cold,
                 "retry_after_ms" to refusal.retryAfter.inWholeMilliseconds,
+                "group" to request.shareGroup,
+                "group_served" to shareCounts.served,
+                "group_requested" to shareCounts.requested,
             )
             complete(ForwardResult.Refused(refusal.code, refusal.retryAfter, reachedTarget = false, loadReport))
         }
