--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
@@ -118,6 +118,9 @@
         get() = namedRate.perSecond
         set(value) = namedRate.set(value, clock.now())
 
+    /** Share of recent starts that went before others because their share groups were below their floors. */
+    public val floorStartShare: Double get() = shares.preferredShare(clock.now())
+
     /** Whether the target is known or presumed to be cold. */
     public fun isCold(): Boolean = isCold(clock.now())
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -138,6 +138,7 @@
         metrics.registerGauge("kingcuptide_entry_requests_in_flight") { callers.inFlight }
         metrics.registerGauge("kingcuptide_gate_requests_in_flight") { gate.inFlight }
         metrics.registerGauge("kingcuptide_gate_requests_waiting") { gate.queued }
+        metrics.registerGauge("kingcuptide_gate_floor_start_share") { gate.floorStartShare }
         metrics.registerGauge("kingcuptide_target_rate_per_second") { gate.ratePerSecond ?: -1 }
         metrics.registerGauge("kingcuptide_configuration_version") { published.routing?.number ?: 0L }
         metrics.registerGauge("kingcuptide_knowledge_age_ms") { stateAgeMs() }
