Read workspaces and their API keys, and confine each fault to its entry

Cause: the document gets tenants, anonymous routes and the kind download; one bad value made the whole document unusable. Change: entries are decoded one by one; one that can't be read is left out with one log line that names it, and an unknown kind runs at most once. A rule that is left out still hides shorter prefixes from its requests, which may allow other regions or repeated runs. Workspaces are looked up in an open-addressed table with a comparison of all bits; AccessDecision decides by key, route and age of knowledge. A key gets 503 (220) until the source or a peer has confirmed the configuration, since a first read may be some seconds old. The test that one invalid value makes the document unusable is replaced by ConfigurationReaderTest, which checks each field with the values missing, wrong type, unknown word and out of range, and that all other entries stay in force.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
@@ -53,6 +53,7 @@
     VERSION_BEHIND(217, 503, Outcome.NOT_RUN, retryable = true),
     TARGET_RATE_SPENT(218, 503, Outcome.NOT_RUN, retryable = true),
     QUOTA_SPENT(219, 429, Outcome.NOT_RUN),
+    KEYS_UNCONFIRMED(220, 503, Outcome.NOT_RUN),
 
     // 3xx: the request may have run
     ANSWER_LOST(300, 502, Outcome.UNKNOWN),
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/RoutingVersion.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/RoutingVersion.kt
@@ -5,26 +5,40 @@
 import kingcuptide.coordination.process.ServiceId
 import kotlin.time.Duration
 
-/** One accepted version of all routes and services, in the form that forwarding uses. Immutable. */
+/**
+ * One accepted version of all routes and services, in the form that forwarding uses. Immutable.
+ *
+ * @property faults entries of the configuration that were left out, or read with a default value
+ * @param unusable prefixes of routes that were left out; their requests match no route, since a route with a shorter prefix
+ * may allow other regions or more than one run
+ */
 public class RoutingVersion(
     public val number: Long,
     routes: List<ForwardRoute>,
     public val services: Map<ServiceId, ServiceTraits>,
     public val callerLimits: CallerLimits,
     public val workspaces: Workspaces = Workspaces.NONE,
+    public val faults: List<ConfigurationFault> = emptyList(),
+    unusable: Set<RoutePrefix> = emptySet(),
 ) {
     private val routesByHost: Map<String, Map<String, ForwardRoute>> =
         routes.groupBy { it.host }.mapValues { (_, ofHost) -> ofHost.associateBy { it.pathPrefix } }
 
+    private val unusableByHost: Map<String, Set<String>> =
+        unusable.groupBy { it.host }.mapValues { (_, ofHost) -> ofHost.mapTo(HashSet()) { it.pathPrefix } }
+
     /** Number of routes. */
     public val routeCount: Int = routes.size
 
     /** Returns the route of [host] with the longest prefix of [path], which has no query; or null. */
     public fun match(host: String, path: String): ForwardRoute? {
         val byPrefix = routesByHost[host] ?: return null
+        val unusable = unusableByHost[host].orEmpty()
         var slash = path.lastIndexOf('/')
         while (slash >= 0) {
-            byPrefix[path.substring(0, slash + 1)]?.let { return it }
+            val prefix = path.substring(0, slash + 1)
+            byPrefix[prefix]?.let { return it }
+            if (prefix in unusable) return null
             slash = if (slash == 0) -1 else path.lastIndexOf('/', slash - 1)
         }
         return null
@@ -57,6 +71,18 @@
     val allowsAnonymous: Boolean = false,
 )
 
+/** The requests for [host] under [pathPrefix]. */
+public data class RoutePrefix(
+    val host: String,
+    val pathPrefix: String,
+)
+
+/** A fault in one [entry] of a configuration, which affects no other entry. */
+public data class ConfigurationFault(
+    val entry: String,
+    val reason: String,
+)
+
 /** A service that gets a share of a route's requests in proportion to [weight]. */
 public data class WeightedService(
     val service: ServiceId,
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
@@ -39,7 +39,12 @@
     fun addresses(): List<Any> = listOf(ip, targetAddress, callerAddress, readinessAddress, peerPort, sourceAddress)
 }
 
-/** Names of the headers that daemons, callers and targets exchange. */
+/**
+ * Names of the headers that daemons, callers and targets exchange.
+ *
+ * @property authorization holds the API key of a request; no target gets it
+ * @property workspace names the workspace of a request to its target
+ */
 data class HeaderNames(
     val requestId: String,
     val remainingMs: String,
@@ -51,4 +56,6 @@
     val coldMs: String,
     val rateLimit: String,
     val leaving: String,
+    val authorization: String = "Authorization",
+    val workspace: String = "Workspace",
 )
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/PublishedStateLog.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/PublishedStateLog.kt
@@ -9,8 +9,24 @@
 internal class PublishedStateLog : PublishedState.Observer {
     private val log = eventLog("belief")
 
-    override fun versionInForce(version: RoutingVersion, before: Long?) =
-        log.info("version_in_force", "version" to version.number, "before" to before, "routes" to version.routeCount)
+    override fun versionInForce(version: RoutingVersion, before: Long?) {
+        log.info(
+            "version_in_force",
+            "version" to version.number,
+            "before" to before,
+            "routes" to version.routeCount,
+            "workspaces" to version.workspaces.all.size,
+            "keys" to version.workspaces.keyCount,
+        )
+        for (fault in version.faults) {
+            log.warn(
+                "configuration_fault",
+                "version" to version.number,
+                "entry" to fault.entry,
+                "reason" to fault.reason,
+            )
+        }
+    }
 
     override fun versionRefused(number: Long, held: Long) =
         log.warn("version_refused", "version" to number, "held" to held, "reason" to "older")
