Refuse requests without a valid API key at the entry

Cause: with workspaces in the document a request needs a key, and its target must get the workspace and never the key. Change: EntryAccess matches the route and asks AccessDecision; a caller that waits for 100 gets the refusal before its body, others when their body, which is discarded, has ended. Authorization and the caller's own workspace header are removed, the workspace header is set, its priority replaces that of the route, and home regions of both apply in each attempt; without a region in common the request gets 503 at once. The gate sends a request only to its own target, so it needs no check. The line of a refusal by key names code, version, route, workspace and age of knowledge. strictRevocation and revoke are optional settings; gauges count keys, workspaces and faults.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
@@ -33,11 +33,16 @@
     private val clock: Clock,
     private val limits: CallerLimits,
     private val serve: suspend (CallerRequest) -> BufferedResponse,
+    private val refuseByHead: (CallerRequest) -> BufferedResponse? = { null },
     private val onClosed: (CallerConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private var context: ChannelHandlerContext? = null
     private var head: HttpRequest? = null
     private val body = ByteArrayOutputStream(INITIAL_BODY_BYTES)
+    private var bodyBytes = 0L
+
+    /** Response to the current request, whose body is discarded; null if it is to be served. */
+    private var refusal: BufferedResponse? = null
     private val pipelined = ArrayDeque<HttpObject>()
     private var job: Job? = null
     private var isClosing = false
@@ -131,16 +136,32 @@
     private fun beginRequest(request: HttpRequest) {
         headStartedAt = null
         body.reset()
+        bodyBytes = 0
+        refusal = null
         if (!isWellFormed(request)) return refuse(ResultCode.MALFORMED_REQUEST.httpStatus, "malformed request head")
         if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes) {
             return refuse(ResultCode.BODY_TOO_LARGE.httpStatus, "request body too large")
         }
+        val refused = refuseByHead(callerRequest(request, NO_BYTES))
+        val expectsContinue = HttpUtil.is100ContinueExpected(request)
+        // Whether the caller will send the body is not known then, so the connection can't be used any more.
+        if (refused != null && expectsContinue) return respond(refused, keepAlive = false)
+        refusal = refused
         head = request
-        if (HttpUtil.is100ContinueExpected(request)) {
+        if (expectsContinue) {
             context?.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
     }
 
+    private fun callerRequest(request: HttpRequest, body: ByteArray) =
+        CallerRequest(
+            request.method().name(),
+            request.uri(),
+            request.headers().map { it.key to it.value },
+            body,
+            clock.now(),
+        )
+
     private fun isWellFormed(request: HttpRequest): Boolean =
         request.uri().startsWith("/") &&
             request.headers().getAll(HttpHeaderNames.HOST).size == 1 &&
@@ -148,24 +169,22 @@
 
     private fun append(content: HttpContent) {
         val bytes = content.content()
-        if (body.size() + bytes.readableBytes() > limits.maxBodyBytes) {
+        bodyBytes += bytes.readableBytes()
+        if (bodyBytes > limits.maxBodyBytes) {
             return refuse(ResultCode.BODY_TOO_LARGE.httpStatus, "request body too large")
         }
-        bytes.readBytes(body, bytes.readableBytes())
+        if (refusal == null) bytes.readBytes(body, bytes.readableBytes())
     }
 
     private fun start() {
         val request = head ?: return
         head = null
         val keepAlive = HttpUtil.isKeepAlive(request)
-        val callerRequest =
-            CallerRequest(
-                request.method().name(),
-                request.uri(),
-                request.headers().map { it.key to it.value },
-                body.toByteArray(),
-                clock.now(),
-            )
+        refusal?.let {
+            lastByteAt = clock.now()
+            return respond(it, keepAlive)
+        }
+        val callerRequest = callerRequest(request, body.toByteArray())
         val serving = scope.launch { respond(serveOrFail(callerRequest), keepAlive) }
         if (serving.isActive) job = serving
         if (!serving.isActive) finishServing()
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
@@ -13,13 +13,18 @@
 import kotlinx.coroutines.CoroutineScope
 import java.net.InetSocketAddress
 
-/** Accepts requests from callers and from the target on this host. Used on the event loop. */
+/**
+ * Accepts requests from callers and from the target on this host. Used on the event loop.
+ *
+ * @param refuseByHead returns the refusal of a request of which only the head has arrived, or null
+ */
 class CallerServer(
     private val loop: EventLoop,
     private val scope: CoroutineScope,
     private val clock: Clock,
     private val address: InetSocketAddress,
     private val limits: () -> CallerLimits,
+    private val refuseByHead: (CallerRequest) -> BufferedResponse? = { null },
     private val serve: suspend (CallerRequest) -> BufferedResponse,
 ) {
     private val connections = LinkedHashSet<CallerConnection>()
@@ -74,6 +79,7 @@
                 clock,
                 limits(),
                 serve,
+                refuseByHead,
                 onClosed = { connections -= it },
             )
         connection.closesAfterResponse = closing
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -66,6 +66,9 @@
     random: Random,
 ) {
     private var settings = firstSettings
+
+    /** When another host was last heard of; the start of this daemon counts as contact. */
+    private var lastPeerMessageAt = clock.now()
     private val scope = CoroutineScope(SupervisorJob() + LoopDispatcher(loop) + faultHandler)
     private val published = PublishedState(clock, platform.decoder, PublishedStateLog())
     private val readerRole = ReaderRole(settings.host.value)
@@ -114,7 +117,18 @@
     private val picker = TargetPicker(clock, location, random)
     private val allowance = RetryAllowance(clock, { settings.retries }) { published.targets.size }
     private val entryDependencies =
-        EntryDependencies({ settings.service }, location, published, picker, allowance, suspects, running, leaving)
+        EntryDependencies(
+            { settings.service },
+            location,
+            published,
+            picker,
+            allowance,
+            suspects,
+            running,
+            leaving,
+            { settings.revocation },
+            { clock.now() - lastPeerMessageAt },
+        )
     private val entry =
         EntryService(
             clock,
@@ -125,7 +139,7 @@
             counts,
         )
     private val callers =
-        CallerServer(loop, scope, clock, settings.callerAddress, ::callerLimits, ::serveCaller)
+        CallerServer(loop, scope, clock, settings.callerAddress, ::callerLimits, ::refuseByKey, ::serveCaller)
     private val readiness =
         CallerServer(loop, scope, clock, settings.readinessAddress, { DEFAULT_CALLER_LIMITS }) {
             readinessEndpoint.respond(it.path)
@@ -141,6 +155,9 @@
         metrics.registerGauge("kingcuptide_target_rate_per_second") { gate.ratePerSecond ?: -1 }
         metrics.registerGauge("kingcuptide_configuration_version") { published.routing?.number ?: 0L }
         metrics.registerGauge("kingcuptide_knowledge_age_ms") { stateAgeMs() }
+        metrics.registerGauge("kingcuptide_configuration_faults") { published.routing?.faults?.size ?: 0 }
+        metrics.registerGauge("kingcuptide_workspaces") { published.routing?.workspaces?.all?.size ?: 0 }
+        metrics.registerGauge("kingcuptide_api_keys") { published.routing?.workspaces?.keyCount ?: 0 }
         metrics.registerGauge("kingcuptide_source_era") { stateSync.era }
         metrics.registerGauge("kingcuptide_source_restores") { stateSync.restores }
         metrics.registerGauge("kingcuptide_source_calls_made") { follower.calls }
@@ -303,6 +320,9 @@
         return if (stop.isTooLate(request.receivedAt)) entry.refuseAtStop(request) else entry.serve(request)
     }
 
+    private fun refuseByKey(request: CallerRequest): BufferedResponse? =
+        if (stop.isTooLate(request.receivedAt)) null else entry.refuseByKey(request)
+
     private fun callerLimits(): CallerLimits = published.routing?.callerLimits ?: DEFAULT_CALLER_LIMITS
 
     private fun isSameRegion(session: PeerSession): Boolean = regionOf(session) == settings.region
@@ -334,6 +354,7 @@
         }
 
         override fun received(session: PeerSession, frame: PeerFrame) {
+            if (session.peer?.host.let { it != null && it != settings.host.value }) lastPeerMessageAt = clock.now()
             when (val message = frame.message) {
                 is PeerMessage.Ping -> pinged(session, message)
                 is PeerMessage.SectionSnapshot -> stateSync.received(session, message)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
@@ -5,6 +5,7 @@
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.RetryAllowanceSettings
+import kingcuptide.coordination.request.RevocationSettings
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 
@@ -34,6 +35,7 @@
     val coldRateFactor: Double,
     val coldSlack: Double,
     val retries: RetryAllowanceSettings,
+    val revocation: RevocationSettings = RevocationSettings(),
 ) {
     /** Returns the settings that can't change while the process runs. */
     fun addresses(): List<Any> = listOf(ip, targetAddress, callerAddress, readinessAddress, peerPort, sourceAddress)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/SettingsFile.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/SettingsFile.kt
@@ -9,6 +9,7 @@
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.RetryAllowanceSettings
+import kingcuptide.coordination.request.RevocationSettings
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -49,6 +50,8 @@
     val retryRatio: Double,
     val extraRetries: Double,
     val retryWindow: String,
+    val strictRevocation: Boolean = false,
+    val revoke: String? = null,
 ) {
     fun toSettings(): ForwarderSettings {
         require(peerPort in PORTS) { "peerPort: $peerPort is not a port from 1 to 65535" }
@@ -76,9 +79,15 @@
             coldRateFactor = coldRateFactor,
             coldSlack = coldSlack,
             retries = RetryAllowanceSettings(retryRatio, wholeRetries(), durationOf("retryWindow", retryWindow)),
+            revocation = revocation(),
         )
     }
 
+    private fun revocation(): RevocationSettings {
+        val settings = RevocationSettings(isStrict = strictRevocation)
+        return if (revoke == null) settings else settings.copy(maxPeerSilence = durationOf("revoke", revoke))
+    }
+
     /** Rounds down, since a fraction of a retry can't be sent within the bound. */
     private fun wholeRetries(): Int = floor(extraRetries).toInt()
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -5,7 +5,6 @@
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.CallerWaits
 import kingcuptide.coordination.request.LeavingTarget
-import kingcuptide.coordination.request.Outcome
 import kingcuptide.coordination.request.PickRequest
 import kingcuptide.coordination.request.Verdict
 import kingcuptide.coordination.request.WeightedRoundRobin
@@ -16,23 +15,18 @@
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.BufferedResponse
 import kingcuptide.forwarder.connection.CallerRequest
-import kingcuptide.forwarder.connection.Headers
-import kingcuptide.forwarder.connection.NO_BYTES
 import kingcuptide.forwarder.connection.endToEnd
 import kingcuptide.forwarder.connection.first
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
-import kingcuptide.forwarder.process.Side
 import kingcuptide.forwarder.process.TrafficCounts
 import kingcuptide.forwarder.process.eventLog
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
-import java.util.Locale
 import kotlin.coroutines.resume
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 
 /** Serves the requests of callers: matches the route, picks targets and retries where that is safe. */
 class EntryService(
@@ -43,12 +37,24 @@
     private val metrics: DaemonMetrics,
     private val counts: TrafficCounts,
 ) {
+    private val access = EntryAccess(names, dependencies)
+    private val refusals = EntryRefusals(names, dependencies, metrics)
     private val roundRobin = WeightedRoundRobin()
     private val callerWaits = CallerWaits()
 
     /** Returns the final response to [request]; cancellation also cancels the attempt in flight. */
-    suspend fun serve(request: CallerRequest): BufferedResponse {
-        val response = responseTo(request)
+    suspend fun serve(request: CallerRequest): BufferedResponse = answered(request, responseTo(request))
+
+    /**
+     * Returns the refusal of [request] because of its API key, or null if its key does not rule it out. Its body need not
+     * have arrived.
+     */
+    fun refuseByKey(request: CallerRequest): BufferedResponse? {
+        val refusal = (access.admit(request) as? Admission.Refused)?.takeIf { it.access != null } ?: return null
+        return answered(request, refusals.refuse(request, refusal))
+    }
+
+    private fun answered(request: CallerRequest, response: BufferedResponse): BufferedResponse {
         metrics.answered(response.status)
         counts.answered(response.status)
         metrics.recordRequestDuration(clock.now() - request.receivedAt)
@@ -56,29 +62,28 @@
     }
 
     /** Refuses [request] because this daemon stops before it could respond. */
-    fun refuseAtStop(request: CallerRequest): BufferedResponse = refuse(request, ResultCode.DRAINING, STOP_RETRY_AFTER)
+    fun refuseAtStop(request: CallerRequest): BufferedResponse =
+        refusals.refuse(request, ResultCode.DRAINING, STOP_RETRY_AFTER)
 
     private suspend fun responseTo(request: CallerRequest): BufferedResponse {
-        val routing =
-            dependencies.published.routing
-                ?: return refuse(request, ResultCode.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_AFTER)
-        val requestId = request.headers.first(names.requestId)
-        if (requestId.isNullOrEmpty()) return refuse(request, ResultCode.MALFORMED_REQUEST, null)
-        val host = request.headers.first("Host").orEmpty().substringBefore(':').lowercase(Locale.ROOT)
-        val route = routing.match(host, request.path) ?: return refuse(request, ResultCode.UNKNOWN_ROUTE, null)
+        val admission = when (val admission = access.admit(request)) {
+            is Admission.Refused -> return refusals.refuse(request, admission)
+            is Admission.Granted -> admission
+        }
+        val route = admission.route
         val requestedMs = request.headers.first(names.remainingMs)?.trim()
         val requestedTimeout = if (requestedMs == null) route.timeout else requestedMs.toDoubleOrNull()?.milliseconds
         if (requestedTimeout == null || requestedTimeout.isNegative()) {
-            return refuse(request, ResultCode.BAD_DEADLINE, null)
+            return refusals.refuse(request, ResultCode.BAD_DEADLINE, null)
         }
         val service = roundRobin.next(route)
-        if (isQuarantined(route, request)) return refuse(request, ResultCode.QUARANTINED, QUARANTINE_RETRY_AFTER)
+        if (isQuarantined(route, request)) {
+            return refusals.refuse(request, ResultCode.QUARANTINED, QUARANTINE_RETRY_AFTER)
+        }
         dependencies.allowance.recordRequest(service)
-        val isCall = dependencies.running.hasMade(requestId)
-        val waited = if (isCall) Duration.ZERO else callerWaits.record(route.id, requestedTimeout)
+        val waited = if (admission.isCall) Duration.ZERO else callerWaits.record(route.id, requestedTimeout)
         val timeout = minOf(requestedTimeout, route.timeout)
-        val execution = Execution(request, requestId, route, service, timeout, waited, isCall)
-        return execution.run()
+        return Execution(request, admission, service, timeout, waited).run()
     }
 
     private fun isQuarantined(route: ForwardRoute, request: CallerRequest): Boolean {
@@ -89,13 +94,15 @@
 
     private inner class Execution(
         private val request: CallerRequest,
-        private val requestId: String,
-        private val route: ForwardRoute,
+        private val admission: Admission.Granted,
         private val service: ServiceId,
         timeout: Duration,
         waited: Duration,
-        private val isCall: Boolean,
     ) {
+        private val requestId = admission.requestId
+        private val route = admission.route
+        private val workspace = admission.workspace
+        private val isCall = admission.isCall
         private val deadline = request.receivedAt + timeout
 
         /** Counts from the first attempt of the caller, so that a retry does not delay requests that can be on time. */
@@ -104,7 +111,7 @@
         /** A call from a running request should be fast, but its response is of use until the deadline. */
         private val queueTimeout = if (isCall) timeout else route.objective
         private val queueUntil = if (isCall) deadline else objectiveAt
-        private val headers = forwardedHeaders(request.headers)
+        private val headers = access.forwardedHeaders(request.headers, admission)
         private val triedTargets = LinkedHashSet<TargetId>()
         private var targetsReached = 0
         private var gateRefusals = 0
@@ -171,8 +178,8 @@
             target.entry.leaving || dependencies.leaving.isLeaving(target.entry.id, target.entry.startedAtUnixMs)
 
         private fun isHome(target: KnownTarget): Boolean =
-            route.homeRegions.isEmpty() ||
-                dependencies.location.regionOf(target.entry.failureDomain) in route.homeRegions
+            admission.homeRegions.isEmpty() ||
+                dependencies.location.regionOf(target.entry.failureDomain) in admission.homeRegions
 
         private suspend fun attempt(target: KnownTarget): ForwardResult {
             val now = clock.now()
@@ -187,9 +194,10 @@
                     queueUntil - now,
                     queueTimeout,
                     route.id,
-                    if (isCall) INTERNAL_PRIORITY else route.priority,
+                    if (isCall) INTERNAL_PRIORITY else workspace?.priority ?: route.priority,
                     route.idempotent,
                     target.entry.id,
+                    workspace?.name,
                 )
             dependencies.picker.sent(target.entry.id)
             inFlightTarget = target
@@ -283,60 +291,21 @@
                 "request" to requestId,
                 "route" to route.id,
                 "service" to service,
+                "workspace" to workspace?.name,
                 "code" to code.number,
-                "status" to statusOf(code),
+                "status" to refusals.statusOf(code),
                 "reason" to reason,
                 "took_ms" to tookMs,
                 "target" to inFlightTarget?.entry?.id,
                 "reached" to targetsReached,
                 "hops" to gateRefusals,
-                "knowledge_age_ms" to dependencies.published.age().inWholeMilliseconds,
+                "knowledge_age_ms" to refusals.knowledgeAgeMs(),
             )
-            return errorResponse(code, retryAfter)
-        }
-    }
-
-    private fun forwardedHeaders(headers: Headers): Headers {
-        val ownNames =
-            setOf(names.remainingMs, names.callerService, names.expectedTarget).map { it.lowercase(Locale.ROOT) }
-        return endToEnd(headers).filter { it.first.lowercase(Locale.ROOT) !in ownNames } +
-            (names.callerService to dependencies.service().value)
-    }
-
-    private fun refuse(request: CallerRequest, code: ResultCode, retryAfter: Duration?): BufferedResponse {
-        log.info(
-            "request_refused",
-            "request" to request.headers.first(names.requestId),
-            "code" to code.number,
-            "status" to statusOf(code),
-            "version" to dependencies.published.routing?.number,
-            "path" to request.path,
-        )
-        return errorResponse(code, retryAfter)
-    }
-
-    private fun errorResponse(code: ResultCode, retryAfter: Duration?): BufferedResponse {
-        metrics.refused(Side.ENTRY, code)
-        val status = statusOf(code)
-        val headers = ArrayList<Pair<String, String>>(2)
-        headers += RESULT_CODE_HEADER to code.number.toString()
-        if (retryAfter != null && status == SERVICE_UNAVAILABLE) {
-            headers += RETRY_AFTER_HEADER to
-                String.format(Locale.ROOT, "%.3f", retryAfter.toDouble(DurationUnit.SECONDS))
+            return refusals.errorResponse(code, retryAfter)
         }
-        return BufferedResponse(status, headers, NO_BYTES)
-    }
-
-    /** A request that has not run gets 503, so that the caller retries it, unless the request itself is invalid. */
-    private fun statusOf(code: ResultCode): Int {
-        val isRetryable = code.outcome == Outcome.NOT_RUN && code.httpStatus >= FIRST_SERVER_ERROR
-        return if (isRetryable || code == ResultCode.QUARANTINED) SERVICE_UNAVAILABLE else code.httpStatus
     }
 
     private companion object {
-        const val RETRY_AFTER_HEADER = "Retry-After"
-        const val RESULT_CODE_HEADER = "Kingcuptide-Code"
-        const val SERVICE_UNAVAILABLE = 503
         const val FIRST_SERVER_ERROR = 500
 
         /** Calls that a running request waits for start before new requests. */
@@ -347,7 +316,6 @@
 
         /** Remaining time below which a retry is pointless. */
         val MIN_RETRY_TIME = 10.milliseconds
-        val NO_CONFIGURATION_RETRY_AFTER = 500.milliseconds
         val QUARANTINE_RETRY_AFTER = 30.seconds
         val STOP_RETRY_AFTER = 200.milliseconds
         val NO_TARGET_RETRY_AFTER = 300.milliseconds
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
@@ -30,7 +30,7 @@
     private var pendingResponse: CompletableDeferred<BufferedResponse>? = null
     private var cancelled = false
     private val connection =
-        CallerConnection(CoroutineScope(Dispatchers.Unconfined), clock, limits, ::serve) { }
+        CallerConnection(CoroutineScope(Dispatchers.Unconfined), clock, limits, ::serve, ::refuseByHead) { }
     private val channel =
         EmbeddedChannel(
             connection.activityHandler,
@@ -49,6 +49,9 @@
         }
     }
 
+    private fun refuseByHead(request: CallerRequest): BufferedResponse? =
+        BufferedResponse(401, emptyList(), NO_BYTES).takeIf { request.target == "/refused" }
+
     private fun send(text: String) {
         channel.writeInbound(Unpooled.copiedBuffer(text, Charsets.ISO_8859_1))
     }
@@ -141,6 +144,41 @@
         )
     }
 
+    @Nested
+    inner class `Requests that their head rules out` {
+        @Test
+        fun `Given a caller that waits for 100, when its head is refused, then it gets the refusal before its body`() {
+            send("POST /refused HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+            expectThat(received()).startsWith("HTTP/1.1 401 ").contains("connection: close")
+            expectThat(channel.isOpen).isFalse()
+            expectThat(served).isEmpty()
+        }
+
+        @Test
+        fun `Given a body on its way, when the head is refused, then the body is discarded and the connection stays`() {
+            send("POST /refused HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab")
+            expectThat(received()).isEqualTo("")
+            send("cdGET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+            expectThat(received()).startsWith("HTTP/1.1 401 ").contains("HTTP/1.1 200 ")
+            expectThat(served.map { it.target to it.body.size }).containsExactly("/1" to 0)
+            expectThat(channel.isOpen).isTrue()
+        }
+
+        @Test
+        fun `Given no body, when the head is refused, then the refusal is sent at once`() {
+            send("GET /refused HTTP/1.1\r\nHost: h\r\n\r\n")
+            expectThat(received()).startsWith("HTTP/1.1 401 ")
+            expectThat(channel.isOpen).isTrue()
+        }
+
+        @Test
+        fun `Given chunks beyond the limit, when the head is refused, then the body is still bounded`() {
+            val chunk = "20\r\n${"x".repeat(32)}\r\n"
+            send("POST /refused HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk.repeat(3))
+            expectThat(received()).startsWith("HTTP/1.1 413 ")
+        }
+    }
+
     @Nested
     inner class `Callers that disconnect or are slow` {
         @Test
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/process/SettingsFileTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/process/SettingsFileTest.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.request.RevocationSettings
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -10,6 +11,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
+import kotlin.time.Duration.Companion.seconds
 
 internal class SettingsFileTest {
     private fun settingsWith(field: String, value: String): String {
@@ -82,4 +84,25 @@
             expectThat(fault).isNotNull().get { reason }.contains("extraRetries").contains("many").contains("double")
         }
     }
+
+    @Nested
+    inner class `Given revocation settings, which deployments without workspaces do not have` {
+        @Test
+        fun `when they are absent, then keys stay valid without contact as before`() {
+            val settings = readForwarderSettings(settingsWith("stopLimit", "\"6s\"")).get()
+            expectThat(settings).isNotNull().get { revocation }.isEqualTo(RevocationSettings(false, 5.seconds))
+        }
+
+        @Test
+        fun `when they are present, then they are read`() {
+            val settings = readForwarderSettings(settingsWith("revoke", "\"2.5s\", \"strictRevocation\": true")).get()
+            expectThat(settings).isNotNull().get { revocation }.isEqualTo(RevocationSettings(true, 2.5.seconds))
+        }
+
+        @Test
+        fun `when a bound is no positive time, then the settings are refused`() {
+            expectThat(readForwarderSettings(settingsWith("revoke", "\"0s\"")).getError()?.code)
+                .isEqualTo(ResultCode.SETTINGS_VALUE_OUT_OF_RANGE)
+        }
+    }
 }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -16,6 +16,7 @@
 import kingcuptide.coordination.request.TargetPicker
 import kingcuptide.coordination.version.CallerLimits
 import kingcuptide.coordination.version.ForwardRoute
+import kingcuptide.coordination.version.KeyDigest
 import kingcuptide.coordination.version.KnownTarget
 import kingcuptide.coordination.version.PublishedItem
 import kingcuptide.coordination.version.PublishedState
@@ -25,6 +26,9 @@
 import kingcuptide.coordination.version.TargetEntry
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.coordination.version.WeightedService
+import kingcuptide.coordination.version.Workspace
+import kingcuptide.coordination.version.WorkspaceKey
+import kingcuptide.coordination.version.Workspaces
 import kingcuptide.forwarder.ManualClock
 import kingcuptide.forwarder.connection.BufferedResponse
 import kingcuptide.forwarder.connection.CallerRequest
@@ -41,9 +45,11 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
+import strikt.assertions.isTrue
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -107,13 +113,14 @@
         published.apply(listOf(SourceItem(key, ++lastRevision, NO_BYTES)))
     }
 
-    private fun start(homeRegions: Set<RegionId> = emptySet()) {
-        val routes = listOf(route("/read/", true, homeRegions), route("/book/", false, homeRegions))
+    private fun start(homeRegions: Set<RegionId> = emptySet(), workspaces: Workspaces = Workspaces.NONE) {
+        val open = route("/open/", true, homeRegions).copy(allowsAnonymous = true)
+        val routes = listOf(route("/read/", true, homeRegions), route("/book/", false, homeRegions), open)
         val traits = ServiceTraits("/health", 1.seconds, 10.0)
         val limits = CallerLimits(1_000, 1_000, 1.seconds, 1.seconds)
         publish(
             "config",
-            PublishedItem.Configuration(RoutingVersion(1, routes, mapOf(ServiceId("s") to traits), limits)),
+            PublishedItem.Configuration(RoutingVersion(1, routes, mapOf(ServiceId("s") to traits), limits, workspaces)),
         )
         for (domain in listOf("a", "b", "c")) publish("t-$domain", PublishedItem.Target(target(domain)))
     }
@@ -216,6 +223,104 @@
         }
     }
 
+    @Nested
+    inner class `API keys` {
+        private val acme = Workspace("acme", 0, 0.0, 0.0, setOf(RegionId("south")))
+        private val workspaces = Workspaces(listOf(acme), listOf(WorkspaceKey(KeyDigest.of("k1"), acme)), "Token")
+        private val key = "Authorization" to "Token k1"
+
+        private fun startWithKeys(homeRegions: Set<RegionId> = emptySet()) {
+            start(homeRegions, workspaces)
+            published.confirmed(Duration.ZERO)
+        }
+
+        private fun hasHeader(name: String) = sent.single().second.headers.any {
+            it.first.equals(name, ignoreCase = true)
+        }
+
+        @Test
+        fun `Given a valid key, when the request is forwarded, then its target gets the workspace and not the key`() {
+            startWithKeys()
+            results += answered(200)
+            val status = serve("/read/x", key, "workspace" to "forged", "Connection" to "Workspace").status
+            val call = sent.single().second
+            expectThat(status).isEqualTo(200)
+            expectThat(hasHeader("Authorization")).isFalse()
+            expectThat(call.headers.filter { it.first.equals("Workspace", ignoreCase = true) })
+                .containsExactly("Workspace" to "acme")
+            expectThat(call.workspace to call.priority).isEqualTo("acme" to 0)
+        }
+
+        @Test
+        fun `Given no valid key, when a request arrives, then it gets 401 with a challenge and is not sent`() {
+            startWithKeys()
+            val values = listOf(emptyList(), listOf("Token k2"), listOf("Basic k1"), listOf("Token k1", "Token k1"))
+            for (authorization in values) {
+                val response = serve("/read/x", *authorization.map { "authorization" to it }.toTypedArray())
+                expectThat(response.status).isEqualTo(401)
+                expectThat(response.headers.first("WWW-Authenticate")).isEqualTo("Token")
+                expectThat(response.headers.first("Retry-After")).isNull()
+            }
+            expectThat(serve("/other/x").status).isEqualTo(404)
+            expectThat(sent).isEmpty()
+        }
+
+        @Test
+        fun `Given an invalid key on an anonymous route, when it arrives, then it is served without key and workspace`() {
+            startWithKeys()
+            results += answered(200)
+            expectThat(serve("/open/x", "Authorization" to "Token k2", "Workspace" to "forged").status).isEqualTo(200)
+            expectThat(hasHeader("Authorization") || hasHeader("Workspace")).isFalse()
+            expectThat(sent.single().second.workspace).isNull()
+        }
+
+        @Test
+        fun `Given a call of a running request, when it has no key, then it is served first and without workspace`() {
+            startWithKeys()
+            running.started("7")
+            results += answered(200)
+            val headers = listOf("Host" to "h", "Id" to "7.1", "Left" to "3000", "Workspace" to "acme")
+            runBlocking { entry.serve(CallerRequest("GET", "/read/x", headers, NO_BYTES, clock.now())) }
+            expectThat(hasHeader("Workspace")).isFalse()
+            expectThat(sent.single().second.priority).isLessThan(0)
+        }
+
+        @Test
+        fun `Given regions of a workspace, when their only target refuses, then no other region is tried`() {
+            startWithKeys()
+            results += refused(reachedTarget = false)
+            expectThat(serve("/read/x", key).status).isEqualTo(503)
+            expectThat(sent.map { it.first }).containsExactly("t-c")
+        }
+
+        @Test
+        fun `Given route and workspace without common region, when a request arrives, then it is refused at once`() {
+            startWithKeys(setOf(RegionId("north")))
+            expectThat(serve("/read/x", key).status).isEqualTo(503)
+            expectThat(sent).isEmpty()
+        }
+
+        @Test
+        fun `Given only the head of a request, when its key is checked, then only its key can refuse it`() {
+            fun refusal(path: String, vararg headers: Pair<String, String>) =
+                entry.refuseByKey(CallerRequest("GET", path, headers.toList() + ("Host" to "h"), NO_BYTES, clock.now()))
+            expectThat(refusal("/read/x", "Id" to "7")).isNull()
+            startWithKeys()
+            expectThat(refusal("/read/x", "Id" to "7")?.status).isEqualTo(401)
+            expectThat(refusal("/read/x", "Id" to "7", key)).isNull()
+            expectThat(refusal("/other/x", "Id" to "7")).isNull()
+            expectThat(refusal("/read/x")).isNull()
+        }
+
+        @Test
+        fun `Given no workspaces, when a request has both headers, then its target gets them as before`() {
+            start()
+            results += answered(200)
+            serve("/read/x", key, "Workspace" to "own")
+            expectThat(hasHeader("Authorization") && hasHeader("Workspace")).isTrue()
+        }
+    }
+
     @Nested
     inner class `Retries` {
         @Test
