--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
@@ -5,6 +5,7 @@
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.RetryAllowanceSettings
+import kingcuptide.coordination.request.RevocationSettings
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 
@@ -34,12 +35,18 @@
     val coldRateFactor: Double,
     val coldSlack: Double,
     val retries: RetryAllowanceSettings,
+    val revocation: RevocationSettings = RevocationSettings(),
 ) {
     /** Returns the settings that can't change while the process runs. */
     fun addresses(): List<Any> = listOf(ip, targetAddress, callerAddress, readinessAddress, peerPort, sourceAddress)
 }
 
-/** Names of the headers that daemons, callers and targets exchange. */
+/**
+ * Names of the headers that daemons, callers and targets exchange.
+ *
+ * @property authorization holds the API key of a request; no target gets it
+ * @property workspace names the workspace of a request to its target
+ */
 data class HeaderNames(
     val requestId: String,
     val remainingMs: String,
@@ -51,4 +58,6 @@
     val coldMs: String,
     val rateLimit: String,
     val leaving: String,
+    val authorization: String = "Authorization",
+    val workspace: String = "Workspace",
 )
