Bound the requests of callers, and end each of them

Cause: empty lines before a request and chunk extensions are no part of a head or body and had no bound of bytes; a body, or its trailers, that never stalls had none of time; the bodies of many connections together had none of memory. Requests that a caller pipelined while it did not read were all served, their responses buffered. More than 64 parts of pipelined requests closed the connection and cut off the request that ran. An error other than two kinds of exception left its caller without a response, and the request counted as running for ever. To close a connection with unread bytes resets it, and its caller may lose the last response.

Change: a request has at most the bytes of four heads and of twice the longest body on the wire; a body must be complete in the idle timeout and 1 s for each 1,000 bytes; bodies of all connections have at most 32 MiB, a request beyond that gets 503. Beyond 64 parts, or while the caller does not read, nothing more is read from it. Any error ends its request with 502, and one in writing the response ends the connection. A connection that closes discards what arrives, for 1 s at most, after the end of its last response; one whose caller does not read it ends after the idle timeout.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
@@ -1,9 +1,10 @@
 package kingcuptide.forwarder.connection
 
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -25,23 +26,32 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import java.io.ByteArrayOutputStream
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** One connection of a caller: serves its requests one after the other, and cancels the current one when it closes. */
 internal class CallerConnection(
     private val scope: CoroutineScope,
     private val clock: Clock,
     private val limits: CallerLimits,
+    private val buffers: BufferLimit,
     private val serve: suspend (CallerRequest) -> BufferedResponse,
     private val onClosed: (CallerConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private var context: ChannelHandlerContext? = null
     private var head: HttpRequest? = null
-    private val body = ByteArrayOutputStream(INITIAL_BODY_BYTES)
+    private var body = ByteArrayOutputStream(INITIAL_BODY_BYTES)
     private val pipelined = ArrayDeque<HttpObject>()
     private var job: Job? = null
     private var isClosing = false
+    private var closingSince = Duration.ZERO
     private var headStartedAt: Duration? = null
+    private var bodyStartedAt = Duration.ZERO
+    private var requestBytes = 0L
+    private var discardedBytes = 0L
+    private var reservedBytes = 0
+    private var isProcessing = false
     private var lastByteAt = clock.now()
 
     /** Whether the connection closes after the next response. */
@@ -50,13 +60,17 @@
     /** Whether a request waits for its response. */
     val isServing: Boolean get() = job != null
 
-    /** Records when bytes arrive, before they are decoded. */
+    /** Records bytes and when they arrive, before they are decoded: the decoder skips some, and never ends others. */
     val activityHandler =
         object : ChannelInboundHandlerAdapter() {
             override fun channelRead(context: ChannelHandlerContext, message: Any) {
+                if (isClosing) return discard(message)
                 lastByteAt = clock.now()
-                if (head == null && job == null && headStartedAt == null) headStartedAt = lastByteAt
+                val isIdle = head == null && job == null && pipelined.isEmpty()
+                if (isIdle && headStartedAt == null) headStartedAt = lastByteAt
+                if (message is ByteBuf) requestBytes += message.readableBytes()
                 context.fireChannelRead(message)
+                if (job == null && pipelined.isEmpty()) checkLength()
             }
         }
 
@@ -73,20 +87,42 @@
         respond(BufferedResponse(ResultCode.ANSWER_LOST.httpStatus, emptyList(), NO_BYTES), keepAlive = false)
     }
 
+    /** Refuses a request that has begun to arrive, since the daemon stops, or closes the connection if there is none. */
+    fun endAtStop() {
+        if (job != null || isClosing) return
+        if (head == null && headStartedAt == null) return closeAfterWrites()
+        refuse(ResultCode.DRAINING.httpStatus, "request incomplete at the end of a stop")
+    }
+
     /** Ends the connection if its caller exceeds one of [limits]. */
     fun checkTimeouts(limits: CallerLimits) {
-        if (job != null || isClosing) return
         val now = clock.now()
+        if (isClosing && now - closingSince > limits.idleTimeout) close()
+        if (job != null || isClosing) return
         val headStarted = headStartedAt
         when {
             headStarted != null && now - headStarted > limits.headTimeout ->
                 refuse(REQUEST_TIMEOUT, "request head timed out")
-            head != null && now - lastByteAt > limits.headTimeout ->
+            head != null && (now - lastByteAt > limits.headTimeout || isBodyTooSlow(now, limits)) ->
                 refuse(REQUEST_TIMEOUT, "request body timed out")
             headStarted == null && head == null && now - lastByteAt > limits.idleTimeout -> close()
         }
     }
 
+    private fun isBodyTooSlow(now: Duration, limits: CallerLimits): Boolean =
+        now - bodyStartedAt > limits.idleTimeout + 1.seconds * (body.size().toDouble() / MIN_BODY_BYTES_PER_SECOND)
+
+    /** Bounds the bytes of a request on the wire, of which chunk extensions and empty lines are no part of it. */
+    private fun checkLength() {
+        if (isClosing) return
+        val isInBody = head != null
+        val maxBodyBytes = if (isInBody) minOf(limits.maxBodyBytes, Int.MAX_VALUE.toLong()) else 0
+        val maxBytes = limits.maxHeadBytes * HEADS_PER_REQUEST + maxBodyBytes * FRAMING_FACTOR
+        if (requestBytes <= maxBytes) return
+        val code = if (isInBody) ResultCode.BODY_TOO_LARGE else ResultCode.HEADERS_TOO_LARGE
+        refuse(code.httpStatus, "$requestBytes bytes without the end of a request")
+    }
+
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
     }
@@ -96,16 +132,16 @@
             ReferenceCountUtil.release(message)
             return
         }
-        if (job == null) return process(message)
+        if (job == null && pipelined.isEmpty() && context.channel().isWritable) return process(message)
         pipelined.addLast(message)
-        if (pipelined.size > MAX_PIPELINED_PARTS) {
-            log.info("caller_closed", "reason" to "too many pipelined requests")
-            close()
-        }
+        if (pipelined.size > MAX_PIPELINED_PARTS) context.channel().config().isAutoRead = false
     }
 
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) = processPipelined()
+
     override fun channelInactive(context: ChannelHandlerContext) {
         job?.cancel()
+        releaseBody()
         pipelined.forEach { ReferenceCountUtil.release(it) }
         pipelined.clear()
         onClosed(this)
@@ -130,7 +166,7 @@
 
     private fun beginRequest(request: HttpRequest) {
         headStartedAt = null
-        body.reset()
+        bodyStartedAt = clock.now()
         if (!isWellFormed(request)) return refuse(ResultCode.MALFORMED_REQUEST.httpStatus, "malformed request head")
         if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes) {
             return refuse(ResultCode.BODY_TOO_LARGE.httpStatus, "request body too large")
@@ -151,22 +187,36 @@
         if (body.size() + bytes.readableBytes() > limits.maxBodyBytes) {
             return refuse(ResultCode.BODY_TOO_LARGE.httpStatus, "request body too large")
         }
-        bytes.readBytes(body, bytes.readableBytes())
+        val length = bytes.readableBytes()
+        if (!buffers.tryReserve(length)) {
+            return refuse(ResultCode.ENTRY_FULL.httpStatus, "too many bytes of request bodies are buffered")
+        }
+        reservedBytes += length
+        bytes.readBytes(body, length)
+    }
+
+    private fun releaseBody() {
+        body = ByteArrayOutputStream(INITIAL_BODY_BYTES)
+        buffers.release(reservedBytes)
+        reservedBytes = 0
     }
 
     private fun start() {
         val request = head ?: return
         head = null
+        requestBytes = 0
+        val content = body.toByteArray()
+        body = ByteArrayOutputStream(INITIAL_BODY_BYTES)
         val keepAlive = HttpUtil.isKeepAlive(request)
         val callerRequest =
             CallerRequest(
                 request.method().name(),
                 request.uri(),
                 request.headers().map { it.key to it.value },
-                body.toByteArray(),
+                content,
                 clock.now(),
             )
-        val serving = scope.launch { respond(serveOrFail(callerRequest), keepAlive) }
+        val serving = scope.launch { respondOrClose(serveOrFail(callerRequest), keepAlive) }
         if (serving.isActive) job = serving
         if (!serving.isActive) finishServing()
     }
@@ -175,33 +225,74 @@
     private suspend fun serveOrFail(request: CallerRequest): BufferedResponse =
         try {
             serve(request)
-        } catch (exception: IllegalStateException) {
-            internalError(request, exception)
-        } catch (exception: IllegalArgumentException) {
-            internalError(request, exception)
+        } catch (exception: CancellationException) {
+            throw exception
+        } catch (
+            @Suppress("TooGenericExceptionCaught") throwable: Throwable,
+        ) {
+            log.error("request_faulty", throwable, "method" to request.method, "path" to request.path)
+            BufferedResponse(ResultCode.ANSWER_LOST.httpStatus, emptyList(), NO_BYTES)
         }
 
-    private fun internalError(request: CallerRequest, exception: RuntimeException): BufferedResponse {
-        if (exception is CancellationException) throw exception
-        log.error("request_faulty", exception, "method" to request.method, "path" to request.path)
-        return BufferedResponse(ResultCode.ANSWER_LOST.httpStatus, emptyList(), NO_BYTES)
+    /** A response that cannot be encoded ends the connection: without an end, its caller would wait for it. */
+    private fun respondOrClose(response: BufferedResponse, keepAlive: Boolean) {
+        runCatching { respond(response, keepAlive) }.onFailure {
+            log.error("response_faulty", it, "status" to response.status)
+            job = null
+            close()
+        }
     }
 
     private fun respond(response: BufferedResponse, keepAlive: Boolean) {
-        val staysOpen = keepAlive && !closesAfterResponse
-        val encoded = encode(response, staysOpen)
-        val written = context?.writeAndFlush(encoded)
-        if (!staysOpen) {
-            isClosing = true
-            written?.addListener(ChannelFutureListener.CLOSE)
-        }
+        val staysOpen = keepAlive && (!closesAfterResponse || pipelined.isNotEmpty())
+        context?.writeAndFlush(encode(response, staysOpen))
+        if (!staysOpen) closeAfterWrites()
         if (job != null) finishServing()
     }
 
     private fun finishServing() {
         job = null
         lastByteAt = clock.now()
-        while (job == null && !isClosing && pipelined.isNotEmpty()) process(pipelined.removeFirst())
+        releaseBody()
+        processPipelined()
+    }
+
+    /**
+     * Continues with what has arrived meanwhile, as far as the caller reads the responses. It is a loop, since a recursion
+     * for each request that is refused at once would be as deep as their number.
+     */
+    private fun processPipelined() {
+        val channel = context?.channel() ?: return
+        if (isProcessing) return
+        isProcessing = true
+        while (job == null && !isClosing && pipelined.isNotEmpty() && channel.isWritable) {
+            process(pipelined.removeFirst())
+        }
+        isProcessing = false
+        if (pipelined.isEmpty() && !channel.config().isAutoRead) channel.config().isAutoRead = true
+    }
+
+    /**
+     * Closes the connection once all responses are written. Bytes that arrive until then and shortly after are discarded:
+     * to close a connection with unread bytes resets it, and its caller would lose the last response.
+     */
+    private fun closeAfterWrites() {
+        val context = context ?: return
+        isClosing = true
+        closingSince = clock.now()
+        context.channel().config().isAutoRead = true
+        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener {
+            val channel = context.channel() as? DuplexChannel
+            if (!it.isSuccess || channel == null || !channel.isActive) return@addListener close()
+            channel.shutdownOutput()
+            context.executor().schedule(::close, LINGER_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        }
+    }
+
+    private fun discard(message: Any) {
+        if (message is ByteBuf) discardedBytes += message.readableBytes()
+        ReferenceCountUtil.release(message)
+        if (discardedBytes > MAX_DISCARDED_BYTES) close()
     }
 
     private fun encode(response: BufferedResponse, staysOpen: Boolean): DefaultFullHttpResponse {
@@ -224,18 +315,31 @@
 
     private fun refuse(status: Int, reason: String) {
         log.info("caller_refused", "status" to status, "reason" to reason)
-        isClosing = true
         head = null
-        val response = encode(BufferedResponse(status, emptyList(), NO_BYTES), staysOpen = false)
-        context?.writeAndFlush(response)?.addListener(ChannelFutureListener.CLOSE)
+        releaseBody()
+        context?.writeAndFlush(encode(BufferedResponse(status, emptyList(), NO_BYTES), staysOpen = false))
+        closeAfterWrites()
     }
 
     private companion object {
         const val REQUEST_TIMEOUT = 408
         const val INITIAL_BODY_BYTES = 256
 
-        /** Decoded parts of pipelined requests that are kept while an earlier request is served. */
+        /** Decoded parts of pipelined requests, kept while an earlier one is served, after which no more are read. */
         const val MAX_PIPELINED_PARTS = 64
+
+        /** Heads' worth of bytes in a request: of its first line, its head, its trailers, and empty lines before it. */
+        const val HEADS_PER_REQUEST = 4L
+
+        /** Bytes on the wire for each byte of the longest body: small chunks need as much again for their framing. */
+        const val FRAMING_FACTOR = 2L
+
+        /** Rate at which a body must arrive on average beyond the idle timeout; the slowest links are faster. */
+        const val MIN_BODY_BYTES_PER_SECOND = 1_000.0
+
+        /** Time in which a caller may still send after the end of its last response, and bytes that are discarded then. */
+        val LINGER_TIME = 1.seconds
+        const val MAX_DISCARDED_BYTES = 4L * 1024 * 1024
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
         val log = eventLog("caller")
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
@@ -23,6 +23,7 @@
     private val serve: suspend (CallerRequest) -> BufferedResponse,
 ) {
     private val connections = LinkedHashSet<CallerConnection>()
+    private val buffers = BufferLimit(MAX_BUFFERED_BYTES)
     private var server: Channel? = null
 
     /** Number of requests that wait for their response. */
@@ -73,6 +74,7 @@
                 scope,
                 clock,
                 limits(),
+                buffers,
                 serve,
                 onClosed = { connections -= it },
             )
@@ -88,5 +90,8 @@
 
     private companion object {
         const val BACKLOG = 4_096
+
+        /** Bodies of all requests that are received or served at once; a third of the heap of 96 MiB. */
+        const val MAX_BUFFERED_BYTES = 32L * 1024 * 1024
     }
 }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
@@ -30,7 +30,7 @@
     private var pendingResponse: CompletableDeferred<BufferedResponse>? = null
     private var cancelled = false
     private val connection =
-        CallerConnection(CoroutineScope(Dispatchers.Unconfined), clock, limits, ::serve) { }
+        CallerConnection(CoroutineScope(Dispatchers.Unconfined), clock, limits, BufferLimit(64), ::serve) { }
     private val channel =
         EmbeddedChannel(
             connection.activityHandler,
