Answer the requests that have arrived when a planned stop ends

Cause: at its end a stop closed the port and all connections at once. Connections that waited to be accepted, and requests in the socket buffer of an idle connection, were reset without a response.

Change: the port closes after one more turn of the event loop that accepts all that wait, and the connections 60 ms after the end of the stop; what has arrived until then gets its response, 503 if it is too late or incomplete. The process exits 100 ms later, as before, so the limit of a stop is exceeded by 60 ms more; an eighth of it is kept in reserve.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
+import io.netty.channel.ServerChannelRecvByteBufAllocator
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpResponseEncoder
@@ -12,6 +13,9 @@
 import kingcuptide.coordination.version.CallerLimits
 import kotlinx.coroutines.CoroutineScope
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Accepts requests from callers and from the target on this host. Used on the event loop. */
 class CallerServer(
@@ -36,6 +40,10 @@
                 .channel(NioServerSocketChannel::class.java)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(
+                    ChannelOption.RECVBUF_ALLOCATOR,
+                    ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG),
+                )
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(
                     object : ChannelInitializer<SocketChannel>() {
@@ -58,12 +66,22 @@
         closing = true
     }
 
-    /** Stops accepting, closes idle connections and ends running requests with an unknown outcome. */
+    /**
+     * Ends running requests with an unknown outcome, stops accepting and, after [CLOSE_TIME], has closed all connections.
+     *
+     * Until then it reads the requests that have arrived: the system has accepted their connections, or their bytes.
+     */
     fun close() {
-        server?.close()
+        closeAfterResponses()
+        connections.toList().forEach { it.abortRequest() }
+        loop.schedule({ server?.close() }, ACCEPT_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        loop.schedule(::endConnections, CLOSE_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private fun endConnections() {
         val open = connections.toList()
-        open.filter { !it.isServing }.forEach { it.close() }
         open.forEach { it.abortRequest() }
+        open.forEach { it.endAtStop() }
     }
 
     private var closing = false
@@ -88,10 +106,15 @@
         )
     }
 
-    private companion object {
-        const val BACKLOG = 4_096
+    companion object {
+        /** Time from [close] until no connection is accepted; one turn of the event loop accepts all that wait. */
+        private val ACCEPT_TIME = 20.milliseconds
+
+        /** Time from [close] until all connections are closed; enough for bytes that have arrived to be read. */
+        val CLOSE_TIME: Duration = 60.milliseconds
+        private const val BACKLOG = 4_096
 
         /** Bodies of all requests that are received or served at once; a third of the heap of 96 MiB. */
-        const val MAX_BUFFERED_BYTES = 32L * 1024 * 1024
+        private const val MAX_BUFFERED_BYTES = 32L * 1024 * 1024
     }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -186,7 +186,7 @@
     fun stop(onStopped: () -> Unit) = loop.execute {
         val limit = settings.stopLimit
         if (!stop.begin(limit)) return@execute
-        val maxStopMs = (PlannedStop.maxStopDuration(limit) + FLUSH_TIME).inWholeMilliseconds
+        val maxStopMs = (PlannedStop.maxStopDuration(limit) + CLOSE_TIME).inWholeMilliseconds
         loop.schedule(onStopped, maxStopMs, TimeUnit.MILLISECONDS)
         log.info("stop_begun", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
         callers.closeAfterResponses()
@@ -202,7 +202,7 @@
             delay(STOP_CHECK_INTERVAL.inWholeMilliseconds)
         }
         log.info("stop_ended", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
-        loop.schedule(onStopped, FLUSH_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        loop.schedule(onStopped, CLOSE_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         callers.close()
         mesh.close()
     }
@@ -387,8 +387,8 @@
 
         val STOP_CHECK_INTERVAL = 50.milliseconds
 
-        /** Time for the last responses to leave the socket buffers. */
-        val FLUSH_TIME = 100.milliseconds
+        /** Time for the last connections to be closed and their last responses to leave the socket buffers. */
+        val CLOSE_TIME = CallerServer.CLOSE_TIME + 100.milliseconds
         val log = eventLog("daemon")
 
         /** A failed task is a bug in this program: it is logged and ends alone. */
