Let no unexpected error end a task of the daemon

A request whose handling at the gate threw one had no result until its deadline, and its connection to the target stayed open.

Seen to fail on the code before: GateErrorTest, the new tests of SourceFollowerTest and FaultyTargetTest.

--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
@@ -95,7 +95,7 @@
         }
 
         @Test
-        fun `Given a rate, when a gate that has just started reports none, then it is known until a response ends it`() {
+        fun `Given a rate, when a gate reports none after a restart, then it is known until a response ends it`() {
             picker.recordLoadReport(own.entry.id, loadReport(0).copy(ratePerSecond = 0.7))
             picker.recordLoadReport(own.entry.id, loadReport(0))
             expectThat(picker.lastRate(own.entry.id)).isEqualTo(0.7)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -16,6 +16,7 @@
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.Side
 import kingcuptide.forwarder.process.eventLog
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
@@ -146,7 +147,7 @@
                 try {
                     val startedAt = clock.now()
                     sentAt = startedAt
-                    val result = run(startedAt)
+                    val result = runOrFail(startedAt)
                     hasResponse = result is ForwardResult.Answered
                     complete(result)
                 } finally {
@@ -157,6 +158,19 @@
             }
         }
 
+        /** After an unexpected error the request may have run; without a result its entry would wait for one. */
+        private suspend fun runOrFail(startedAt: Duration): ForwardResult =
+            try {
+                run(startedAt)
+            } catch (exception: CancellationException) {
+                throw exception
+            } catch (
+                @Suppress("TooGenericExceptionCaught") throwable: Throwable,
+            ) {
+                log.error("task_failed", throwable, "request" to call.requestId)
+                outcomeUnknown(ResultCode.ANSWER_LOST, "$throwable")
+            }
+
         private suspend fun run(startedAt: Duration): ForwardResult {
             val expected = currentTarget()
             if (expected != null && expected != call.targetId) return refused(ResultCode.VERSION_BEHIND, false)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
@@ -62,9 +62,11 @@
         call: HttpCall,
         accepts: (Headers) -> Boolean,
     ): HttpResult {
-        val result = connection.exchange(call, accepts)
-        if (connection.isUsable) pool.addLast(PooledConnection(connection, clock.now())) else connection.close()
-        return result
+        try {
+            return connection.exchange(call, accepts)
+        } finally {
+            if (connection.isUsable) pool.addLast(PooledConnection(connection, clock.now())) else connection.close()
+        }
     }
 
     /** Acquires the most recently used connection; closes those that were idle for too long for any call. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetMonitor.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetMonitor.kt
@@ -13,6 +13,7 @@
 import kingcuptide.forwarder.connection.first
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.eventLog
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
@@ -56,10 +57,9 @@
     fun start() {
         scope.launch {
             while (true) {
-                val current = traits()
-                if (current != null) check(current)
+                val isChecked = checkOrFail()
                 delay(MIN_CHECK_PAUSE.inWholeMilliseconds)
-                val interval = if (needsFastChecks || current == null) FAST_CHECK_INTERVAL else CHECK_INTERVAL
+                val interval = if (needsFastChecks || !isChecked) FAST_CHECK_INTERVAL else CHECK_INTERVAL
                 withTimeoutOrNull((interval - MIN_CHECK_PAUSE).inWholeMilliseconds) { wakeUps.receive() }
             }
         }
@@ -88,6 +88,23 @@
         markDown(reason)
     }
 
+    /**
+     * Checks the target once its traits are known, and returns whether they are. An unexpected error counts as a check
+     * without a response, since nobody would check the target after its task.
+     */
+    private suspend fun checkOrFail(): Boolean =
+        try {
+            traits()?.let { check(it) } != null
+        } catch (exception: CancellationException) {
+            throw exception
+        } catch (
+            @Suppress("TooGenericExceptionCaught") throwable: Throwable,
+        ) {
+            log.error("task_failed", throwable)
+            noResponse()
+            false
+        }
+
     private suspend fun check(traits: ServiceTraits) {
         val call = HttpCall("GET", traits.healthPath, listOf("Host" to "${address.hostString}:${address.port}"))
         val sentAt = clock.now()
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SourceFollower.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/SourceFollower.kt
@@ -3,6 +3,7 @@
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.version.ReaderRole
 import kingcuptide.forwarder.process.eventLog
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -59,7 +60,7 @@
     private suspend fun readInitially(part: SourcePart) {
         if (part.isLarge) awaitPeers { hasState(part) }
         var pause = MIN_RETRY_PAUSE
-        while (!hasState(part) && !readWhole(part.prefix, allowStale = true)) {
+        while (!hasState(part) && !attempt { readWhole(part.prefix, allowStale = true) }) {
             delay(pause.inWholeMilliseconds)
             pause = minOf(pause * 2, MAX_RETRY_PAUSE)
         }
@@ -77,12 +78,25 @@
                 continue
             }
             val startedAt = clock.now()
-            val succeeded = if (startedAt >= reconcileAt) reconcile() else watchChanges()
+            val succeeded = attempt { if (startedAt >= reconcileAt) reconcile() else watchChanges() }
             pause = if (succeeded) MIN_RETRY_PAUSE else minOf(pause * 2, MAX_RETRY_PAUSE)
             awaitNextCall(startedAt, if (succeeded) source.minWatchInterval else pause)
         }
     }
 
+    /** Runs [call]; an unexpected error fails this call only, since nobody would follow the source after its task. */
+    private suspend fun attempt(call: suspend () -> Boolean): Boolean =
+        try {
+            call()
+        } catch (exception: CancellationException) {
+            throw exception
+        } catch (
+            @Suppress("TooGenericExceptionCaught") throwable: Throwable,
+        ) {
+            log.error("task_failed", throwable)
+            failed("$throwable")
+        }
+
     private suspend fun awaitNextCall(startedAt: Duration, interval: Duration) {
         val remaining = startedAt + interval - clock.now()
         delay(maxOf(remaining, MIN_CALL_PAUSE).inWholeMilliseconds)
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/process/SettingsFileTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/process/SettingsFileTest.kt
@@ -10,6 +10,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
+import kotlin.random.Random
 
 internal class SettingsFileTest {
     private fun settingsWith(field: String, value: String): String {
@@ -82,4 +83,25 @@
             expectThat(fault).isNotNull().get { reason }.contains("extraRetries").contains("many").contains("double")
         }
     }
+
+    /** Guards against a settings file that ends the process, or its checks for later ones. */
+    @Nested
+    inner class `Given a file that is damaged` {
+        @Test
+        fun `when bytes of it have changed, then it is read or refused`() {
+            val random = Random(1)
+            repeat(10_000) {
+                val bytes = settingsWith("coldSlack", "2.5").encodeToByteArray()
+                repeat(1 + random.nextInt(4)) { bytes[random.nextInt(bytes.size)] = random.nextInt().toByte() }
+                readForwarderSettings(bytes.copyOf(random.nextInt(bytes.size + 1)).decodeToString())
+            }
+        }
+
+        @Test
+        fun `when it is nested deeply, then it is read or refused`() {
+            for (opening in listOf("[", "{\"x\":", "{\"regionByFailureDomain\":", "/*")) {
+                readForwarderSettings(opening.repeat(200_000))
+            }
+        }
+    }
 }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/FaultyTargetTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/FaultyTargetTest.kt
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
+import strikt.assertions.isTrue
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
@@ -42,16 +43,27 @@
         expectThat(stillUp.keys).isEmpty()
     }
 
-    private fun startMonitor(server: FaultyServer, down: CountDownLatch) {
+    /** Guards against a target whose health is checked no more after one error of this program. */
+    @Test
+    fun `Given an error in a check, when the next checks get no response, then the target is down`() {
+        val down = CountDownLatch(1)
+        val errors = ArrayDeque(listOf(NoSuchElementException("test"), StackOverflowError()))
+        FaultyServer(EndlessResponse.NOT_HTTP).use { server ->
+            startMonitor(server, down) { errors.removeFirstOrNull()?.let { throw it } ?: TRAITS }
+            expectThat(down.await(MAX_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)).isTrue()
+        }
+    }
+
+    private fun startMonitor(server: FaultyServer, down: CountDownLatch, traits: () -> ServiceTraits = { TRAITS }) {
         val gate = TargetGate(clock)
         val notices = TargetNotices(clock, NAMES, gate) { }
         val monitor =
-            TargetMonitor(loop, scope, clock, server.address, NAMES, gate, notices, { TRAITS }, { down.countDown() })
+            TargetMonitor(loop, scope, clock, server.address, NAMES, gate, notices, traits, { down.countDown() })
         monitor.start()
     }
 
     private companion object {
-        /** A target is down after 1.5 s without a response, noticed by checks of at most 1 s; the rest is for the machine. */
+        /** A target is down after 1.5 s without a response, found by checks of at most 1 s; the rest is reserve. */
         val MAX_TIME = 8.seconds
 
         /** A health check has no id, so each of these is a response to it. */
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/version/SourceFollowerTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/version/SourceFollowerTest.kt
@@ -104,6 +104,24 @@
         }
     }
 
+    /** Guards against a daemon that follows the source no more after one error of its own. */
+    @Test
+    fun `Given calls that throw unexpected errors, when they end, then the source is followed again`() {
+        source.error = IllegalStateException("test")
+        follower.start()
+        time.advance(5.seconds)
+        expectThat(follower.isInContact).isFalse()
+        source.error = null
+        time.advance(10.seconds)
+        expectThat(follower.isInContact).isTrue()
+        source.error = StackOverflowError()
+        time.advance(5.seconds)
+        expectThat(follower.isInContact).isFalse()
+        source.error = null
+        time.advance(10.seconds)
+        expectThat(follower.isInContact).isTrue()
+    }
+
     @Test
     fun `Given varying connect times to the source, when they are measured, then the shortest is kept`() {
         follower.start()
@@ -117,6 +135,7 @@
         var isHistoryGone = false
         private val connectTimes = ArrayDeque(listOf(90, 24, 31, 30).map { it.milliseconds })
 
+        var error: Throwable? = null
         var isUnresponsive = false
         var revision = 7L
 
@@ -126,6 +145,7 @@
         override suspend fun readAll(prefix: String, allowStale: Boolean): SourceResult {
             calls += "$prefix ${if (allowStale) "cheap" else "whole"}"
             delay(4)
+            error?.let { throw it }
             return if (isDown) SourceResult.Failed("down") else SourceResult.Items(emptyList(), revision)
         }
 
@@ -135,6 +155,7 @@
             calls += "watch $after"
             if (isUnresponsive) return noResponse()
             delay(4)
+            error?.let { throw it }
             if (isDown) return SourceResult.Failed("down")
             if (isHistoryGone) return SourceResult.HistoryGone
             val changes = listOf(SourceItem(RARE_PREFIX + "a", revision, null)).filter { revision > after }
