Accept keys only after the whole state was confirmed, and explain refusals by key

Cause: an update of one section confirmed a state whose other section came from an old first read, so that a daemon could have accepted a revoked key for up to a second after its start. explain had no words for the codes 111, 112 and 220. Change: an update counts as confirmation only once the source or a peer that agrees in all sections has confirmed the state. explain names reason, route, workspace, document version and age of knowledge of a refusal by key.

--- a/cli/src/main/kotlin/kingcuptide/cli/RequestStory.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/RequestStory.kt
@@ -96,7 +96,17 @@
     }
     val gate = requestLines.lastOrNull { it.event in GATE_EVENTS }
     val atGate = gate?.let { ", at ${it.fields["target"]}: ${describeGateEvent(it)}" }.orEmpty()
-    return "${code?.number ?: "no code"}, ${describeResultCode(code)}$atGate"
+    val byKey = if (code in KEY_CODES) describeKeyRefusal(resultLine) else ""
+    return "${code?.number ?: "no code"}, ${describeResultCode(code)}$atGate$byKey"
+}
+
+/** Which version refused the key, why, and how current that version was known to be. */
+private fun describeKeyRefusal(line: LogLine): String {
+    val age = line.fields["knowledge_age_ms"]
+    val known = if (age == null || age == "-1") "never confirmed as current" else "confirmed as current $age ms before"
+    val workspace = line.fields["workspace"]?.let { " for workspace $it" }.orEmpty()
+    return ": ${line.fields["reason"]}, on route ${line.fields["route"]}$workspace, by document version " +
+        "${line.fields["version"]}, $known"
 }
 
 private fun describeGateEvent(line: LogLine): String = when (line.event) {
@@ -111,6 +121,9 @@
     ResultCode.MALFORMED_REQUEST -> "the request is malformed or has no id"
     ResultCode.UNKNOWN_ROUTE -> "no route of the version in force matches"
     ResultCode.BAD_DEADLINE -> "the remaining time that the caller states can't be parsed"
+    ResultCode.KEY_MISSING -> "the route needs an API key and the request had none"
+    ResultCode.KEY_UNKNOWN -> "the route needs an API key and that of the request is not valid"
+    ResultCode.KEYS_UNCONFIRMED -> "the daemon could not tell whether its API keys were current"
     ResultCode.NO_CONFIGURATION -> "the daemon had no configuration yet"
     ResultCode.NO_TARGET -> "no untried target was published, reachable and in a home region"
     ResultCode.TARGET_FULL -> "the last target tried had a longer queue than it can serve in time"
@@ -133,6 +146,7 @@
 }
 
 private val RESULT_EVENTS = setOf("request_given_up", "request_refused", "request_failed_by_target", "request_faulty")
+private val KEY_CODES = setOf(ResultCode.KEY_MISSING, ResultCode.KEY_UNKNOWN, ResultCode.KEYS_UNCONFIRMED)
 private val GATE_EVENTS = setOf("gate_refused", "gate_cancelled", "target_lost")
 private val HIDDEN_FIELDS = setOf("request", "level", "source")
 
@@ -150,6 +164,7 @@
         "peer_silent",
         "source_lost",
         "version_in_force",
+        "configuration_fault",
         "stop_begun",
     )
 
--- a/cli/src/test/kotlin/kingcuptide/cli/ExplainLogsTest.kt
+++ b/cli/src/test/kotlin/kingcuptide/cli/ExplainLogsTest.kt
@@ -25,6 +25,12 @@
             "event=request_given_up request=7 route=/read/ code=202 status=503 reason=\"refused by t-2\" hops=1",
         ),
         line("10:00:10.400", "entry", "event=request_given_up request=8 code=201 status=503 reason=\"no target\""),
+        line(
+            "10:00:10.500",
+            "entry",
+            "event=request_refused request=9 code=112 status=401 version=14 path=/read/x route=/read/ " +
+                "reason=\"no workspace has the key\" knowledge_age_ms=640",
+        ),
         "not an event",
     )
     private val gateLog = listOf(
@@ -54,6 +60,16 @@
             expectThat(result.statusCode).isEqualTo(0)
         }
 
+        @Test
+        fun `when a refused key is explained, then the cause names reason, version and age of knowledge`() {
+            expectThat(explain("9").output)
+                .contains("cause: 112")
+                .contains(
+                    "no workspace has the key, on route /read/, by document version 14, confirmed as current 640 ms",
+                )
+                .contains("it has not run")
+        }
+
         @Test
         fun `when the known state changed shortly before, then the change is shown, and an older one is not`() {
             expectThat(explain("7").output).contains("peer_closed").not().contains("target_leaving")
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedState.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedState.kt
@@ -43,6 +43,9 @@
     /** Time since the source, or a peer that reads it, last confirmed that this state is current; infinite if never. */
     public fun age(): Duration = lastConfirmedAt?.let { clock.now() - it } ?: Duration.INFINITE
 
+    /** Whether the source, or a peer that reads it, has ever confirmed that this state is current. */
+    public val isConfirmed: Boolean get() = lastConfirmedAt != null
+
     /** Records that this state was confirmed as current the duration [ago] before now. */
     public fun confirmed(ago: Duration) {
         val at = clock.now() - ago
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
@@ -31,7 +31,7 @@
     /** What this daemon knows about the age of its API keys. */
     val keyKnowledge: KeyKnowledge =
         object : KeyKnowledge {
-            override val isConfirmed: Boolean get() = published.age().isFinite()
+            override val isConfirmed: Boolean get() = published.isConfirmed
 
             override val peerSilence: Duration get() = this@EntryDependencies.peerSilence()
         }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/PublishedStateSync.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/PublishedStateSync.kt
@@ -148,7 +148,10 @@
         val changed = if (items.size < message.items.size) null else section.advance(message.after, items, message.asOf)
         if (changed != null) {
             applyFromPeer(message.section, changed)
-            if (message.contactAgeMs >= 0) published.confirmed(message.contactAgeMs.milliseconds)
+            // An update of one section says nothing of another one, whose first read may have been old.
+            if (message.contactAgeMs >= 0 && published.isConfirmed) {
+                published.confirmed(message.contactAgeMs.milliseconds)
+            }
             return
         }
         log.info("update_incomplete", *fieldsOf(section, message.after))
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -239,7 +239,7 @@
         }
 
         @Test
-        fun `Given a valid key, when the request is forwarded, then its target gets the workspace and not the key`() {
+        fun `Given a valid key, when the request is forwarded, then its target gets no key but the workspace`() {
             startWithKeys()
             results += answered(200)
             val status = serve("/read/x", key, "workspace" to "forged", "Connection" to "Workspace").status
@@ -266,7 +266,7 @@
         }
 
         @Test
-        fun `Given an invalid key on an anonymous route, when it arrives, then it is served without key and workspace`() {
+        fun `Given an invalid key on an anonymous route, when it arrives, then it is served without both`() {
             startWithKeys()
             results += answered(200)
             expectThat(serve("/open/x", "Authorization" to "Token k2", "Workspace" to "forged").status).isEqualTo(200)
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/version/PublishedStateSyncTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/version/PublishedStateSyncTest.kt
@@ -18,6 +18,8 @@
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
 import kotlin.time.Duration.Companion.milliseconds
 
 internal class PublishedStateSyncTest {
@@ -97,6 +99,17 @@
         relayInRegion: Boolean = false,
     ) = PeerMessage.ItemUpdates(0, relayInRegion, listOf(item), after, asOf, 0)
 
+    /** Otherwise a daemon that starts on an old read would accept a revoked key. */
+    @Test
+    fun `Given a first read, when one section is updated, then only a peer that agrees in all confirms the state`() {
+        state.received(sameRegion.session, update(after = 7, asOf = 9, PeerMessage.Item("a/x", 9, VALUE)))
+        expectThat(published.isConfirmed).isFalse()
+        ping(sameRegion, digest = published.digest() + 1, asOf = listOf(9, 7))
+        expectThat(published.isConfirmed).isFalse()
+        ping(sameRegion, digest = published.digest(), asOf = listOf(9, 7))
+        expectThat(published.isConfirmed).isTrue()
+    }
+
     @Test
     fun `Given a missed update, when the next one arrives, then its sender is asked at once for what lies between`() {
         state.received(sameRegion.session, update(after = 9, asOf = 12, PeerMessage.Item("a/x", 12, VALUE)))
