--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
@@ -68,6 +68,8 @@
     /** Records bytes and when they arrive, before they are decoded: the decoder skips some, and never ends others. */
     val activityHandler =
         object : ChannelInboundHandlerAdapter() {
+            override fun isSharable(): Boolean = false
+
             override fun channelRead(context: ChannelHandlerContext, message: Any) {
                 if (isClosing) return discard(message)
                 lastByteAt = clock.now()
@@ -79,6 +81,8 @@
             }
         }
 
+    override fun isSharable(): Boolean = false
+
     fun close() {
         context?.close()
     }
@@ -152,7 +156,7 @@
         onClosed(this)
     }
 
-    @Deprecated("Deprecated in Java")
+    @Suppress("OVERRIDE_DEPRECATION")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         log.debug("caller_failed", "reason" to cause)
         context.close()
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
@@ -2,11 +2,9 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
-import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.ServerChannelRecvByteBufAllocator
-import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpResponseEncoder
 import kingcuptide.coordination.process.Clock
@@ -42,7 +40,7 @@
         server =
             ServerBootstrap()
                 .group(loop)
-                .channel(NioServerSocketChannel::class.java)
+                .channelFactory { NioServerSocketChannel() }
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(
@@ -50,11 +48,8 @@
                     ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG),
                 )
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(
-                    object : ChannelInitializer<SocketChannel>() {
-                        override fun initChannel(channel: SocketChannel) = accept(channel)
-                    },
-                ).bind(address)
+                .childHandler(PipelineInitializer(::accept))
+                .bind(address)
                 .sync()
                 .channel()
     }
@@ -91,7 +86,7 @@
 
     private var closing = false
 
-    private fun accept(channel: SocketChannel) {
+    private fun accept(channel: Channel) {
         val connection =
             CallerConnection(
                 scope,
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
@@ -123,6 +122,8 @@
             releaseBody()
         }
 
+        override fun isSharable(): Boolean = false
+
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
             try {
                 if (message is HttpObject) receive(context, message)
@@ -133,7 +134,7 @@
 
         override fun channelInactive(context: ChannelHandlerContext) = fail("connection closed")
 
-        @Deprecated("Deprecated in Java")
+        @Suppress("OVERRIDE_DEPRECATION")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
             fail("connection failed: $cause")
             context.close()
@@ -291,18 +292,16 @@
         private fun bootstrap(loop: EventLoop, limits: HttpClientLimits, receiver: Receiver): Bootstrap =
             Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel::class.java)
+                .channelFactory { NioSocketChannel() }
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeout.inWholeMilliseconds.toInt())
                 .handler(
-                    object : ChannelInitializer<Channel>() {
-                        override fun initChannel(channel: Channel) {
-                            channel.pipeline().addLast(
-                                receiver.byteHandler,
-                                HttpClientCodec(decoderLimits(), false, false),
-                                receiver,
-                            )
-                        }
+                    PipelineInitializer { channel ->
+                        channel.pipeline().addLast(
+                            receiver.byteHandler,
+                            HttpClientCodec(decoderLimits(), false, false),
+                            receiver,
+                        )
                     },
                 )
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
@@ -13,6 +13,8 @@
 internal class PeerCodec(
     private val onSent: (kind: String, bytes: Int) -> Unit = { _, _ -> },
 ) : ByteToMessageCodec<PeerFrame>() {
+    override fun isSharable(): Boolean = false
+
     override fun encode(context: ChannelHandlerContext, frame: PeerFrame, out: ByteBuf) {
         val kind = kindOf(frame.message)
         val uncompressed = encodeHead(kind, frame.message)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
@@ -3,7 +3,6 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
-import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioServerSocketChannel
@@ -60,7 +59,7 @@
         server =
             ServerBootstrap()
                 .group(loop)
-                .channel(NioServerSocketChannel::class.java)
+                .channelFactory { NioServerSocketChannel() }
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -137,7 +136,7 @@
         val session = PeerSession(clock, outboundListener(link), hello, isOutbound = true)
         Bootstrap()
             .group(loop)
-            .channel(NioSocketChannel::class.java)
+            .channelFactory { NioSocketChannel() }
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
             .handler(pipelineOf { session })
@@ -183,14 +182,12 @@
             }
         }
 
-    private fun pipelineOf(session: () -> PeerSession): ChannelInitializer<Channel> =
-        object : ChannelInitializer<Channel>() {
-            override fun initChannel(channel: Channel) {
-                val created = session()
-                val codec =
-                    PeerCodec { kind, bytes -> counts.sentToPeer(kind, isOtherRegion = !isSameRegion(created), bytes) }
-                channel.pipeline().addLast(codec, created)
-            }
+    private fun pipelineOf(session: () -> PeerSession) =
+        PipelineInitializer { channel ->
+            val created = session()
+            val codec =
+                PeerCodec { kind, bytes -> counts.sentToPeer(kind, isOtherRegion = !isSameRegion(created), bytes) }
+            channel.pipeline().addLast(codec, created)
         }
 
     private class Link(val ip: String) {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
@@ -47,6 +47,8 @@
         channel?.close()
     }
 
+    override fun isSharable(): Boolean = false
+
     override fun channelActive(context: ChannelHandlerContext) {
         channel = context.channel()
         lastReceivedAt = clock.now()
@@ -68,7 +70,7 @@
 
     override fun channelInactive(context: ChannelHandlerContext) = listener.closed(this, "closed")
 
-    @Deprecated("Deprecated in Java")
+    @Suppress("OVERRIDE_DEPRECATION")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         listener.failed(this, cause)
         context.close()
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/StrictRequestDecoder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/StrictRequestDecoder.kt
@@ -13,6 +13,8 @@
             .setAllowDuplicateContentLengths(false)
             .setValidateHeaders(true),
     ) {
+    override fun isSharable(): Boolean = false
+
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("request has both Content-Length and Transfer-Encoding: chunked")
 }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateErrorTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateErrorTest.kt
@@ -45,7 +45,7 @@
         NoObserver,
         TargetNotices(time, names, gate) { },
         CrashSuspects(HostId("h"), 1, time),
-        RunningRequests(),
+        RunningRequests(time),
         DaemonMetrics(),
     )
 
