--- a/bench/src/main/kotlin/kingcuptide/bench/Bench.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/Bench.kt
@@ -14,6 +14,7 @@
             FailureDomainCommand(),
             OverloadCommand(),
             KeysCommand(),
+            ApiKeysCommand(),
             AddedLatencyCommand(),
             DaemonsCommand(),
         ).main(args)
