--- a/bench/src/main/kotlin/kingcuptide/bench/ApiKeysCommand.kt
+++ b/bench/src/main/kotlin/kingcuptide/bench/ApiKeysCommand.kt
@@ -32,7 +32,7 @@
         val digests = keys.mapIndexed { index, key -> WorkspaceKey(KeyDigest.of(key), spaces[index % WORKSPACES]) }
         val digestUs = (System.nanoTime() - digestStartedAt) / NS_PER_US
         val before = usedBytes()
-        val copies = List(COPIES) { Workspaces(spaces, digests, "Token") }
+        val copies = List(COPIES) { Workspaces(spaces, digests) }
         val bytes = (usedBytes() - before) / COPIES
         val workspaces = copies.first()
         // The digests must be reachable in both measurements, or the second one lacks them.
@@ -46,7 +46,7 @@
     }
 
     private fun measureNs(workspaces: Workspaces, keys: List<String>): Long {
-        val headers = keys.map { listOf("Token $it") }
+        val headers = keys.map { listOf("Bearer $it") }
         var found = 0
         val startedAt = System.nanoTime()
         repeat(rounds) { if (workspaces.find(headers[it % headers.size]) is KeyLookup.Found) found++ }
