Test that API keys differ in both halves of their digests

Cause: of nine mutations of the key code, one was not caught: a comparison of the first half of a digest only.

--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/WorkspacesTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/WorkspacesTest.kt
@@ -72,6 +72,17 @@
             }
         }
 
+        @Test
+        fun `Given digests that differ in one half only, when they are looked up, then they are different keys`() {
+            val table = KeyTable(3)
+            table.add(KeyDigest(1, 1), 1)
+            table.add(KeyDigest(1, 2), 2)
+            expectThat(table.ownerOf(KeyDigest(1, 1))).isEqualTo(1)
+            expectThat(table.ownerOf(KeyDigest(1, 2))).isEqualTo(2)
+            expectThat(table.ownerOf(KeyDigest(1, 3))).isEqualTo(KeyTable.UNKNOWN)
+            expectThat(table.ownerOf(KeyDigest(17, 1))).isEqualTo(KeyTable.UNKNOWN)
+        }
+
         @Test
         fun `Given the form of a digest that is sent, when it is parsed, then it is the same digest`() {
             val digest = KeyDigest.of("k1")
