Promise nothing after an attempt that may have run, whatever the next target answers

Cause: a repeated request whose first attempt was lost, or answered with an error, got the status of the next target unchanged. If that was 408, 421, 429 or 503, its caller was told that the request had not run.

Seen to fail on the code before: the new test of EntryServiceTest, at a lost attempt followed by 408.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -220,6 +220,9 @@
                 recordRetry(target, ResultCode.TARGET_OVERLOADED, "status ${result.response.status}")
                 return null
             }
+            if (mayHaveRun && result.response.status in NOT_RUN_STATUSES) {
+                return giveUp(ResultCode.ANSWER_LOST, null, "status ${result.response.status} after an earlier attempt")
+            }
             if (!successful) {
                 log.info(
                     "request_failed_by_target",
@@ -341,6 +344,9 @@
         const val SERVICE_UNAVAILABLE = 503
         const val FIRST_SERVER_ERROR = 500
 
+        /** Statuses that promise that a request has not run. */
+        val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
+
         /** Calls that a running request waits for start before new requests. */
         const val INTERNAL_PRIORITY = -1
 
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -261,6 +261,20 @@
             expectThat(sent).hasSize(2)
         }
 
+        /** Guards against the promise that nothing has run, in the status of a target, after an attempt that may have run. */
+        @Test
+        fun `Given an attempt that may have run, when the next target answers 503, then the caller gets 502`() {
+            start()
+            for (first in listOf(outcomeUnknown, answered(500))) {
+                for (status in listOf(408, 421, 429, 503)) {
+                    results.clear()
+                    results += first
+                    results += answered(status)
+                    expectThat(serve("/read/x").status).describedAs("$first, then $status").isEqualTo(502)
+                }
+            }
+        }
+
         @Test
         fun `Given full gates, when all refuse, then the caller gets a retry delay`() {
             start()
