Let the work of a host go on that is silent or whose entry lapses

Cause: the connection to a host was closed at once when its last target left the published state, and after 2.5 s of silence. That gave up all calls on it with an unknown outcome and, once the host heard of it, cancelled them at their gate, although a host that was paused, or slow to report, would have answered.

Change: such a connection gets no further request and is closed when its calls have ended, after 30 s at most; at most 256 are kept. After a silence, calls that may be repeated end as before, so that their entry repeats them within its limits, and their gate gets a message to cancel them.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
@@ -20,8 +20,8 @@
  * The connections to other daemons: an outbound one to each host that has a target, and those accepted from others.
  *
  * Requests are sent on outbound connections and received on accepted ones; published state goes both ways. A connection
- * that is silent for longer than [SILENCE_TIMEOUT], or some pings longer to another region, is replaced. Used on the
- * event loop.
+ * that is silent for longer than [SILENCE_TIMEOUT], or some pings longer to another region, is replaced. One that is
+ * replaced, or whose host has no target any more, stays open until its calls have ended. Used on the event loop.
  */
 class PeerMesh(
     private val loop: EventLoop,
@@ -36,6 +36,9 @@
 ) {
     private val linksByIp = LinkedHashMap<String, Link>()
     private val accepted = LinkedHashMap<PeerSession, Int>()
+
+    /** Outbound connections that get no further request but still have calls, with the time since. */
+    private val retired = LinkedHashMap<PeerSession, Duration>()
     private var acceptedCount = 0
     private var server: Channel? = null
     private var isClosed = false
@@ -76,7 +79,7 @@
         for (ip in ips) {
             if (ip != ownIp && ip !in linksByIp) linksByIp[ip] = Link(ip).also { connect(it) }
         }
-        for (ip in linksByIp.keys - ips) linksByIp.remove(ip)?.let(::disconnect)
+        for (ip in linksByIp.keys - ips) linksByIp.remove(ip)?.let(::retire)
     }
 
     /** Pings, replaces silent connections and reconnects lost ones; called at least every [MAX_TICK_INTERVAL]. */
@@ -89,6 +92,8 @@
             sendPings(ping())
         }
         for (link in linksByIp.values) checkLink(link, now)
+        retired.filter { (session, since) -> !listener.isInUse(session) || now - since > MAX_RETIREMENT }
+            .keys.forEach { it.close() }
     }
 
     /** Pings all accepted peers now, without waiting for the next interval. */
@@ -110,6 +115,7 @@
         isClosed = true
         server?.close()
         linksByIp.values.forEach(::disconnect)
+        retired.keys.toList().forEach { it.close() }
         accepted.keys.toList().forEach { it.close() }
     }
 
@@ -122,7 +128,9 @@
                     "peer" to link.ip,
                     "silent_ms" to (now - session.lastReceivedAt).inWholeMilliseconds,
                 )
-                session.close()
+                link.retryAt = now + RECONNECT_INTERVAL
+                listener.silent(session)
+                retire(link)
             }
             return
         }
@@ -152,6 +160,14 @@
             }
     }
 
+    /** Uses the connection of [link] for no further request; it is closed at once if no call waits on it. */
+    private fun retire(link: Link) {
+        val session = link.session ?: return
+        if (retired.size >= MAX_RETIRED || !listener.isInUse(session)) return disconnect(link)
+        link.session = null
+        retired[session] = clock.now()
+    }
+
     private fun disconnect(link: Link) {
         val session = link.session ?: return
         link.session = null
@@ -161,6 +177,7 @@
     private fun outboundListener(link: Link): PeerListener =
         object : PeerListener by listener {
             override fun closed(session: PeerSession, reason: String) {
+                retired -= session
                 if (link.session === session) {
                     link.session = null
                     link.retryAt = clock.now() + RECONNECT_INTERVAL
@@ -211,7 +228,11 @@
 
         /** Silence after which a connection counts as dead: 2.5 ping intervals. */
         val SILENCE_TIMEOUT: Duration = 2_500.milliseconds
+
+        /** Time after which a connection that is no longer used is closed although calls wait; most routes are faster. */
+        val MAX_RETIREMENT: Duration = 30.seconds
         private val CONNECT_TIMEOUT = 1.seconds
+        private const val MAX_RETIRED = 256
         private val RECONNECT_INTERVAL = 300.milliseconds
         private const val BACKLOG = 1_024
         private val log = eventLog("peers")
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
@@ -94,4 +94,10 @@
     fun closed(session: PeerSession, reason: String)
 
     fun failed(session: PeerSession, cause: Throwable)
+
+    /** The peer has been silent for too long: calls that may be repeated elsewhere need not wait for it. */
+    fun silent(session: PeerSession) = Unit
+
+    /** Returns whether calls that were sent on [session] have no result yet. */
+    fun isInUse(session: PeerSession): Boolean = false
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -361,6 +361,10 @@
             log.info("peer_failed", "peer" to session.peer?.host, "reason" to cause)
         }
 
+        override fun silent(session: PeerSession) = gateTransport.silent(session)
+
+        override fun isInUse(session: PeerSession): Boolean = gateTransport.isInUse(session)
+
         private fun pinged(session: PeerSession, ping: PeerMessage.Ping) {
             stateSync.pinged(session, ping)
             val host = session.peer?.host ?: return
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -21,7 +21,7 @@
     private val mesh: () -> PeerMesh,
     private val isLeaving: () -> Boolean,
 ) : GateTransport {
-    private val pendingBySession = HashMap<PeerSession, HashMap<Long, (ForwardResult) -> Unit>>()
+    private val pendingBySession = HashMap<PeerSession, HashMap<Long, PendingCall>>()
     private var lastCallNumber = 0L
 
     override fun canSend(target: KnownTarget): Boolean {
@@ -46,7 +46,7 @@
         }
         val number = ++lastCallNumber
         val pendingOfSession = pendingBySession.getOrPut(session) { HashMap() }
-        pendingOfSession[number] = onResult
+        pendingOfSession[number] = PendingCall(call.idempotent, onResult)
         session.send(messageOf(number, call), call.body)
         return Cancellation { if (pendingOfSession.remove(number) != null) session.send(PeerMessage.Cancel(number)) }
     }
@@ -77,16 +77,29 @@
         }
     }
 
+    /** The gate has been silent for too long: calls that may be repeated get an unknown outcome, all others wait. */
+    fun silent(session: PeerSession) =
+        loseCalls(session) { it.idempotent }.forEach { session.send(PeerMessage.Cancel(it)) }
+
+    /** Returns whether calls wait for a reply on [session]. */
+    fun isInUse(session: PeerSession): Boolean = !pendingBySession[session].isNullOrEmpty()
+
     /** The connection is closed: the outcome of all calls sent on it is unknown. */
     fun closed(session: PeerSession) {
-        val callsOfSession = pendingBySession.remove(session) ?: return
-        val handlers = callsOfSession.values.toList()
-        callsOfSession.clear()
-        handlers.forEach { it(ForwardResult.OutcomeUnknown(ResultCode.ANSWER_LOST, null)) }
+        loseCalls(session) { true }
+        pendingBySession.remove(session)
+    }
+
+    private fun loseCalls(session: PeerSession, isLost: (PendingCall) -> Boolean): Set<Long> {
+        val callsOfSession = pendingBySession[session] ?: return emptySet()
+        val lost = callsOfSession.filterValues(isLost)
+        callsOfSession.keys.removeAll(lost.keys)
+        lost.values.forEach { it.onResult(ForwardResult.OutcomeUnknown(ResultCode.ANSWER_LOST, null)) }
+        return lost.keys
     }
 
     private fun complete(session: PeerSession, number: Long, result: () -> ForwardResult) {
-        pendingBySession[session]?.remove(number)?.invoke(result())
+        pendingBySession[session]?.remove(number)?.onResult?.invoke(result())
     }
 
     private fun messageOf(number: Long, call: ForwardCall) =
@@ -107,6 +120,11 @@
             call.ratePerSecond,
         )
 
+    private class PendingCall(
+        val idempotent: Boolean,
+        val onResult: (ForwardResult) -> Unit,
+    )
+
     private companion object {
         val RETRY_AFTER = 200.milliseconds
     }
