Decide on quotas over all hosts by tokens from a tree of lenders

Cause: a workspace may send rate_per_s requests a second plus burst over all hosts together, without shared state. Change: each host owns 1/N of every quota and delegates it, for a lease that counts from the lender's own clock, to its domain lender, which delegates the sum to the root lender; tokens come back by demand.

--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaAccount.kt
@@ -0,0 +1,172 @@
+package kingcuptide.coordination.request.quota
+
+import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.process.HostId
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Decides at one host whether a request is within the quota of its workspace over all hosts.
+ *
+ * Every host owns an equal part of each quota and delegates it for a lease to the lender that [tree] determines; tokens
+ * come back by demand. All state is in memory. Messages go out by [send], which may lose them. Not thread-safe.
+ */
+public class QuotaAccount(
+    private val self: HostId,
+    private val clock: Clock,
+    private val tree: QuotaTree,
+    random: Random,
+    send: (HostId, QuotaMessage) -> Unit,
+) {
+    private val weights = QuotaWeights(clock)
+    private val pool = QuotaPool(clock, weights)
+    private val uplink = QuotaUplink(clock, pool, send, random.nextInt(QuotaUplink.NUMBERS))
+    private val lender = QuotaLender(clock, pool, send, random.nextInt())
+    private val waiting = ArrayList<QuotaTokens>()
+    private var tickedAt = clock.now()
+
+    /** Whether any workspace has a limit; without limits there is nothing to do and no message is sent. */
+    public val isNeeded: Boolean get() = pool.limits.isNotEmpty()
+
+    /** Part of each quota that this host spends as a root lender, from 0 to 1. */
+    internal val share: Double get() = weights.share
+
+    /** Applies [limits] by workspace, in place of all previous ones, to every token at this host at once. */
+    public fun configure(limits: Map<Int, QuotaLimit>) {
+        pool.configure(limits).forEach { it.onDecision(QuotaDecision.Allowed) }
+    }
+
+    /** Sets the number of hosts among which each quota is divided. */
+    public fun setHostCount(hosts: Int) {
+        weights.integrate()
+        weights.hosts = maxOf(1, hosts, tree.liveHosts)
+    }
+
+    /**
+     * Decides on a request of the workspace [key], which can wait for up to [maxWait]; calls [onDecision] once, at once or
+     * within that time. Returns the ticket of a request that waits, or null.
+     */
+    public fun acquire(key: Int, maxWait: Duration, onDecision: (QuotaDecision) -> Unit): QuotaTicket? {
+        val now = clock.now()
+        dropAfterPause(now)
+        val tokens = pool.find(key)
+        if (tokens == null) {
+            onDecision(QuotaDecision.Allowed)
+            return null
+        }
+        tokens.recordDemand(1, now)
+        val wait = minOf(maxWait, MAX_WAIT)
+        when {
+            tokens.waiters.isEmpty() && pool.take(tokens, 1) == 1 -> onDecision(QuotaDecision.Allowed)
+            timeUntilAsked(tokens, now) > wait || tokens.waiters.size >= MAX_WAITERS -> onDecision(refusal(tokens, now))
+            else -> return enqueue(tokens, QuotaWaiter(now + wait, onDecision))
+        }
+        return null
+    }
+
+    /** Returns the token of a request of the workspace [key] that has not run. */
+    public fun giveBack(key: Int) {
+        val tokens = pool.find(key) ?: return
+        pool.putBack(tokens, 1)
+        serveWaiters()
+    }
+
+    /** Applies a message of the host [from]. */
+    public fun received(from: HostId, message: QuotaMessage) {
+        dropAfterPause(clock.now())
+        when (message) {
+            is QuotaMessage.Ask -> lender.received(from, message)
+            is QuotaMessage.Grant -> if (uplink.received(from, message)) serve()
+        }
+        uplink.flush()
+    }
+
+    /** Sends what is due and refuses requests that have waited too long; called every [TICK_INTERVAL]. */
+    public fun tick() {
+        dropAfterPause(clock.now())
+        if (!isNeeded) return
+        uplink.checkReplies()?.let(tree::setSilent)
+        connect()
+        serve()
+        uplink.flush()
+    }
+
+    private fun enqueue(tokens: QuotaTokens, waiter: QuotaWaiter): QuotaTicket {
+        if (tokens.waiters.isEmpty()) waiting += tokens
+        tokens.waiters += waiter
+        pool.urgent[tokens.key] = tokens
+        uplink.flush()
+        return QuotaTicket { tokens.waiters.remove(waiter) }
+    }
+
+    private fun connect() {
+        val root = tree.rootLender()
+        val nearest = tree.domainLender()
+        val isDomainLender = nearest == self || weights.hasLeafChildren
+        val parent = if (isDomainLender) root else nearest
+        val isRoot = root == self
+        uplink.connect(parent.takeIf { !isRoot }, isDomainLender)
+        lender.hasLender = !isRoot
+        pool.refreshShare(isRoot)
+    }
+
+    private fun serve() {
+        serveWaiters()
+        lender.serveDeferred()
+    }
+
+    private fun serveWaiters() {
+        if (waiting.isEmpty()) return
+        val now = clock.now()
+        val decided = ArrayList<Pair<QuotaWaiter, QuotaDecision>>()
+        waiting.removeIf { tokens ->
+            while (tokens.waiters.isNotEmpty()) {
+                val first = tokens.waiters.first()
+                val decision = when {
+                    pool.take(tokens, 1) == 1 -> QuotaDecision.Allowed
+                    first.until <= now || now + roomIn(tokens, now) > first.until -> refusal(tokens, now)
+                    else -> break
+                }
+                decided += tokens.waiters.removeFirst() to decision
+            }
+            if (tokens.waiters.isNotEmpty()) pool.urgent[tokens.key] = tokens
+            tokens.waiters.isEmpty()
+        }
+        decided.forEach { (waiter, decision) -> waiter.onDecision(decision) }
+    }
+
+    private fun roomIn(tokens: QuotaTokens, now: Duration): Duration =
+        if (weights.share > 0 && !lender.hasLender) {
+            tokens.timeUntilFilled(weights, now)
+        } else {
+            (tokens.roomAt - now).coerceAtLeast(Duration.ZERO)
+        }
+
+    /** Returns the time until a request of the workspace can get a token or is worth a message. */
+    private fun timeUntilAsked(tokens: QuotaTokens, now: Duration): Duration =
+        if (lender.hasLender) tokens.refusedUntil - now else roomIn(tokens, now)
+
+    private fun refusal(tokens: QuotaTokens, now: Duration) =
+        QuotaDecision.Refused(roomIn(tokens, now), tokens.held + tokens.bucket.toInt())
+
+    /** Tokens from before a pause may have been spent again by others since. */
+    private fun dropAfterPause(now: Duration) {
+        if (now - tickedAt > QuotaWeights.MAX_STEP) {
+            uplink.giveUp()
+            pool.dropAll()
+        }
+        tickedAt = now
+    }
+
+    public companion object {
+        /** Interval of [tick]. */
+        public val TICK_INTERVAL: Duration = 20.milliseconds
+
+        /** Longest time for which a request waits for a token: enough for a message between regions to be lost once. */
+        public val MAX_WAIT: Duration = 100.milliseconds
+
+        /** Requests of one workspace that wait for tokens at one host. */
+        private const val MAX_WAITERS = 256
+    }
+}
