Refuse requests beyond the quota of their workspace with 429

Cause: the quota account decides, but no daemon asked it. Change: two kinds of messages between daemons; QuotaService connects the account to the peers, to the published hosts and to the limits in force; an entry asks for a credit before it forwards and returns it if the request has not run. 429 carries Retry-After. Requests by workspace are counted with at most 100 labels. Which workspace sends a request is left to EntryDependencies.workspaceOf, which knows none until API keys are read. Not run: the other tests of the module, processes.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
@@ -66,6 +66,8 @@
         NEWS(PeerMessage.ItemUpdates.serializer()),
         ASK(PeerMessage.SectionRequest.serializer()),
         SUSPECTS(PeerMessage.Suspects.serializer()),
+        QUOTA_ASK(PeerMessage.QuotaAsk.serializer()),
+        QUOTA_GRANT(PeerMessage.QuotaGrant.serializer()),
         ;
 
         val label: String = name.lowercase()
@@ -83,6 +85,8 @@
         is PeerMessage.ItemUpdates -> Kind.NEWS
         is PeerMessage.SectionRequest -> Kind.ASK
         is PeerMessage.Suspects -> Kind.SUSPECTS
+        is PeerMessage.QuotaAsk -> Kind.QUOTA_ASK
+        is PeerMessage.QuotaGrant -> Kind.QUOTA_GRANT
     }
 
     private fun deflate(uncompressed: ByteArray): ByteArray {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -162,6 +162,28 @@
     data class SectionRequest(
         @CborLabel(1) val asOf: List<Long>,
     ) : PeerMessage
+
+    /** See [kingcuptide.coordination.request.quota.QuotaMessage.Ask]. */
+    @Serializable
+    data class QuotaAsk(
+        @CborLabel(1) val number: Int,
+        @CborLabel(2) val stamp: Int = 0,
+        @CborLabel(3) val weight: Int = 0,
+        @CborLabel(4) val isDomainLender: Boolean = false,
+        @CborLabel(5) val isUrgent: Boolean = false,
+        @CborLabel(6) val keys: List<Int> = emptyList(),
+        @CborLabel(7) val wanted: List<Int> = emptyList(),
+        @CborLabel(8) val returned: List<Int> = emptyList(),
+    ) : PeerMessage
+
+    /** See [kingcuptide.coordination.request.quota.QuotaMessage.Grant]. */
+    @Serializable
+    data class QuotaGrant(
+        @CborLabel(1) val number: Int,
+        @CborLabel(2) val stamp: Int = 0,
+        @CborLabel(3) val granted: List<Int> = emptyList(),
+        @CborLabel(4) val roomInMs: List<Int> = emptyList(),
+    ) : PeerMessage
 }
 
 /** A message with the raw bytes that follow it. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/DaemonMetrics.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/DaemonMetrics.kt
@@ -7,6 +7,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kingcuptide.coordination.process.ResultCode
+import kingcuptide.forwarder.request.QuotaOutcome
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -15,6 +16,7 @@
 class DaemonMetrics {
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val counters = ConcurrentHashMap<CounterKey, Counter>()
+    private val quotaWorkspaces = ConcurrentHashMap.newKeySet<String>()
     private val addedLatency = histogram("kingcuptide_request_duration_ms")
     private val gateWait = histogram("kingcuptide_gate_wait_ms")
     private val targetRun = histogram("kingcuptide_target_run_ms")
@@ -49,6 +51,14 @@
     /** Counts a response by its HTTP status class. */
     fun answered(status: Int) = increment("kingcuptide_answers", Label("status_class", "${status / 100}xx"))
 
+    /** Counts a request by workspace and by what became of it with regard to its quota. */
+    fun quota(workspace: String, outcome: QuotaOutcome) {
+        val isKnown = workspace in quotaWorkspaces || quotaWorkspaces.size < MAX_WORKSPACE_LABELS
+        if (isKnown) quotaWorkspaces += workspace
+        val label = if (isKnown) workspace else OTHER_WORKSPACES
+        increment("kingcuptide_quota_requests", Label("workspace", label), Label("outcome", outcome.label))
+    }
+
     /** Counts a call to the platform. */
     fun sourceCall(kind: String) = increment("kingcuptide_source_calls", Label("kind", kind))
 
@@ -104,6 +114,12 @@
             builder.register(registry)
         }
 
+    private companion object {
+        /** Workspaces with counters of their own; further ones are counted together as [OTHER_WORKSPACES]. */
+        const val MAX_WORKSPACE_LABELS = 99
+        const val OTHER_WORKSPACES = "other"
+    }
+
     private data class Label(
         val name: String,
         val value: String,
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -13,6 +13,7 @@
 import kingcuptide.coordination.request.TargetGate
 import kingcuptide.coordination.request.TargetPicker
 import kingcuptide.coordination.request.TargetState
+import kingcuptide.coordination.request.quota.QuotaAccount
 import kingcuptide.coordination.version.CallerLimits
 import kingcuptide.coordination.version.KnownTarget
 import kingcuptide.coordination.version.PublishedState
@@ -34,6 +35,7 @@
 import kingcuptide.forwarder.request.GateEndpoint
 import kingcuptide.forwarder.request.GateService
 import kingcuptide.forwarder.request.PeerGateTransport
+import kingcuptide.forwarder.request.QuotaService
 import kingcuptide.forwarder.request.RunningRequests
 import kingcuptide.forwarder.request.TargetClient
 import kingcuptide.forwarder.request.TargetMonitor
@@ -112,18 +114,14 @@
     private val gateTransport = PeerGateTransport(settings.ip, gateService, { mesh }) { stop.isStopping }
     private val location = DaemonLocation(settings.failureDomain, settings.region) { settings.regionByDomain[it] }
     private val picker = TargetPicker(clock, location, random)
+    private val quota =
+        QuotaService(settings.host, settings.failureDomain, clock, random, published, metrics, mesh::distinctPeers)
     private val allowance = RetryAllowance(clock, { settings.retries }) { published.targets.size }
     private val entryDependencies =
-        EntryDependencies({ settings.service }, location, published, picker, allowance, suspects, running, leaving)
-    private val entry =
-        EntryService(
-            clock,
-            platform.names,
-            entryDependencies,
-            gateTransport,
-            metrics,
-            counts,
-        )
+        EntryDependencies({
+            settings.service
+        }, location, published, picker, allowance, suspects, running, leaving, quota)
+    private val entry = EntryService(clock, platform.names, entryDependencies, gateTransport, metrics, counts)
     private val callers =
         CallerServer(loop, scope, clock, settings.callerAddress, ::callerLimits, ::serveCaller)
     private val readiness =
@@ -156,6 +154,7 @@
             follower.start()
             targetMonitor.start()
             scope.launch { repeat(TargetGate.MAX_SERVE_INTERVAL) { gate.serve() } }
+            scope.launch { repeat(QuotaAccount.TICK_INTERVAL) { quota.tick() } }
             scope.launch { repeat(PeerMesh.MAX_TICK_INTERVAL) { tickAll() } }
         }
         log.info(
@@ -174,11 +173,8 @@
         log.info("settings_changed", "service" to changed.service, "service_before" to settings.service)
         val previous = settings
         settings = changed
-        if (changed.addresses() !=
-            previous.addresses()
-        ) {
-            log.warn("settings_need_restart", "reason" to "an address changed")
-        }
+        val needsRestart = changed.addresses() != previous.addresses()
+        if (needsRestart) log.warn("settings_need_restart", "reason" to "an address changed")
         updateGate()
     }
 
@@ -293,6 +289,7 @@
 
     private fun publishedStateChanged() {
         mesh.retain(published.targets.mapTo(HashSet()) { it.entry.ip })
+        quota.stateChanged()
         picker.retain(published.targets.mapTo(HashSet()) { it.entry.id })
         updateGate()
         gate.serve()
@@ -343,16 +340,14 @@
                 is PeerMessage.Forward, is PeerMessage.Cancel -> gateEndpoint.received(session, frame)
                 is PeerMessage.Response, is PeerMessage.Refusal, is PeerMessage.OutcomeUnknown ->
                     gateTransport.received(session, frame)
+                is PeerMessage.QuotaAsk, is PeerMessage.QuotaGrant -> quota.received(session, message)
                 is PeerMessage.Hello -> Unit
             }
         }
 
         override fun closed(session: PeerSession, reason: String) {
-            if (session.peer !=
-                null
-            ) {
-                log.info("peer_closed", "peer" to session.peer?.host, "own" to session.isOutbound, "reason" to reason)
-            }
+            val host = session.peer?.host
+            if (host != null) log.info("peer_closed", "peer" to host, "own" to session.isOutbound, "reason" to reason)
             gateEndpoint.closed(session)
             gateTransport.closed(session)
         }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
@@ -1,5 +1,6 @@
 package kingcuptide.forwarder.request
 
+import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.DaemonLocation
@@ -8,11 +9,22 @@
 import kingcuptide.coordination.request.LeavingTargets
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.TargetPicker
+import kingcuptide.coordination.request.quota.QuotaDecision
+import kingcuptide.coordination.request.quota.quotaRetryAfter
+import kingcuptide.coordination.version.ForwardRoute
 import kingcuptide.coordination.version.PublishedState
 import kingcuptide.coordination.version.TargetEntry
+import kingcuptide.coordination.version.Workspace
+import kingcuptide.forwarder.connection.CallerRequest
 import kingcuptide.forwarder.process.eventLog
+import kotlin.random.Random
+import kotlin.time.Duration
 
-/** What an [EntryService] depends on: the published state, target selection and retry limits. */
+/**
+ * What an [EntryService] depends on: the published state, target selection, retry limits and quotas.
+ *
+ * @property workspaceOf returns the workspace that sends a request, or null if none is known
+ */
 class EntryDependencies(
     val service: () -> ServiceId,
     val location: DaemonLocation,
@@ -22,6 +34,9 @@
     val suspects: CrashSuspects,
     val running: RunningRequests,
     val leaving: LeavingTargets,
+    val quotas: QuotaAdmission = QuotaAdmission.Unlimited,
+    val workspaceOf: (CallerRequest) -> Workspace? = { null },
+    val random: Random = Random.Default,
 ) {
     /** Records a load report of the gate of [target]. */
     fun recordLoadReport(target: TargetEntry, report: GateLoadReport) {
@@ -34,7 +49,33 @@
         if (leaving.record(target.id, target.startedAtUnixMs)) log.info("target_said_leaving", "target" to target.id)
     }
 
+    /** Uses a credit of [workspace]; returns null, or the time after which the caller should retry if there is none. */
+    suspend fun acquireQuota(
+        workspace: Workspace,
+        requestId: String,
+        route: ForwardRoute,
+        timeout: Duration,
+    ): Duration? {
+        val decision = quotas.acquire(workspace, timeout * MAX_QUOTA_WAIT_SHARE)
+        if (decision !is QuotaDecision.Refused) return null
+        val retryAfter = quotaRetryAfter(decision.roomIn, random)
+        log.info(
+            "request_over_quota",
+            "request" to requestId,
+            "code" to ResultCode.QUOTA_SPENT.number,
+            "workspace" to workspace.name,
+            "route" to route.id,
+            "version" to published.routing?.number,
+            "left" to decision.left,
+            "retry_after_ms" to retryAfter.inWholeMilliseconds,
+            "knowledge_age_ms" to published.age().inWholeMilliseconds,
+        )
+        return retryAfter
+    }
+
     private companion object {
+        /** Share of the time of a request for which it may wait for a credit. */
+        const val MAX_QUOTA_WAIT_SHARE = 0.1
         val log = eventLog("entry")
     }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -73,12 +73,17 @@
         }
         val service = roundRobin.next(route)
         if (isQuarantined(route, request)) return refuse(request, ResultCode.QUARANTINED, QUARANTINE_RETRY_AFTER)
-        dependencies.allowance.recordRequest(service)
         val isCall = dependencies.running.hasMade(requestId)
-        val waited = if (isCall) Duration.ZERO else callerWaits.record(route.id, requestedTimeout)
+        val workspace = if (isCall) null else dependencies.workspaceOf(request)
         val timeout = minOf(requestedTimeout, route.timeout)
+        val retryAfter = workspace?.let { dependencies.acquireQuota(it, requestId, route, timeout) }
+        if (retryAfter != null) return errorResponse(ResultCode.QUOTA_SPENT, retryAfter)
+        dependencies.allowance.recordRequest(service)
+        val waited = if (isCall) Duration.ZERO else callerWaits.record(route.id, requestedTimeout)
         val execution = Execution(request, requestId, route, service, timeout, waited, isCall)
-        return execution.run()
+        val response = execution.run()
+        if (workspace != null && execution.hasNotRun) dependencies.quotas.giveBack(workspace)
+        return response
     }
 
     private fun isQuarantined(route: ForwardRoute, request: CallerRequest): Boolean {
@@ -112,6 +117,10 @@
         private var inFlightTarget: KnownTarget? = null
         private var soonestRefusal: ForwardResult.Refused? = null
 
+        /** Whether the request was given up before any target began to work on it. */
+        var hasNotRun = false
+            private set
+
         suspend fun run(): BufferedResponse {
             val remainingMs = (deadline - clock.now()).inWholeMilliseconds
             val response = if (remainingMs > 0) withTimeoutOrNull(remainingMs) { attempts() } else null
@@ -277,6 +286,7 @@
         }
 
         private fun giveUp(code: ResultCode, retryAfter: Duration?, reason: String): BufferedResponse {
+            hasNotRun = code.outcome == Outcome.NOT_RUN && !mayHaveRun
             val tookMs = (clock.now() - request.receivedAt).inWholeMilliseconds
             log.info(
                 "request_given_up",
@@ -320,7 +330,7 @@
         val status = statusOf(code)
         val headers = ArrayList<Pair<String, String>>(2)
         headers += RESULT_CODE_HEADER to code.number.toString()
-        if (retryAfter != null && status == SERVICE_UNAVAILABLE) {
+        if (retryAfter != null && (status == SERVICE_UNAVAILABLE || status == TOO_MANY_REQUESTS)) {
             headers += RETRY_AFTER_HEADER to
                 String.format(Locale.ROOT, "%.3f", retryAfter.toDouble(DurationUnit.SECONDS))
         }
@@ -337,6 +347,7 @@
         const val RETRY_AFTER_HEADER = "Retry-After"
         const val RESULT_CODE_HEADER = "Kingcuptide-Code"
         const val SERVICE_UNAVAILABLE = 503
+        const val TOO_MANY_REQUESTS = 429
         const val FIRST_SERVER_ERROR = 500
 
         /** Calls that a running request waits for start before new requests. */
--- /dev/null
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/QuotaService.kt
@@ -0,0 +1,131 @@
+package kingcuptide.forwarder.request
+
+import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.request.quota.QuotaAccount
+import kingcuptide.coordination.request.quota.QuotaDecision
+import kingcuptide.coordination.request.quota.QuotaHosts
+import kingcuptide.coordination.request.quota.QuotaMessage
+import kingcuptide.coordination.request.quota.QuotaTree
+import kingcuptide.coordination.request.quota.hasLimit
+import kingcuptide.coordination.request.quota.quotaKey
+import kingcuptide.coordination.request.quota.quotaLimitsOf
+import kingcuptide.coordination.version.PublishedState
+import kingcuptide.coordination.version.Workspace
+import kingcuptide.coordination.version.Workspaces
+import kingcuptide.forwarder.connection.PeerMessage
+import kingcuptide.forwarder.connection.PeerSession
+import kingcuptide.forwarder.process.DaemonMetrics
+import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlin.coroutines.resume
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Connects the quota account of this host to its peers and to the published state. Used on the event loop. */
+class QuotaService(
+    self: HostId,
+    domain: FailureDomainId,
+    private val clock: Clock,
+    random: Random,
+    private val published: PublishedState,
+    private val metrics: DaemonMetrics,
+    private val peers: () -> Collection<PeerSession>,
+) : QuotaAdmission {
+    private val tree = QuotaTree(clock, self, domain)
+    private val account = QuotaAccount(self, clock, tree, random, ::send)
+    private val hosts = QuotaHosts(clock)
+    private var sessions = emptyMap<HostId, PeerSession>()
+    private var workspaces = Workspaces.NONE
+    private var peersCheckedAt = -PEERS_INTERVAL
+
+    override suspend fun acquire(workspace: Workspace, maxWait: Duration): QuotaDecision {
+        if (!workspace.hasLimit) return QuotaDecision.Allowed
+        val decision = suspendCancellableCoroutine { continuation ->
+            val ticket = account.acquire(quotaKey(workspace.name), maxWait) { decision ->
+                if (continuation.isActive) {
+                    continuation.resume(decision)
+                } else if (decision == QuotaDecision.Allowed) {
+                    giveBack(workspace)
+                }
+            }
+            continuation.invokeOnCancellation { ticket?.cancel() }
+        }
+        val outcome = if (decision == QuotaDecision.Allowed) QuotaOutcome.ALLOWED else QuotaOutcome.REFUSED
+        metrics.quota(workspace.name, outcome)
+        return decision
+    }
+
+    override fun giveBack(workspace: Workspace) {
+        if (!workspace.hasLimit) return
+        metrics.quota(workspace.name, QuotaOutcome.RETURNED)
+        account.giveBack(quotaKey(workspace.name))
+    }
+
+    /** Applies a changed published state: the limits of its configuration, and the number of hosts. */
+    fun stateChanged() {
+        val current = published.routing?.workspaces ?: Workspaces.NONE
+        if (current !== workspaces) {
+            workspaces = current
+            account.configure(quotaLimitsOf(current))
+        }
+        if (account.isNeeded) countHosts()
+    }
+
+    /** Sends what is due; called every [QuotaAccount.TICK_INTERVAL]. */
+    fun tick() {
+        if (account.isNeeded && clock.now() - peersCheckedAt >= PEERS_INTERVAL) updatePeers()
+        account.tick()
+    }
+
+    fun received(session: PeerSession, message: PeerMessage) {
+        val host = session.peer?.host ?: return
+        val decoded = message.toQuotaMessage() ?: return
+        account.received(HostId(host), decoded)
+    }
+
+    private fun updatePeers() {
+        peersCheckedAt = clock.now()
+        val live = peers().filter { it.isOpen }
+        sessions = live.associateBy { HostId(checkNotNull(it.peer).host) }
+        tree.setLive(live.associate { HostId(checkNotNull(it.peer).host) to checkNotNull(it.failureDomain) })
+        countHosts()
+    }
+
+    private fun countHosts() {
+        val leavingByAddress = HashMap<String, Boolean>()
+        published.targets.forEach { leavingByAddress.merge(it.entry.ip, it.entry.leaving, Boolean::and) }
+        account.setHostCount(hosts.update(leavingByAddress))
+    }
+
+    private fun send(to: HostId, message: QuotaMessage) {
+        sessions[to]?.takeIf { it.isOpen }?.send(message.toPeerMessage())
+    }
+
+    private companion object {
+        /** Interval of looking at which hosts are connected; a host that is silent is noticed without this. */
+        val PEERS_INTERVAL = 200.milliseconds
+    }
+}
+
+/** What became of a request with regard to the quota of its workspace. */
+enum class QuotaOutcome(
+    val label: String,
+) {
+    ALLOWED("allowed"),
+    REFUSED("refused"),
+    RETURNED("returned"),
+}
+
+internal fun QuotaMessage.toPeerMessage(): PeerMessage = when (this) {
+    is QuotaMessage.Ask ->
+        PeerMessage.QuotaAsk(number, stamp, weight, isDomainLender, isUrgent, keys, wanted, returned)
+    is QuotaMessage.Grant -> PeerMessage.QuotaGrant(number, stamp, granted, roomInMs)
+}
+
+internal fun PeerMessage.toQuotaMessage(): QuotaMessage? = when (this) {
+    is PeerMessage.QuotaAsk -> QuotaMessage.Ask(number, stamp, weight, isDomainLender, isUrgent, keys, wanted, returned)
+    is PeerMessage.QuotaGrant -> QuotaMessage.Grant(number, stamp, granted, roomInMs)
+    else -> null
+}
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerCodecTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerCodecTest.kt
@@ -3,6 +3,9 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.DecoderException
+import kingcuptide.coordination.request.quota.QuotaMessage
+import kingcuptide.forwarder.request.toPeerMessage
+import kingcuptide.forwarder.request.toQuotaMessage
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.assertThrows
 import strikt.api.expectThat
@@ -43,6 +46,29 @@
         expectThat(snapshot.items.single().value?.decodeToString()).isEqualTo(value.decodeToString())
     }
 
+    /** Guards against quota messages that are larger on the wire than the simulation of their traffic assumes. */
+    @Test
+    fun `Given a quota message, when it is sent, then it has few bytes and is decoded again`() {
+        val ask = QuotaMessage.Ask(
+            7,
+            0,
+            0,
+            isDomainLender = false,
+            isUrgent = true,
+            listOf(-77_000_000),
+            listOf(1),
+            emptyList(),
+        )
+        val grant = QuotaMessage.Grant(7, 70_000, listOf(1), emptyList())
+        expectThat(encoded(ask.toPeerMessage()).readableBytes()).isEqualTo(24)
+        expectThat(encoded(grant.toPeerMessage()).readableBytes()).isEqualTo(21)
+        for (message in listOf(ask, grant)) {
+            val channel = EmbeddedChannel(PeerCodec())
+            channel.writeInbound(encoded(message.toPeerMessage()))
+            expectThat(channel.readInbound<PeerFrame>().message.toQuotaMessage()).isEqualTo(message)
+        }
+    }
+
     @Test
     fun `Given a frame length out of range, when it arrives, then decoding fails`() {
         val channel = EmbeddedChannel(PeerCodec())
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -14,6 +14,7 @@
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.RetryAllowanceSettings
 import kingcuptide.coordination.request.TargetPicker
+import kingcuptide.coordination.request.quota.QuotaDecision
 import kingcuptide.coordination.version.CallerLimits
 import kingcuptide.coordination.version.ForwardRoute
 import kingcuptide.coordination.version.KnownTarget
@@ -25,6 +26,7 @@
 import kingcuptide.coordination.version.TargetEntry
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.coordination.version.WeightedService
+import kingcuptide.coordination.version.Workspace
 import kingcuptide.forwarder.ManualClock
 import kingcuptide.forwarder.connection.BufferedResponse
 import kingcuptide.forwarder.connection.CallerRequest
@@ -34,6 +36,7 @@
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.TrafficCounts
 import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -41,6 +44,7 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isIn
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
@@ -79,6 +83,8 @@
             return Cancellation { }
         }
     }
+    private var workspace: Workspace? = null
+    private val quotas = ScriptedQuotas()
     private val leaving = LeavingTargets()
     private val allowance = RetryAllowance(clock, { RetryAllowanceSettings(0.2, 100, 10.seconds) }) { 1 }
     private val entry =
@@ -94,6 +100,9 @@
                 CrashSuspects(HostId("h"), 1, clock),
                 running,
                 leaving,
+                quotas,
+                { workspace },
+                Random(1),
             ),
             transport,
             DaemonMetrics(),
@@ -314,6 +323,67 @@
         }
     }
 
+    /** Allows requests until [isSpent]; counts the credits in use. */
+    private class ScriptedQuotas : QuotaAdmission {
+        var isSpent = false
+        var credits = 0
+
+        override suspend fun acquire(workspace: Workspace, maxWait: Duration): QuotaDecision {
+            if (isSpent) return QuotaDecision.Refused(2.seconds, 0)
+            credits++
+            return QuotaDecision.Allowed
+        }
+
+        override fun giveBack(workspace: Workspace) {
+            credits--
+        }
+    }
+
+    @Nested
+    inner class `Quotas` {
+        @BeforeEach
+        fun setWorkspace() {
+            workspace = Workspace("w", null, 10.0, 5.0, emptySet())
+            start()
+        }
+
+        @Test
+        fun `Given a spent quota, when a request arrives, then it gets 429 with a delay and is not sent`() {
+            quotas.isSpent = true
+            val response = serve("/read/x")
+            expectThat(response.status).isEqualTo(429)
+            expectThat(response.headers.first("Kingcuptide-Code")).isEqualTo("219")
+            expectThat(checkNotNull(response.headers.first("Retry-After")).toDouble()).isIn(2.0..4.0)
+            expectThat(sent).isEmpty()
+        }
+
+        @Test
+        fun `Given a request that all gates refuse, when it is given up, then its credit is returned`() {
+            repeat(3) { results += refused(reachedTarget = false) }
+            serve("/read/x")
+            expectThat(quotas.credits).isEqualTo(0)
+        }
+
+        @Test
+        fun `Given requests that ran or may have run, when they end, then their credits stay used`() {
+            results += answered(200)
+            results += outcomeUnknown
+            serve("/read/x")
+            serve("/book/x")
+            expectThat(quotas.credits).isEqualTo(2)
+        }
+
+        @Test
+        fun `Given a spent quota, when a running request makes a call, then the call is not counted`() {
+            quotas.isSpent = true
+            results += answered(200)
+            running.started("6")
+            val headers = listOf("Host" to "h:80", "Id" to "6.7", "Left" to "900")
+            val call = CallerRequest("GET", "/read/x", headers, NO_BYTES, clock.now())
+            expectThat(runBlocking { entry.serve(call) }.status).isEqualTo(200)
+        }
+    }
+
     @Nested
     inner class `Targets that leave` {
         @Test
