--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -5,6 +5,7 @@
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.CallerWaits
 import kingcuptide.coordination.request.LeavingTarget
+import kingcuptide.coordination.request.Outcome
 import kingcuptide.coordination.request.PickRequest
 import kingcuptide.coordination.request.Verdict
 import kingcuptide.coordination.request.WeightedRoundRobin
@@ -80,10 +81,16 @@
         if (isQuarantined(route, request)) {
             return refusals.refuse(request, ResultCode.QUARANTINED, QUARANTINE_RETRY_AFTER)
         }
+        val timeout = minOf(requestedTimeout, route.timeout)
+        val workspace = admission.workspace
+        val retryAfter = workspace?.let { dependencies.acquireQuota(it, admission.requestId, route, timeout) }
+        if (retryAfter != null) return refusals.errorResponse(ResultCode.QUOTA_SPENT, retryAfter)
         dependencies.allowance.recordRequest(service)
         val waited = if (admission.isCall) Duration.ZERO else callerWaits.record(route.id, requestedTimeout)
-        val timeout = minOf(requestedTimeout, route.timeout)
-        return Execution(request, admission, service, timeout, waited).run()
+        val execution = Execution(request, admission, service, timeout, waited)
+        val response = execution.run()
+        if (workspace != null && execution.hasNotRun) dependencies.quotas.giveBack(workspace)
+        return response
     }
 
     private fun isQuarantined(route: ForwardRoute, request: CallerRequest): Boolean {
@@ -119,6 +126,10 @@
         private var inFlightTarget: KnownTarget? = null
         private var soonestRefusal: ForwardResult.Refused? = null
 
+        /** Whether the request was given up before any target began to work on it. */
+        var hasNotRun = false
+            private set
+
         suspend fun run(): BufferedResponse {
             val remainingMs = (deadline - clock.now()).inWholeMilliseconds
             val response = if (remainingMs > 0) withTimeoutOrNull(remainingMs) { attempts() } else null
@@ -290,6 +301,7 @@
         }
 
         private fun giveUp(code: ResultCode, retryAfter: Duration?, reason: String): BufferedResponse {
+            hasNotRun = code.outcome == Outcome.NOT_RUN && !mayHaveRun
             val tookMs = (clock.now() - request.receivedAt).inWholeMilliseconds
             log.info(
                 "request_given_up",
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerRetirementTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerRetirementTest.kt
@@ -87,7 +87,7 @@
         NoObserver,
         TargetNotices(clock, names, gate) { },
         CrashSuspects(HostId("own"), 1, clock),
-        RunningRequests(),
+        RunningRequests(clock),
         DaemonMetrics(),
     )
     private val transport: PeerGateTransport = PeerGateTransport(OWN_IP, gateService, { mesh }) { false }
