--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaAccount.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaAccount.kt
@@ -155,6 +155,7 @@
         if (now - tickedAt > QuotaWeights.MAX_STEP) {
             uplink.giveUp()
             pool.dropAll()
+            pool.refreshShare(!lender.hasLender)
         }
         tickedAt = now
     }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaPool.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaPool.kt
@@ -29,6 +29,7 @@
         tokensByKey.values.removeIf { tokens ->
             val limit = changed[tokens.key]
             if (limit == null) released += tokens.waiters else tokens.change(limit, weights)
+            if (limit == null) tokens.waiters.clear()
             limit == null
         }
         urgent.keys.retainAll(changed.keys)
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/quota/QuotaSimulation.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/quota/QuotaSimulation.kt
@@ -275,10 +275,12 @@
             incarnation++
         }
 
+        /** Handles what has arrived during the pause, and the overdue tick. */
         fun resume() {
             isPaused = false
             backlog.toList().forEach { it() }
             backlog.clear()
+            account?.tick()
         }
 
         fun isLender(): Boolean = tree?.let { it.domainLender() == id || it.rootLender() == id } ?: false
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/quota/QuotaSimulationTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/quota/QuotaSimulationTest.kt
@@ -20,6 +20,8 @@
             Run(seed, fault, QuotaSimulation(seed, HOSTS, workload, fault).run())
         }.toList()
         for ((fault, ofFault) in runs.groupBy { it.fault }) println("$fault ${ofFault.size} runs: ${summary(ofFault)}")
+        val low = runs.filter { minOf(it.normal, it.end) < NORMAL_SHARE || minOf(it.started, it.after) < CHANGED_SHARE }
+        low.take(5).forEach { println("seed=${it.seed} ${it.fault} ${summary(listOf(it))}") }
         val excesses = runs.associate { it.seed to it.simulation.history.excesses() }.filterValues { it.isNotEmpty() }
         excesses.entries.take(5).forEach { (seed, found) -> println("seed=$seed ${found.size} ${found.take(2)}") }
         expectThat(excesses.keys).isEmpty()
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
@@ -60,9 +60,10 @@
         if (decision !is QuotaDecision.Refused) return null
         val retryAfter = quotaRetryAfter(decision.roomIn, random)
         log.info(
-            "request_over_quota",
+            "request_refused",
             "request" to requestId,
             "code" to ResultCode.QUOTA_SPENT.number,
+            "status" to ResultCode.QUOTA_SPENT.httpStatus,
             "workspace" to workspace.name,
             "route" to route.id,
             "version" to published.routing?.number,
