Keep the stamp of a lender when an urgent quota message turns out empty

A message that was dropped since nothing was left to ask for had already used the stamp, so the next one delegated no weight. Change: workspaces that want nothing any more are removed before the message is made.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaUplink.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaUplink.kt
@@ -60,6 +60,7 @@
         val now = clock.now()
         if (inFlight.size >= MAX_IN_FLIGHT) return
         val isRegular = now >= nextRegularAt || hasGrown(to)
+        pool.urgent.values.removeIf { it.wanted(now) == 0 }
         val isUrgent = pool.urgent.isNotEmpty()
         if (!isRegular && (!isUrgent || now < lastSentAt + URGENT_INTERVAL)) return
         if (isRegular) {
@@ -68,7 +69,6 @@
         }
         val ask = askTo(to, if (isRegular) pool.active else pool.urgent.values, isUrgent, isRegular)
         pool.urgent.clear()
-        if (!isRegular && ask.keys.isEmpty()) return
         lastSentAt = now
         inFlight[ask.number] = Sent(ask, now)
         send(to, ask)
