Queue attempts that a share group repeats too often behind first attempts

Cause: a repeat that can still be on time held its place among first attempts of equal priority, however often its group repeated. Change: repeats beyond a tenth of a group's requests in the counting window, and beyond one, are queued last within their priority, if several groups send. The gate takes a request for a repeat if more than a tenth of its objective had passed when it arrived. Result: GateSharesTest passes; its test of the order fails without the change.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/ShareFloors.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/ShareFloors.kt
@@ -37,6 +37,18 @@
         return roundingPhase
     }
 
+    /**
+     * Records that a request of [group] that was just recorded repeats an earlier attempt. Returns whether the group, one
+     * of several, repeats more than [USUAL_REPEAT_SHARE] of its requests.
+     */
+    public fun recordRepeat(group: String, now: Duration): Boolean {
+        val counts = groups[group] ?: return false
+        val period = periodOf(now)
+        val repeated = counts.repeated(period)
+        val usual = maxOf(1.0, counts.at(period).requested * USUAL_REPEAT_SHARE)
+        return groups.size > 1 && repeated > usual
+    }
+
     /** Records that a request of [group] starts; [isPreferred] if it starts before others only because of its floor. */
     public fun recordStart(group: String, isPreferred: Boolean, now: Duration) {
         val period = periodOf(now)
@@ -91,6 +103,7 @@
     private class WindowCounts {
         private val requestedByPeriod = IntArray(PERIODS)
         private val servedByPeriod = IntArray(PERIODS)
+        private val repeatedByPeriod = IntArray(PERIODS)
         private var requestedSum = 0
         private var servedSum = 0
         private var newest = 0L
@@ -107,6 +120,13 @@
             servedSum++
         }
 
+        /** Returns the repeats counted, this one included. */
+        fun repeated(period: Long): Int {
+            moveTo(period)
+            repeatedByPeriod[indexOf(newest)]++
+            return repeatedByPeriod.sum()
+        }
+
         fun at(period: Long): ShareCounts {
             moveTo(period)
             return ShareCounts(requestedSum, servedSum)
@@ -120,6 +140,7 @@
                 servedSum -= servedByPeriod[index]
                 requestedByPeriod[index] = 0
                 servedByPeriod[index] = 0
+                repeatedByPeriod[index] = 0
             }
             newest = period
         }
@@ -134,6 +155,9 @@
         /** Floor of a group as a share of the ratio over all; above the promised quarter, to allow for variation. */
         public const val FLOOR_SHARE: Double = 0.4
 
+        /** Share of a group's requests that may be repeats before they go behind first attempts of others. */
+        private const val USUAL_REPEAT_SHARE = 0.1
+
         /** Bound of [preferredShare], which serves as a divisor; floors together take at most [FLOOR_SHARE] for long. */
         private const val MAX_PREFERRED_SHARE = 0.5
 
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
@@ -28,6 +28,7 @@
     public val shareGroup: String = route.value,
 ) {
     internal var floorRounding: Double = 0.0
+    internal var isExcessRepeat: Boolean = false
     internal var startedAt: Duration = Duration.ZERO
     internal var arrivedAt: Duration = Duration.ZERO
 }
@@ -206,6 +207,7 @@
 
     private fun capacityRefusalOf(request: GateRequest, now: Duration): GateRefusal? {
         request.floorRounding = shares.recordRequest(request.shareGroup, now)
+        request.isExcessRepeat = isRepeat(request) && shares.recordRepeat(request.shareGroup, now)
         val queueWait = expectedWait(countAhead(request, now), now)
         if (queueWait == Duration.ZERO) return null
         val runTime = averages.expectedRunTime(request.route, request.objective)
@@ -214,6 +216,10 @@
         return GateRefusal(capacityCode(now), minOf(queueWait + MIN_RETRY_AFTER, MAX_RETRY_AFTER))
     }
 
+    /** Returns whether the entry has told by the objective that the caller had waited before it sent [request]. */
+    private fun isRepeat(request: GateRequest): Boolean =
+        request.arrivedAt + request.objective - request.objectiveAt > request.objective * MIN_REPEAT_WAIT_SHARE
+
     /** Counts the queued requests that start before [request]. */
     private fun countAhead(request: GateRequest, now: Duration): Int {
         val isOnTime = canMeetObjective(request, now)
@@ -342,9 +348,11 @@
     /** Counts from the arrival, so a retry after a refusal has no precedence over requests that arrived meanwhile. */
     private fun queueOrderTime(request: GateRequest): Duration = request.arrivedAt + request.objective
 
-    private fun isBefore(first: GateRequest, second: GateRequest): Boolean =
-        first.priority < second.priority ||
-            (first.priority == second.priority && queueOrderTime(first) < queueOrderTime(second))
+    private fun isBefore(first: GateRequest, second: GateRequest): Boolean = when {
+        first.priority != second.priority -> first.priority < second.priority
+        first.isExcessRepeat != second.isExcessRepeat -> second.isExcessRepeat
+        else -> queueOrderTime(first) < queueOrderTime(second)
+    }
 
     public companion object {
         /** Longest time between two calls of [serve]. */
@@ -360,6 +368,9 @@
 
         /** Queue timeout of a request that can no longer meet its objective, as a share of the objective. */
         private const val LATE_QUEUE_TIMEOUT_SHARE = 0.25
+
+        /** Share of the objective that the caller of a repeated attempt has waited; network delays are shorter. */
+        private const val MIN_REPEAT_WAIT_SHARE = 0.1
         private val CLOSED_RETRY_AFTER = 200.milliseconds
         private val MIN_RETRY_AFTER = 50.milliseconds
 
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/GateSharesTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/GateSharesTest.kt
@@ -1,9 +1,11 @@
 package kingcuptide.coordination.request
 
+import kingcuptide.coordination.process.RouteId
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
 import strikt.assertions.isGreaterThanOrEqualTo
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -102,6 +104,46 @@
         }
     }
 
+    @Nested
+    inner class `Repeated attempts` {
+        private val clock = ManualClock()
+        private val gate = TargetGate(clock).apply {
+            slots = 2
+            coldFor(Duration.ZERO)
+        }
+        private val started = ArrayList<String>()
+
+        private fun offer(group: String, waited: Duration = Duration.ZERO): GateRequest {
+            val now = clock.now()
+            val objective = 600.milliseconds
+            val objectiveAt = now + objective - waited
+            val request =
+                GateRequest(RouteId("r"), 1, now + 3.seconds, objectiveAt, objective, { started += group }, {}, group)
+            gate.offer(request)
+            return request
+        }
+
+        /** Returns the order in which queued requests start at a gate where both groups run one request each. */
+        private fun startOrder(repeats: Int): List<String> {
+            val requests = ArrayList<GateRequest>()
+            listOf("repeating", "first").forEach { requests += offer(it) }
+            repeat(repeats) { requests += offer("repeating", waited = 100.milliseconds) }
+            requests += offer("first")
+            requests.indices.forEach { _ -> requests.forEach { gate.ended(it, completed = false) } }
+            return started.drop(2)
+        }
+
+        @Test
+        fun `Given a group that repeats beyond the usual, when another sends a first attempt, then that goes first`() {
+            expectThat(startOrder(repeats = 2)).containsExactly("repeating", "first", "repeating")
+        }
+
+        @Test
+        fun `Given a group that repeats once, when another sends a first attempt, then the order stays`() {
+            expectThat(startOrder(repeats = 1)).containsExactly("repeating", "first")
+        }
+    }
+
     private companion object {
         const val SEED = 21L
         const val PRIORITIES = 3
