Prefer only requests on time for the floor of a share group

Cause: a group below its floor had late requests started before others, which spent starts on responses of little value. Change: late requests are preferred only if the run time of their route exceeds its objective, so that no request of it could be on time. The gate tests, TargetGateTest, NamedRateTest and ShareFloorsTest pass.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
@@ -225,7 +225,7 @@
         val isOnTime = canMeetObjective(request, now)
         val preferred = belowFloor(now)
         val preferredOfGroup = preferred.count { it.shareGroup == request.shareGroup }
-        if (shares.isBelowFloor(request.shareGroup, preferredOfGroup, request.floorRounding, now)) {
+        if (isPreferred(request, preferredOfGroup, now)) {
             return preferred.count { startsBefore(it, request, isOnTime, now) }
         }
         val ahead = waiting.count { it in preferred || startsBefore(it, request, isOnTime, now) }
@@ -243,12 +243,21 @@
         val queuedBefore = HashMap<String, Int>()
         return waiting.filterTo(HashSet()) {
             val before = queuedBefore[it.shareGroup] ?: 0
-            val isBelow = shares.isBelowFloor(it.shareGroup, before, it.floorRounding, now)
+            val isBelow = isPreferred(it, before, now)
             if (isBelow) queuedBefore[it.shareGroup] = before + 1
             isBelow
         }
     }
 
+    /** Returns whether [request] starts before others; a late one does not if its group can be served on time. */
+    private fun isPreferred(request: GateRequest, queuedBefore: Int, now: Duration): Boolean =
+        shares.isBelowFloor(request.shareGroup, queuedBefore, request.floorRounding, now) &&
+            (canMeetObjective(request, now) || !couldMeetObjective(request))
+
+    /** Returns whether a first attempt of the route of [request] can be on time at all. */
+    private fun couldMeetObjective(request: GateRequest): Boolean =
+        averages.expectedRunTime(request.route, request.objective) <= request.objective
+
     /** Returns how long [request] may be queued to meet its objective or, if it is late, not to become much later. */
     private fun queueTimeoutOf(request: GateRequest, runTime: Duration, now: Duration): Duration {
         val untilDeadline = request.deadline - now - runTime
@@ -296,7 +305,7 @@
     }
 
     private fun pollNext(now: Duration): GateRequest {
-        val preferred = waiting.filter { shares.isBelowFloor(it.shareGroup, 0, it.floorRounding, now) }
+        val preferred = waiting.filter { isPreferred(it, 0, now) }
         val usual = firstOf(waiting, now)
         val request = if (preferred.isEmpty()) usual else firstOf(preferred, now)
         waiting.remove(request)
