--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -171,8 +171,7 @@
         loop.execute {
             follower.start()
             targetMonitor.start()
-            scope.launch { repeat(TargetGate.MAX_SERVE_INTERVAL) { gate.serve() } }
-            scope.launch { repeat(QuotaAccount.TICK_INTERVAL) { quota.tick() } }
+            scope.launch { repeat(minOf(TargetGate.MAX_SERVE_INTERVAL, QuotaAccount.TICK_INTERVAL)) { tickQueues() } }
             scope.launch { repeat(PeerMesh.MAX_TICK_INTERVAL) { tickAll() } }
         }
         log.info(
@@ -228,6 +227,12 @@
         }
     }
 
+    /** One task for both, since each wake-up of the event loop costs processor time. */
+    private fun tickQueues() {
+        runCatching(gate::serve).onFailure { log.error("task_failed", it) }
+        quota.tick()
+    }
+
     private fun tickAll() {
         mesh.tick()
         callers.tick()
