--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -95,7 +95,7 @@
                 objective = call.objective,
                 onStart = ::start,
                 onRefused = ::refusedByGate,
-                shareGroup = call.workspace ?: call.route.value,
+                shareGroup = call.workspace ?: NO_WORKSPACE,
             )
 
         val idempotent: Boolean get() = call.idempotent
@@ -263,6 +263,9 @@
         /** Longest time from the loss of the connections to the detection that the target is down. */
         val CRASH_DETECTION_WINDOW = 1_000.milliseconds
         const val MAX_INTERRUPTED_CALLS = 64
+
+        /** Share group of all requests without a workspace; with a single group a gate keeps strict priority. */
+        const val NO_WORKSPACE = ""
         const val MISDIRECTED_REQUEST = 421
         const val CONTENT_ENCODING = "Content-Encoding"
         val SUCCESS_STATUSES = 200..299
