--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
@@ -2,16 +2,18 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
-import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
-import io.netty.channel.socket.SocketChannel
+import io.netty.channel.ServerChannelRecvByteBufAllocator
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpResponseEncoder
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.version.CallerLimits
 import kotlinx.coroutines.CoroutineScope
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Accepts requests from callers and from the target on this host. Used on the event loop.
@@ -28,6 +30,7 @@
     private val serve: suspend (CallerRequest) -> BufferedResponse,
 ) {
     private val connections = LinkedHashSet<CallerConnection>()
+    private val buffers = BufferLimit(MAX_BUFFERED_BYTES)
     private var server: Channel? = null
 
     /** Number of requests that wait for their response. */
@@ -37,15 +40,16 @@
         server =
             ServerBootstrap()
                 .group(loop)
-                .channel(NioServerSocketChannel::class.java)
+                .channelFactory { NioServerSocketChannel() }
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(
+                    ChannelOption.RECVBUF_ALLOCATOR,
+                    ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG),
+                )
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(
-                    object : ChannelInitializer<SocketChannel>() {
-                        override fun initChannel(channel: SocketChannel) = accept(channel)
-                    },
-                ).bind(address)
+                .childHandler(PipelineInitializer(::accept))
+                .bind(address)
                 .sync()
                 .channel()
     }
@@ -62,22 +66,33 @@
         closing = true
     }
 
-    /** Stops accepting, closes idle connections and ends running requests with an unknown outcome. */
+    /**
+     * Ends running requests with an unknown outcome, stops accepting and, after [CLOSE_TIME], has closed all connections.
+     *
+     * Until then it reads the requests that have arrived: the system has accepted their connections, or their bytes.
+     */
     fun close() {
-        server?.close()
+        closeAfterResponses()
+        connections.toList().forEach { it.abortRequest() }
+        loop.schedule({ server?.close() }, ACCEPT_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        loop.schedule(::endConnections, CLOSE_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private fun endConnections() {
         val open = connections.toList()
-        open.filter { !it.isServing }.forEach { it.close() }
         open.forEach { it.abortRequest() }
+        open.forEach { it.endAtStop() }
     }
 
     private var closing = false
 
-    private fun accept(channel: SocketChannel) {
+    private fun accept(channel: Channel) {
         val connection =
             CallerConnection(
                 scope,
                 clock,
                 limits(),
+                buffers,
                 serve,
                 refuseByHead,
                 onClosed = { connections -= it },
@@ -92,7 +107,15 @@
         )
     }
 
-    private companion object {
-        const val BACKLOG = 4_096
+    companion object {
+        /** Time from [close] until no connection is accepted; one turn of the event loop accepts all that wait. */
+        private val ACCEPT_TIME = 20.milliseconds
+
+        /** Time from [close] until all connections are closed; enough for bytes that have arrived to be read. */
+        val CLOSE_TIME: Duration = 60.milliseconds
+        private const val BACKLOG = 4_096
+
+        /** Bodies of all requests that are received or served at once; a third of the heap of 96 MiB. */
+        private const val MAX_BUFFERED_BYTES = 32L * 1024 * 1024
     }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
@@ -13,6 +13,8 @@
 internal class PeerCodec(
     private val onSent: (kind: String, bytes: Int) -> Unit = { _, _ -> },
 ) : ByteToMessageCodec<PeerFrame>() {
+    override fun isSharable(): Boolean = false
+
     override fun encode(context: ChannelHandlerContext, frame: PeerFrame, out: ByteBuf) {
         val kind = kindOf(frame.message)
         val uncompressed = encodeHead(kind, frame.message)
@@ -66,6 +68,8 @@
         NEWS(PeerMessage.ItemUpdates.serializer()),
         ASK(PeerMessage.SectionRequest.serializer()),
         SUSPECTS(PeerMessage.Suspects.serializer()),
+        QUOTA_ASK(PeerMessage.QuotaAsk.serializer()),
+        QUOTA_GRANT(PeerMessage.QuotaGrant.serializer()),
         ;
 
         val label: String = name.lowercase()
@@ -83,6 +87,8 @@
         is PeerMessage.ItemUpdates -> Kind.NEWS
         is PeerMessage.SectionRequest -> Kind.ASK
         is PeerMessage.Suspects -> Kind.SUSPECTS
+        is PeerMessage.QuotaAsk -> Kind.QUOTA_ASK
+        is PeerMessage.QuotaGrant -> Kind.QUOTA_GRANT
     }
 
     private fun deflate(uncompressed: ByteArray): ByteArray {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -13,6 +13,7 @@
 import kingcuptide.coordination.request.TargetGate
 import kingcuptide.coordination.request.TargetPicker
 import kingcuptide.coordination.request.TargetState
+import kingcuptide.coordination.request.quota.QuotaAccount
 import kingcuptide.coordination.version.CallerLimits
 import kingcuptide.coordination.version.KnownTarget
 import kingcuptide.coordination.version.PublishedState
@@ -34,6 +35,7 @@
 import kingcuptide.forwarder.request.GateEndpoint
 import kingcuptide.forwarder.request.GateService
 import kingcuptide.forwarder.request.PeerGateTransport
+import kingcuptide.forwarder.request.QuotaService
 import kingcuptide.forwarder.request.RunningRequests
 import kingcuptide.forwarder.request.TargetClient
 import kingcuptide.forwarder.request.TargetMonitor
@@ -115,6 +117,8 @@
     private val gateTransport = PeerGateTransport(settings.ip, gateService, { mesh }) { stop.isStopping }
     private val location = DaemonLocation(settings.failureDomain, settings.region) { settings.regionByDomain[it] }
     private val picker = TargetPicker(clock, location, random)
+    private val quota =
+        QuotaService(settings.host, settings.failureDomain, clock, random, published, metrics, mesh::distinctPeers)
     private val allowance = RetryAllowance(clock, { settings.retries }) { published.targets.size }
     private val entryDependencies =
         EntryDependencies(
@@ -128,16 +132,10 @@
             leaving,
             { settings.revocation },
             { clock.now() - lastPeerMessageAt },
+            quota,
+            random,
         )
-    private val entry =
-        EntryService(
-            clock,
-            platform.names,
-            entryDependencies,
-            gateTransport,
-            metrics,
-            counts,
-        )
+    private val entry = EntryService(clock, platform.names, entryDependencies, gateTransport, metrics, counts)
     private val callers =
         CallerServer(loop, scope, clock, settings.callerAddress, ::callerLimits, ::refuseByKey, ::serveCaller)
     private val readiness =
@@ -174,6 +172,7 @@
             follower.start()
             targetMonitor.start()
             scope.launch { repeat(TargetGate.MAX_SERVE_INTERVAL) { gate.serve() } }
+            scope.launch { repeat(QuotaAccount.TICK_INTERVAL) { quota.tick() } }
             scope.launch { repeat(PeerMesh.MAX_TICK_INTERVAL) { tickAll() } }
         }
         log.info(
@@ -192,11 +191,8 @@
         log.info("settings_changed", "service" to changed.service, "service_before" to settings.service)
         val previous = settings
         settings = changed
-        if (changed.addresses() !=
-            previous.addresses()
-        ) {
-            log.warn("settings_need_restart", "reason" to "an address changed")
-        }
+        val needsRestart = changed.addresses() != previous.addresses()
+        if (needsRestart) log.warn("settings_need_restart", "reason" to "an address changed")
         updateGate()
     }
 
@@ -204,7 +200,7 @@
     fun stop(onStopped: () -> Unit) = loop.execute {
         val limit = settings.stopLimit
         if (!stop.begin(limit)) return@execute
-        val maxStopMs = (PlannedStop.maxStopDuration(limit) + FLUSH_TIME).inWholeMilliseconds
+        val maxStopMs = (PlannedStop.maxStopDuration(limit) + CLOSE_TIME).inWholeMilliseconds
         loop.schedule(onStopped, maxStopMs, TimeUnit.MILLISECONDS)
         log.info("stop_begun", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
         callers.closeAfterResponses()
@@ -220,7 +216,7 @@
             delay(STOP_CHECK_INTERVAL.inWholeMilliseconds)
         }
         log.info("stop_ended", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
-        loop.schedule(onStopped, FLUSH_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        loop.schedule(onStopped, CLOSE_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         callers.close()
         mesh.close()
     }
@@ -311,6 +307,7 @@
 
     private fun publishedStateChanged() {
         mesh.retain(published.targets.mapTo(HashSet()) { it.entry.ip })
+        quota.stateChanged()
         picker.retain(published.targets.mapTo(HashSet()) { it.entry.id })
         updateGate()
         gate.serve()
@@ -365,16 +362,14 @@
                 is PeerMessage.Forward, is PeerMessage.Cancel -> gateEndpoint.received(session, frame)
                 is PeerMessage.Response, is PeerMessage.Refusal, is PeerMessage.OutcomeUnknown ->
                     gateTransport.received(session, frame)
+                is PeerMessage.QuotaAsk, is PeerMessage.QuotaGrant -> quota.received(session, message)
                 is PeerMessage.Hello -> Unit
             }
         }
 
         override fun closed(session: PeerSession, reason: String) {
-            if (session.peer !=
-                null
-            ) {
-                log.info("peer_closed", "peer" to session.peer?.host, "own" to session.isOutbound, "reason" to reason)
-            }
+            val host = session.peer?.host
+            if (host != null) log.info("peer_closed", "peer" to host, "own" to session.isOutbound, "reason" to reason)
             gateEndpoint.closed(session)
             gateTransport.closed(session)
         }
@@ -383,6 +378,10 @@
             log.info("peer_failed", "peer" to session.peer?.host, "reason" to cause)
         }
 
+        override fun silent(session: PeerSession) = gateTransport.silent(session)
+
+        override fun isInUse(session: PeerSession): Boolean = gateTransport.isInUse(session)
+
         private fun pinged(session: PeerSession, ping: PeerMessage.Ping) {
             stateSync.pinged(session, ping)
             val host = session.peer?.host ?: return
@@ -409,8 +408,8 @@
 
         val STOP_CHECK_INTERVAL = 50.milliseconds
 
-        /** Time for the last responses to leave the socket buffers. */
-        val FLUSH_TIME = 100.milliseconds
+        /** Time for the last connections to be closed and their last responses to leave the socket buffers. */
+        val CLOSE_TIME = CallerServer.CLOSE_TIME + 100.milliseconds
         val log = eventLog("daemon")
 
         /** A failed task is a bug in this program: it is logged and ends alone. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
@@ -1,5 +1,6 @@
 package kingcuptide.forwarder.request
 
+import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.DaemonLocation
@@ -10,12 +11,19 @@
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.RevocationSettings
 import kingcuptide.coordination.request.TargetPicker
+import kingcuptide.coordination.request.quota.QuotaDecision
+import kingcuptide.coordination.request.quota.quotaRetryAfter
+import kingcuptide.coordination.version.ForwardRoute
 import kingcuptide.coordination.version.PublishedState
 import kingcuptide.coordination.version.TargetEntry
+import kingcuptide.coordination.version.Workspace
 import kingcuptide.forwarder.process.eventLog
+import kotlin.random.Random
 import kotlin.time.Duration
 
-/** What an [EntryService] depends on: the published state, target selection, retry limits and how API keys age. */
+/**
+ * What an [EntryService] depends on: the published state, target selection, retry limits, quotas and how API keys age.
+ */
 class EntryDependencies(
     val service: () -> ServiceId,
     val location: DaemonLocation,
@@ -27,11 +35,13 @@
     val leaving: LeavingTargets,
     val revocation: () -> RevocationSettings = { RevocationSettings() },
     private val peerSilence: () -> Duration = { Duration.ZERO },
+    val quotas: QuotaAdmission = QuotaAdmission.Unlimited,
+    val random: Random = Random.Default,
 ) {
     /** What this daemon knows about the age of its API keys. */
     val keyKnowledge: KeyKnowledge =
         object : KeyKnowledge {
-            override val isConfirmed: Boolean get() = published.age().isFinite()
+            override val isConfirmed: Boolean get() = published.isConfirmed
 
             override val peerSilence: Duration get() = this@EntryDependencies.peerSilence()
         }
@@ -47,7 +57,34 @@
         if (leaving.record(target.id, target.startedAtUnixMs)) log.info("target_said_leaving", "target" to target.id)
     }
 
+    /** Uses a credit of [workspace]; returns null, or the time after which the caller should retry if there is none. */
+    suspend fun acquireQuota(
+        workspace: Workspace,
+        requestId: String,
+        route: ForwardRoute,
+        timeout: Duration,
+    ): Duration? {
+        val decision = quotas.acquire(workspace, timeout * MAX_QUOTA_WAIT_SHARE)
+        if (decision !is QuotaDecision.Refused) return null
+        val retryAfter = quotaRetryAfter(decision.roomIn, random)
+        log.info(
+            "request_refused",
+            "request" to requestId,
+            "code" to ResultCode.QUOTA_SPENT.number,
+            "status" to ResultCode.QUOTA_SPENT.httpStatus,
+            "workspace" to workspace.name,
+            "route" to route.id,
+            "version" to published.routing?.number,
+            "left" to decision.left,
+            "retry_after_ms" to retryAfter.inWholeMilliseconds,
+            "knowledge_age_ms" to published.age().inWholeMilliseconds,
+        )
+        return retryAfter
+    }
+
     private companion object {
+        /** Share of the time of a request for which it may wait for a credit. */
+        const val MAX_QUOTA_WAIT_SHARE = 0.1
         val log = eventLog("entry")
     }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryRefusals.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryRefusals.kt
@@ -50,7 +50,7 @@
         val headers = ArrayList<Pair<String, String>>(2)
         headers += RESULT_CODE_HEADER to code.number.toString()
         headers += added
-        if (retryAfter != null && status == SERVICE_UNAVAILABLE) {
+        if (retryAfter != null && status in STATUSES_WITH_RETRY_AFTER) {
             headers += RETRY_AFTER_HEADER to
                 String.format(Locale.ROOT, "%.3f", retryAfter.toDouble(DurationUnit.SECONDS))
         }
@@ -72,6 +72,7 @@
         const val CHALLENGE_HEADER = "WWW-Authenticate"
         const val UNAUTHORIZED = 401
         const val SERVICE_UNAVAILABLE = 503
+        val STATUSES_WITH_RETRY_AFTER = setOf(429, SERVICE_UNAVAILABLE)
         const val FIRST_SERVER_ERROR = 500
         val log = eventLog("entry")
     }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
@@ -30,7 +30,14 @@
     private var pendingResponse: CompletableDeferred<BufferedResponse>? = null
     private var cancelled = false
     private val connection =
-        CallerConnection(CoroutineScope(Dispatchers.Unconfined), clock, limits, ::serve, ::refuseByHead) { }
+        CallerConnection(
+            CoroutineScope(Dispatchers.Unconfined),
+            clock,
+            limits,
+            BufferLimit(64),
+            ::serve,
+            ::refuseByHead,
+        ) { }
     private val channel =
         EmbeddedChannel(
             connection.activityHandler,
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -14,6 +14,7 @@
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.RetryAllowanceSettings
 import kingcuptide.coordination.request.TargetPicker
+import kingcuptide.coordination.request.quota.QuotaDecision
 import kingcuptide.coordination.version.CallerLimits
 import kingcuptide.coordination.version.ForwardRoute
 import kingcuptide.coordination.version.KeyDigest
@@ -38,6 +39,7 @@
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.TrafficCounts
 import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -46,6 +48,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isIn
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
@@ -85,6 +88,7 @@
             return Cancellation { }
         }
     }
+    private val quotas = ScriptedQuotas()
     private val leaving = LeavingTargets()
     private val allowance = RetryAllowance(clock, { RetryAllowanceSettings(0.2, 100, 10.seconds) }) { 1 }
     private val entry =
@@ -100,6 +104,8 @@
                 CrashSuspects(HostId("h"), 1, clock),
                 running,
                 leaving,
+                quotas = quotas,
+                random = Random(1),
             ),
             transport,
             DaemonMetrics(),
@@ -239,7 +245,7 @@
         }
 
         @Test
-        fun `Given a valid key, when the request is forwarded, then its target gets the workspace and not the key`() {
+        fun `Given a valid key, when the request is forwarded, then its target gets no key but the workspace`() {
             startWithKeys()
             results += answered(200)
             val status = serve("/read/x", key, "workspace" to "forged", "Connection" to "Workspace").status
@@ -266,7 +272,7 @@
         }
 
         @Test
-        fun `Given an invalid key on an anonymous route, when it arrives, then it is served without key and workspace`() {
+        fun `Given an invalid key on an anonymous route, when it arrives, then it is served without both`() {
             startWithKeys()
             results += answered(200)
             expectThat(serve("/open/x", "Authorization" to "Token k2", "Workspace" to "forged").status).isEqualTo(200)
@@ -366,6 +372,20 @@
             expectThat(sent).hasSize(2)
         }
 
+        /** Guards against the promise that nothing has run, in the status of a target, after an attempt that may have run. */
+        @Test
+        fun `Given an attempt that may have run, when the next target answers 503, then the caller gets 502`() {
+            start()
+            for (first in listOf(outcomeUnknown, answered(500))) {
+                for (status in listOf(408, 421, 429, 503)) {
+                    results.clear()
+                    results += first
+                    results += answered(status)
+                    expectThat(serve("/read/x").status).describedAs("$first, then $status").isEqualTo(502)
+                }
+            }
+        }
+
         @Test
         fun `Given full gates, when all refuse, then the caller gets a retry delay`() {
             start()
@@ -419,6 +439,76 @@
         }
     }
 
+    /** Allows requests until [isSpent]; counts the credits in use. */
+    private class ScriptedQuotas : QuotaAdmission {
+        var isSpent = false
+        var credits = 0
+
+        override suspend fun acquire(workspace: Workspace, maxWait: Duration): QuotaDecision {
+            if (isSpent) return QuotaDecision.Refused(2.seconds, 0)
+            credits++
+            return QuotaDecision.Allowed
+        }
+
+        override fun giveBack(workspace: Workspace) {
+            credits--
+        }
+    }
+
+    @Nested
+    inner class `Quotas` {
+        private val workspace = Workspace("w", null, 10.0, 5.0, emptySet())
+        private val key = "Authorization" to "Token k1"
+
+        @BeforeEach
+        fun startWithQuota() {
+            start(
+                workspaces = Workspaces(
+                    listOf(workspace),
+                    listOf(WorkspaceKey(KeyDigest.of("k1"), workspace)),
+                    "Token",
+                ),
+            )
+            published.confirmed(Duration.ZERO)
+        }
+
+        @Test
+        fun `Given a spent quota, when a request arrives, then it gets 429 with a delay and is not sent`() {
+            quotas.isSpent = true
+            val response = serve("/read/x", key)
+            expectThat(response.status).isEqualTo(429)
+            expectThat(response.headers.first("Kingcuptide-Code")).isEqualTo("219")
+            expectThat(checkNotNull(response.headers.first("Retry-After")).toDouble()).isIn(2.0..4.0)
+            expectThat(sent).isEmpty()
+        }
+
+        @Test
+        fun `Given a request that all gates refuse, when it is given up, then its credit is returned`() {
+            repeat(3) { results += refused(reachedTarget = false) }
+            serve("/read/x", key)
+            expectThat(quotas.credits).isEqualTo(0)
+        }
+
+        @Test
+        fun `Given requests that ran or may have run, when they end, then their credits stay used`() {
+            results += answered(200)
+            results += outcomeUnknown
+            serve("/read/x", key)
+            serve("/book/x", key)
+            expectThat(quotas.credits).isEqualTo(2)
+        }
+
+        @Test
+        fun `Given a spent quota, when a running request makes a call, then the call is not counted`() {
+            quotas.isSpent = true
+            results += answered(200)
+            running.started("6")
+            val headers = listOf("Host" to "h:80", "Id" to "6.7", "Left" to "900")
+            val call = CallerRequest("GET", "/read/x", headers, NO_BYTES, clock.now())
+            expectThat(runBlocking { entry.serve(call) }.status).isEqualTo(200)
+        }
+    }
+
     @Nested
     inner class `Targets that leave` {
         @Test
