Use only targets told to be in use until the state is confirmed

Change: a ping names the target beside its sender if the sender knows that it is in use (optional field 8). Until its own state is confirmed, an entry sends requests only to targets that their own daemon has named since the start; it waits for such a word up to 300 ms within the deadline, then refuses with 503, code 221. A daemon that has just started names its target only if it has heard from a peer and holds all that its peers had, and then tells the peers that were not confirmed at once.

--- a/cli/src/main/kotlin/kingcuptide/cli/RequestStory.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/RequestStory.kt
@@ -126,6 +126,7 @@
     ResultCode.KEYS_UNCONFIRMED -> "the daemon could not tell whether its API keys were current"
     ResultCode.NO_CONFIGURATION -> "the daemon had no configuration yet"
     ResultCode.NO_TARGET -> "no untried target was published, reachable and in a home region"
+    ResultCode.TARGETS_UNCONFIRMED -> "the daemon had just started and no gate had told it of a target in use"
     ResultCode.TARGET_FULL -> "the last target tried had a longer queue than it can serve in time"
     ResultCode.TARGET_COLD -> "the last target tried was cold and had reached its rate limit for this second"
     ResultCode.DRAINING -> "the daemon or the target was shutting down"
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
@@ -54,6 +54,7 @@
     TARGET_RATE_SPENT(218, 503, Outcome.NOT_RUN, retryable = true),
     QUOTA_SPENT(219, 429, Outcome.NOT_RUN),
     KEYS_UNCONFIRMED(220, 503, Outcome.NOT_RUN),
+    TARGETS_UNCONFIRMED(221, 503, Outcome.NOT_RUN),
 
     // 3xx: the request may have run
     ANSWER_LOST(300, 502, Outcome.UNKNOWN),
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
@@ -95,10 +95,10 @@
             .keys.forEach { it.close() }
     }
 
-    /** Pings all accepted peers now, without waiting for the next interval. */
-    fun pingNow() {
+    /** Pings the accepted peers that are [concerned] now, without waiting for the next interval. */
+    fun pingNow(concerned: (PeerSession) -> Boolean = { true }) {
         val message = ping()
-        accepted.keys.forEach { if (it.isOpen) it.send(message) }
+        accepted.keys.forEach { if (it.isOpen && concerned(it)) it.send(message) }
     }
 
     /** Staggers pings to other regions, so that each region receives some in every interval and can pass on changes. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -97,6 +97,7 @@
      * @property readerState the ordinal of its [kingcuptide.coordination.version.ReaderState]
      * @property contactAgeMs time since the sender's state was last confirmed equal to the source's; negative if never
      * @property digest digest of the published state; equal digests mean equal state
+     * @property targetInUse id of the target beside the sender if the sender knows that it is in use
      */
     @Serializable
     data class Ping(
@@ -107,6 +108,7 @@
         @CborLabel(5) @SerialName("burden") val loadReport: LoadReport,
         @CborLabel(6) val digest: Long,
         @CborLabel(7) val readerState: Int,
+        @CborLabel(8) val targetInUse: String? = null,
     ) : PeerMessage
 
     /**
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -34,6 +34,7 @@
 import kingcuptide.forwarder.request.EntryService
 import kingcuptide.forwarder.request.GateEndpoint
 import kingcuptide.forwarder.request.GateService
+import kingcuptide.forwarder.request.OwnTargetUse
 import kingcuptide.forwarder.request.PeerGateTransport
 import kingcuptide.forwarder.request.QuotaService
 import kingcuptide.forwarder.request.RunningRequests
@@ -114,7 +115,12 @@
         SourceFollower(scope, clock, platform.source, stateSync, random, settings.isFirstStart, readerRole)
     private val roleMonitor = ReaderRoleMonitor(clock, readerRole, published, follower, mesh, ::isSameRegion)
     private val stop = PlannedStop(clock)
-    private val gateTransport = PeerGateTransport(settings.ip, gateService, { mesh }) { stop.isStopping }
+    private val targetUse =
+        OwnTargetUse(published, gate, targetMonitor::targetId, stateSync::asOf) {
+            mesh.distinctPeers().mapNotNull { it.lastPing }
+        }
+    private val gateTransport =
+        PeerGateTransport(settings.ip, gateService, { mesh }, targetUse::inUse) { stop.isStopping }
     private val location = DaemonLocation(settings.failureDomain, settings.region) { settings.regionByDomain[it] }
     private val picker = TargetPicker(clock, location, random)
     private val quota =
@@ -243,6 +249,7 @@
         counts.tick()
         roleMonitor.tick()
         updateGate()
+        if (targetUse.hasBegun()) mesh.pingNow { it.lastPing.let { ping -> ping == null || ping.contactAgeMs < 0 } }
     }
 
     private fun updateGate() {
@@ -347,6 +354,7 @@
             gate.loadReport().toMessage(),
             published.digest(),
             roleMonitor.ownState.ordinal,
+            targetUse.inUse()?.value,
         )
     }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -22,6 +22,7 @@
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.TrafficCounts
 import kingcuptide.forwarder.process.eventLog
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.coroutines.resume
@@ -146,7 +147,7 @@
 
         private suspend fun attempts(): BufferedResponse {
             while (true) {
-                val target = pick() ?: return noCandidateLeft()
+                val target = pick() ?: awaitTargetInUse() ?: return noCandidateLeft()
                 triedTargets += target.entry.id
                 val result = attempt(target)
                 result.loadReport?.let { dependencies.recordLoadReport(target.entry, it) }
@@ -160,17 +161,35 @@
         }
 
         private fun noCandidateLeft(): BufferedResponse {
-            val refusal =
-                soonestRefusal
-                    ?: return giveUp(reportableCode(ResultCode.NO_TARGET), NO_TARGET_RETRY_AFTER, "no target")
+            val refusal = soonestRefusal ?: return noTarget()
             return giveUp(reportableCode(refusal.code), refusal.retryAfter, "refused by all of ${triedTargets.size}")
         }
 
+        private fun noTarget(): BufferedResponse {
+            val isConfirmed = dependencies.published.isConfirmed
+            val code = if (isConfirmed) ResultCode.NO_TARGET else ResultCode.TARGETS_UNCONFIRMED
+            val reason = if (isConfirmed) "no target" else "no target known to be in use since the start"
+            return giveUp(reportableCode(code), NO_TARGET_RETRY_AFTER, reason)
+        }
+
+        /** Waits a short time for the gates of targets, which tell a daemon that has just started what is in use. */
+        private suspend fun awaitTargetInUse(): KnownTarget? {
+            repeat(MAX_IN_USE_CHECKS) {
+                if (dependencies.published.isConfirmed || triedTargets.isNotEmpty()) return pick()
+                delay(IN_USE_CHECK_INTERVAL.inWholeMilliseconds)
+                pick()?.let { return it }
+            }
+            return null
+        }
+
         private fun pick(): KnownTarget? {
             val takenOut = dependencies.published.takenOut
-            val candidates = dependencies.published.targetsOf(service).filter {
+            val reachable = dependencies.published.targetsOf(service).filter {
                 !isLeaving(it) && it.entry.failureDomain !in takenOut && isHome(it) && transport.canSend(it)
             }
+            // Targets that a lagging replica of the source still lists may have left.
+            val candidates =
+                if (dependencies.published.isConfirmed) reachable else reachable.filter(transport::isToldInUse)
             val now = clock.now()
             return dependencies.picker.pick(
                 candidates,
@@ -340,6 +359,13 @@
         val STOP_RETRY_AFTER = 200.milliseconds
         val NO_TARGET_RETRY_AFTER = 300.milliseconds
 
+        /**
+         * Together 300 ms: after a start of all daemons, the first health check and the ping that tells its result take
+         * about 250 ms.
+         */
+        const val MAX_IN_USE_CHECKS = 15
+        val IN_USE_CHECK_INTERVAL = 20.milliseconds
+
         /** Refusals by a gate that is open; any other code means that it is closed. */
         val BUSY_CODES = setOf(
             ResultCode.TARGET_FULL,
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateTransport.kt
@@ -7,6 +7,9 @@
     /** Whether a request can be sent to the gate of [target] now. */
     fun canSend(target: KnownTarget): Boolean
 
+    /** Whether the daemon beside [target] has told this one, since this one started, that [target] is in use. */
+    fun isToldInUse(target: KnownTarget): Boolean
+
     /** Sends [call]; [onResult] is called once, possibly before this returns, unless the call is cancelled. */
     fun submit(target: KnownTarget, call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -19,6 +19,7 @@
     private val ownIp: String,
     private val gate: GateService,
     private val mesh: () -> PeerMesh,
+    private val ownTargetInUse: () -> TargetId?,
     private val isLeaving: () -> Boolean,
 ) : GateTransport {
     private val pendingBySession = HashMap<PeerSession, HashMap<Long, PendingCall>>()
@@ -30,6 +31,11 @@
         return session.lastPing?.leaving != true
     }
 
+    override fun isToldInUse(target: KnownTarget): Boolean {
+        if (target.entry.ip == ownIp) return ownTargetInUse() == target.entry.id
+        return mesh().outboundSession(target.entry.ip)?.lastPing?.targetInUse == target.entry.id.value
+    }
+
     override fun submit(target: KnownTarget, call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation {
         if (target.entry.ip == ownIp) return gate.submit(call, onResult)
         val session = mesh().outboundSession(target.entry.ip)
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerRetirementTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerRetirementTest.kt
@@ -90,7 +90,7 @@
         RunningRequests(clock),
         DaemonMetrics(),
     )
-    private val transport: PeerGateTransport = PeerGateTransport(OWN_IP, gateService, { mesh }) { false }
+    private val transport: PeerGateTransport = PeerGateTransport(OWN_IP, gateService, { mesh }, { null }) { false }
 
     private object NoObserver : TargetObserver {
         override fun responded(startedAt: Duration) = Unit
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/TargetNoticeSimulation.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/TargetNoticeSimulation.kt
@@ -210,6 +210,8 @@
     private inner class Transport : GateTransport {
         override fun canSend(target: KnownTarget): Boolean = hostOf(target).isUp
 
+        override fun isToldInUse(target: KnownTarget): Boolean = true
+
         override fun submit(target: KnownTarget, call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation {
             var cancellation: Cancellation? = null
             var isCancelled = false
