--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
@@ -54,6 +54,7 @@
     TARGET_RATE_SPENT(218, 503, Outcome.NOT_RUN, retryable = true),
     QUOTA_SPENT(219, 429, Outcome.NOT_RUN),
     KEYS_UNCONFIRMED(220, 503, Outcome.NOT_RUN),
+    TARGETS_UNCONFIRMED(221, 503, Outcome.NOT_RUN),
 
     // 3xx: the request may have run
     ANSWER_LOST(300, 502, Outcome.UNKNOWN),
@@ -77,6 +78,7 @@
     NO_TARGET_IN_HOME_REGION(409, 0),
     DUPLICATE_PATH_PREFIX(410, 0),
     HOME_REGION_TAKEN_OUT(411, 0),
+    DOCUMENT_ENTRY_FAULTY(412, 0),
 
     // 5xx: between daemons and with the platform
     PEER_PROTOCOL_VERSION(500, 0),
