Serve pipelined requests of callers concurrently

Cause: a pipelined request waited until the responses to all before it were written. Change: CallerConnection starts and writes what CallerPipeline decides; RequestAssembler reads requests and CallerWriter writes responses and closes. The entry says by the route whether a request is idempotent, as it starts. The in-flight gauge counts requests instead of connections. An exception that only looks like a cancellation gets 502 instead of no response. At the end of a stop, the time to read counts from the end of accepting.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
@@ -1,69 +1,73 @@
 package kingcuptide.forwarder.connection
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.channel.socket.DuplexChannel
-import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
-import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
-import io.netty.handler.codec.http.LastHttpContent
-import io.netty.handler.codec.http.TooLongHttpHeaderException
-import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.request.CallerPipeline
+import kingcuptide.coordination.request.SizedResponse
 import kingcuptide.coordination.version.CallerLimits
 import kingcuptide.forwarder.process.eventLog
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
-import java.io.ByteArrayOutputStream
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
-/** One connection of a caller: serves its requests one after the other, and cancels the current one when it closes. */
+/**
+ * One connection of a caller: reads its requests, serves them as [CallerPipeline] decides, and cancels them when it closes.
+ *
+ * @param isIdempotent whether a request may start before those before it have their responses
+ */
 internal class CallerConnection(
     private val scope: CoroutineScope,
     private val clock: Clock,
     private val limits: CallerLimits,
     private val buffers: BufferLimit,
     private val serve: suspend (CallerRequest) -> BufferedResponse,
-    private val refuseByHead: (CallerRequest) -> BufferedResponse? = { null },
+    refuseByHead: (CallerRequest) -> BufferedResponse? = { null },
+    private val isIdempotent: (CallerRequest) -> Boolean = { false },
+    private val counts: PipelineCounts = PipelineCounts(),
     private val onClosed: (CallerConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
-    private var context: ChannelHandlerContext? = null
-    private var head: HttpRequest? = null
-    private var body = ByteArrayOutputStream(INITIAL_BODY_BYTES)
-    private var bodyBytes = 0L
-
-    /** Response to the current request, whose body is discarded; null if it is to be served. */
-    private var refusal: BufferedResponse? = null
-    private val pipelined = ArrayDeque<HttpObject>()
-    private var job: Job? = null
-    private var isClosing = false
-    private var closingSince = Duration.ZERO
+    private lateinit var writer: CallerWriter
+    private lateinit var context: ChannelHandlerContext
+    private val pipeline = CallerPipeline<BufferedResponse>()
+    private val assembler = RequestAssembler(limits, buffers, refuseByHead)
+
+    /** Requests without a response, by their ids in [pipeline]. */
+    private val requests = HashMap<Long, ArrivedRequest>()
+
+    /** Parts that the bounds of [pipeline] do not let in yet. Nothing is read from the socket while there are any. */
+    private val unread = ArrayDeque<UnreadPart>()
+    private var isPumping = false
     private var headStartedAt: Duration? = null
-    private var bodyStartedAt = Duration.ZERO
     private var requestBytes = 0L
-    private var discardedBytes = 0L
-    private var reservedBytes = 0
-    private var isProcessing = false
-    private var lastByteAt = clock.now()
+    private var droppedBytes = 0L
+    private var lastProgressAt = clock.now()
 
-    /** Whether the connection closes after the next response. */
+    /** Whether the connection closes after the responses to the requests that have arrived. */
     var closesAfterResponse = false
+        set(value) {
+            field = value
+            if (value) pipeline.stop()
+        }
 
     /** Whether a request waits for its response. */
-    val isServing: Boolean get() = job != null
+    val isServing: Boolean get() = runningCount > 0
+
+    /** Number of requests that run. */
+    val runningCount: Int get() = pipeline.runningCount
+
+    /** Bytes of responses that wait for their turn. */
+    val heldBytes: Long get() = pipeline.heldBytes
 
     /** Records bytes and when they arrive, before they are decoded: the decoder skips some, and never ends others. */
     val activityHandler =
@@ -71,60 +75,73 @@
             override fun isSharable(): Boolean = false
 
             override fun channelRead(context: ChannelHandlerContext, message: Any) {
-                if (isClosing) return discard(message)
-                lastByteAt = clock.now()
-                val isIdle = head == null && job == null && pipelined.isEmpty()
-                if (isIdle && headStartedAt == null) headStartedAt = lastByteAt
+                if (writer.isClosing) return writer.discard(message)
+                if (!pipeline.acceptsMore) return drop(message)
+                lastProgressAt = clock.now()
+                val isIdle = !assembler.isReceiving && pipeline.isEmpty && unread.isEmpty()
+                if (isIdle && headStartedAt == null) headStartedAt = lastProgressAt
                 if (message is ByteBuf) requestBytes += message.readableBytes()
                 context.fireChannelRead(message)
-                if (job == null && pipelined.isEmpty()) checkLength()
+                if (unread.isEmpty()) checkLength()
             }
         }
 
     override fun isSharable(): Boolean = false
 
     fun close() {
-        context?.close()
+        cancelAll()
+        context.close()
     }
 
-    /** Ends the current request at once with [ResultCode.ANSWER_LOST], as its outcome is unknown. */
+    /**
+     * Ends the requests that run at once with [ResultCode.ANSWER_LOST], as their outcome is unknown. Those that have not
+     * started get no response: they are behind the last one.
+     */
     fun abortRequest() {
-        val serving = job ?: return
-        job = null
-        serving.cancel()
-        closesAfterResponse = true
-        respond(BufferedResponse(ResultCode.ANSWER_LOST.httpStatus, emptyList(), NO_BYTES), keepAlive = false)
+        if (!isServing) return
+        pipeline.end(sized(LOST)).forEach { release(it)?.cancel() }
+        pump(ignoresWritability = true)
     }
 
     /** Refuses a request that has begun to arrive, since the daemon stops, or closes the connection if there is none. */
     fun endAtStop() {
-        if (job != null || isClosing) return
-        if (head == null && headStartedAt == null) return closeAfterWrites()
+        if (isServing || writer.isClosing) return
+        if (!pipeline.isEmpty) return abandonUnread()
+        if (!assembler.isReceiving && headStartedAt == null) return writer.closeAfterWrites()
         refuse(ResultCode.DRAINING.httpStatus, "request incomplete at the end of a stop")
+        pump(ignoresWritability = true)
+    }
+
+    /** Writes the responses that are ready although the caller reads slowly, the last of which closes. */
+    private fun abandonUnread() {
+        pipeline.end(sized(LOST))
+        pump(ignoresWritability = true)
+        if (!writer.isClosing) writer.closeAfterWrites()
     }
 
     /** Ends the connection if its caller exceeds one of [limits]. */
     fun checkTimeouts(limits: CallerLimits) {
         val now = clock.now()
-        if (isClosing && now - closingSince > limits.idleTimeout) close()
-        if (job != null || isClosing) return
+        if (writer.closingFor() > limits.idleTimeout) close()
+        if (isServing || writer.isClosing) return
         val headStarted = headStartedAt
+        val sinceProgress = now - lastProgressAt
         when {
+            // The caller does not read its responses.
+            !pipeline.isEmpty -> if (sinceProgress > limits.idleTimeout) close()
             headStarted != null && now - headStarted > limits.headTimeout ->
                 refuse(REQUEST_TIMEOUT, "request head timed out")
-            head != null && (now - lastByteAt > limits.headTimeout || isBodyTooSlow(now, limits)) ->
+            assembler.isReceiving &&
+                (sinceProgress > limits.headTimeout || assembler.isBodyTooSlow(now, limits.idleTimeout)) ->
                 refuse(REQUEST_TIMEOUT, "request body timed out")
-            headStarted == null && head == null && now - lastByteAt > limits.idleTimeout -> close()
+            headStarted == null && !assembler.isReceiving && sinceProgress > limits.idleTimeout -> close()
         }
     }
 
-    private fun isBodyTooSlow(now: Duration, limits: CallerLimits): Boolean =
-        now - bodyStartedAt > limits.idleTimeout + 1.seconds * (bodyBytes.toDouble() / MIN_BODY_BYTES_PER_SECOND)
-
     /** Bounds the bytes of a request on the wire, of which chunk extensions and empty lines are no part of it. */
     private fun checkLength() {
-        if (isClosing) return
-        val isInBody = head != null
+        if (!pipeline.acceptsMore) return
+        val isInBody = assembler.isReceiving
         val maxBodyBytes = if (isInBody) minOf(limits.maxBodyBytes, Int.MAX_VALUE.toLong()) else 0
         val maxBytes = limits.maxHeadBytes * HEADS_PER_REQUEST + maxBodyBytes * FRAMING_FACTOR
         if (requestBytes <= maxBytes) return
@@ -132,225 +149,200 @@
         refuse(code.httpStatus, "$requestBytes bytes without the end of a request")
     }
 
+    /** Drops what is sent behind a request that asks for close, whose response has not been written. */
+    private fun drop(message: Any) {
+        if (message is ByteBuf) droppedBytes += message.readableBytes()
+        ReferenceCountUtil.release(message)
+        writer.setReading(isReading())
+    }
+
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
+        writer = CallerWriter(context, clock, ::close)
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        if (message !is HttpObject || isClosing) {
+        if (message !is HttpObject || !pipeline.acceptsMore) {
             ReferenceCountUtil.release(message)
             return
         }
-        if (job == null && pipelined.isEmpty() && context.channel().isWritable) return process(message)
-        pipelined.addLast(message)
-        if (pipelined.size > MAX_PIPELINED_PARTS) context.channel().config().isAutoRead = false
+        unread.addLast(UnreadPart(message, clock.now()))
+        pump()
     }
 
-    override fun channelWritabilityChanged(context: ChannelHandlerContext) = processPipelined()
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) = pump()
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        job?.cancel()
-        releaseBody()
-        pipelined.forEach { ReferenceCountUtil.release(it) }
-        pipelined.clear()
+        cancelAll()
         onClosed(this)
     }
 
     @Suppress("OVERRIDE_DEPRECATION")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         log.debug("caller_failed", "reason" to cause)
-        context.close()
+        close()
+    }
+
+    private fun cancelAll() {
+        pipeline.cancel()
+        releaseAll()
     }
 
-    private fun process(message: HttpObject) {
+    /** Cancels and forgets all that has no response. */
+    private fun releaseAll() {
+        requests.keys.toList().forEach { release(it)?.cancel() }
+        releaseUnread()
+    }
+
+    /** Forgets the request [id] and returns its job if it has been started. */
+    private fun release(id: Long): Job? {
+        val request = requests.remove(id) ?: return null
+        buffers.release(request.reservedBytes)
+        return request.job
+    }
+
+    /**
+     * Reads, starts and writes what [pipeline] lets. It is a loop, since a recursion for each request that is answered at
+     * once would be as deep as their number.
+     */
+    private fun pump(ignoresWritability: Boolean = false) {
+        if (isPumping) return
+        isPumping = true
         try {
-            if (message.decoderResult().isFailure) return refuseMalformed(message.decoderResult().cause())
-            if (message is HttpRequest) beginRequest(message)
-            if (message is HttpContent && head != null) append(message)
-            if (message is LastHttpContent && head != null) start()
+            do {
+                val isBusy = takePart() or startNext() or writeNext(ignoresWritability)
+            } while (isBusy)
         } finally {
-            ReferenceCountUtil.release(message)
+            isPumping = false
         }
+        writer.setReading(isReading())
     }
 
-    private fun beginRequest(request: HttpRequest) {
-        headStartedAt = null
-        bodyStartedAt = clock.now()
-        bodyBytes = 0
-        refusal = null
-        if (!isWellFormed(request)) return refuse(ResultCode.MALFORMED_REQUEST.httpStatus, "malformed request head")
-        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes) {
-            return refuse(ResultCode.BODY_TOO_LARGE.httpStatus, "request body too large")
-        }
-        val refused = refuseByHead(callerRequest(request, NO_BYTES))
-        val expectsContinue = HttpUtil.is100ContinueExpected(request)
-        // Whether the caller will send the body is not known then, so the connection can't be used any more.
-        if (refused != null && expectsContinue) return respond(refused, keepAlive = false)
-        refusal = refused
-        head = request
-        if (expectsContinue) {
-            context?.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
-        }
-    }
+    private fun isReading(): Boolean =
+        writer.isClosing || (unread.isEmpty() && droppedBytes <= MAX_DROPPED_BYTES)
 
-    private fun callerRequest(request: HttpRequest, body: ByteArray) =
-        CallerRequest(
-            request.method().name(),
-            request.uri(),
-            request.headers().map { it.key to it.value },
-            body,
-            clock.now(),
-        )
-
-    private fun isWellFormed(request: HttpRequest): Boolean =
-        request.uri().startsWith("/") &&
-            request.headers().getAll(HttpHeaderNames.HOST).size == 1 &&
-            request.protocolVersion() == HttpVersion.HTTP_1_1
-
-    private fun append(content: HttpContent) {
-        val bytes = content.content()
-        bodyBytes += bytes.readableBytes()
-        if (bodyBytes > limits.maxBodyBytes) {
-            return refuse(ResultCode.BODY_TOO_LARGE.httpStatus, "request body too large")
-        }
-        if (refusal != null) return
-        val length = bytes.readableBytes()
-        if (!buffers.tryReserve(length)) {
-            return refuse(ResultCode.ENTRY_FULL.httpStatus, "too many bytes of request bodies are buffered")
+    private fun takePart(): Boolean {
+        val next = unread.firstOrNull() ?: return false
+        if (!mayTake(next.part)) return false
+        unread.removeFirst()
+        try {
+            if (next.part is HttpRequest) headStartedAt = null
+            handle(assembler.add(next.part, next.arrivedAt, clock.now()))
+        } finally {
+            ReferenceCountUtil.release(next.part)
         }
-        reservedBytes += length
-        bytes.readBytes(body, length)
+        return true
     }
 
-    private fun releaseBody() {
-        body = ByteArrayOutputStream(INITIAL_BODY_BYTES)
-        buffers.release(reservedBytes)
-        reservedBytes = 0
+    private fun mayTake(part: HttpObject): Boolean =
+        pipeline.isEmpty || (assembler.canAddBehindOthers(part) && pipeline.mayRead(assembler.bytesWith(part)))
+
+    private fun handle(assembled: Assembled) = when (assembled) {
+        Assembled.Incomplete -> Unit
+        Assembled.Continue -> writer.writeContinue()
+        is Assembled.Complete -> requestArrived(assembled)
+        is Assembled.Unread -> refuse(assembled.response)
+        is Assembled.Refused -> refuse(assembled.status, assembled.reason)
     }
 
-    private fun start() {
-        val request = head ?: return
-        head = null
+    private fun requestArrived(complete: Assembled.Complete) {
         requestBytes = 0
-        val content = body.toByteArray()
-        body = ByteArrayOutputStream(INITIAL_BODY_BYTES)
-        val keepAlive = HttpUtil.isKeepAlive(request)
-        refusal?.let {
-            lastByteAt = clock.now()
-            return respond(it, keepAlive)
-        }
-        val callerRequest = callerRequest(request, content)
-        val serving = scope.launch { respondOrClose(serveOrFail(callerRequest), keepAlive) }
-        if (serving.isActive) job = serving
-        if (!serving.isActive) finishServing()
+        val id = pipeline.arrived(complete.bytes, !complete.keepAlive, complete.refusal?.let(::sized))
+        if (complete.refusal == null) requests[id] = ArrivedRequest(complete.request, complete.reservedBytes)
+        if (!complete.keepAlive) releaseUnread()
     }
 
-    /** After an internal error of this daemon the outcome of the request is unknown: it may have run. */
-    private suspend fun serveOrFail(request: CallerRequest): BufferedResponse =
-        try {
-            serve(request)
-        } catch (exception: CancellationException) {
-            throw exception
-        } catch (
-            @Suppress("TooGenericExceptionCaught") throwable: Throwable,
-        ) {
-            log.error("request_faulty", throwable, "method" to request.method, "path" to request.path)
-            BufferedResponse(ResultCode.ANSWER_LOST.httpStatus, emptyList(), NO_BYTES)
-        }
-
-    /** A response that cannot be encoded ends the connection: without an end, its caller would wait for it. */
-    private fun respondOrClose(response: BufferedResponse, keepAlive: Boolean) {
-        runCatching { respond(response, keepAlive) }.onFailure {
-            log.error("response_faulty", it, "status" to response.status)
-            job = null
-            close()
-        }
+    private fun refuse(status: Int, reason: String) {
+        log.info("caller_refused", "status" to status, "reason" to reason)
+        refuse(BufferedResponse(status, emptyList(), NO_BYTES))
     }
 
-    private fun respond(response: BufferedResponse, keepAlive: Boolean) {
-        val staysOpen = keepAlive && (!closesAfterResponse || pipelined.isNotEmpty())
-        context?.writeAndFlush(encode(response, staysOpen))
-        if (!staysOpen) closeAfterWrites()
-        if (job != null) finishServing()
+    /** Refuses what arrives now with the last response of this connection, as the rest can't be read. */
+    private fun refuse(response: BufferedResponse) {
+        if (!pipeline.acceptsMore) return
+        pipeline.arrived(0, asksClose = true, sized(response))
+        releaseUnread()
+        pump()
     }
 
-    private fun finishServing() {
-        job = null
-        lastByteAt = clock.now()
-        releaseBody()
-        processPipelined()
+    private fun releaseUnread() {
+        assembler.reset()
+        unread.forEach { ReferenceCountUtil.release(it.part) }
+        unread.clear()
     }
 
     /**
-     * Continues with what has arrived meanwhile, as far as the caller reads the responses. It is a loop, since a recursion
-     * for each request that is refused at once would be as deep as their number.
+     * The request is matched to its route as it starts, in the same turn of the event loop, so that a new configuration
+     * can't make an idempotent request that starts early a non-idempotent one.
      */
-    private fun processPipelined() {
-        val channel = context?.channel() ?: return
-        if (isProcessing) return
-        isProcessing = true
-        while (job == null && !isClosing && pipelined.isNotEmpty() && channel.isWritable) {
-            process(pipelined.removeFirst())
-        }
-        isProcessing = false
-        if (pipelined.isEmpty() && !channel.config().isAutoRead) channel.config().isAutoRead = true
+    private fun startNext(): Boolean {
+        val start = pipeline.startNext { isIdempotent(requests.getValue(it).request) } ?: return false
+        counts.started(start.isEarly)
+        val arrived = requests.getValue(start.id)
+        arrived.job =
+            scope.launch(start = CoroutineStart.UNDISPATCHED) { finish(start.id, serveOrFail(arrived.request)) }
+        return true
     }
 
-    /**
-     * Closes the connection once all responses are written. Bytes that arrive until then and shortly after are discarded:
-     * to close a connection with unread bytes resets it, and its caller would lose the last response.
-     */
-    private fun closeAfterWrites() {
-        val context = context ?: return
-        isClosing = true
-        closingSince = clock.now()
-        context.channel().config().isAutoRead = true
-        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener {
-            val channel = context.channel() as? DuplexChannel
-            if (!it.isSuccess || channel == null || !channel.isActive) return@addListener close()
-            channel.shutdownOutput()
-            context.executor().schedule(::close, LINGER_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    /** After an internal error of this daemon the outcome of the request is unknown: it may have run. */
+    private suspend fun serveOrFail(request: CallerRequest): BufferedResponse =
+        try {
+            serve(request)
+        } catch (
+            @Suppress("TooGenericExceptionCaught") throwable: Throwable,
+        ) {
+            if (throwable is CancellationException && !currentCoroutineContext().isActive) throw throwable
+            log.error("request_faulty", throwable, "method" to request.method, "path" to request.path)
+            LOST
         }
+
+    private fun finish(id: Long, response: BufferedResponse) {
+        val asksClose = response.headers.first("Connection").equals("close", ignoreCase = true)
+        if (!pipeline.finished(id, sized(response), asksClose)) return
+        release(id)
+        lastProgressAt = clock.now()
+        pump()
     }
 
-    private fun discard(message: Any) {
-        if (message is ByteBuf) discardedBytes += message.readableBytes()
-        ReferenceCountUtil.release(message)
-        if (discardedBytes > MAX_DISCARDED_BYTES) close()
+    private fun writeNext(ignoresWritability: Boolean): Boolean {
+        if (!writer.isWritable && !ignoresWritability) return false
+        val next =
+            pipeline.writeNext(isMoreArriving = unread.isNotEmpty() || assembler.isReceiving) ?: return false
+        lastProgressAt = clock.now()
+        if (pipeline.isEmpty) assembler.restartTime(lastProgressAt)
+        if (next.closes) releaseAll()
+        writeOrClose(next.response, next.closes)
+        return true
     }
 
-    private fun encode(response: BufferedResponse, staysOpen: Boolean): DefaultFullHttpResponse {
-        val content = if (response.body.isEmpty()) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(response.body)
-        val status = HttpResponseStatus.valueOf(response.status)
-        val encoded = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content)
-        response.headers.forEach { (name, value) -> encoded.headers().add(name, value) }
-        if (response.status !in STATUSES_WITHOUT_BODY) {
-            encoded.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body.size)
+    /** A response that cannot be encoded ends the connection: without an end, its caller would wait for it. */
+    private fun writeOrClose(response: BufferedResponse, closes: Boolean) {
+        runCatching { writer.write(response, closes) }.onFailure {
+            log.error("response_faulty", it, "status" to response.status)
+            close()
         }
-        if (!staysOpen) encoded.headers().set(HttpHeaderNames.CONNECTION, "close")
-        return encoded
     }
 
-    private fun refuseMalformed(cause: Throwable) {
-        val tooLong = cause is TooLongHttpHeaderException || cause is TooLongHttpLineException
-        val code = if (tooLong) ResultCode.HEADERS_TOO_LARGE else ResultCode.MALFORMED_REQUEST
-        refuse(code.httpStatus, cause.toString())
+    private fun sized(response: BufferedResponse): SizedResponse<BufferedResponse> {
+        val headerBytes = response.headers.sumOf { it.first.length + it.second.length }
+        return SizedResponse(response, response.body.size.toLong() + headerBytes)
     }
 
-    private fun refuse(status: Int, reason: String) {
-        log.info("caller_refused", "status" to status, "reason" to reason)
-        head = null
-        releaseBody()
-        context?.writeAndFlush(encode(BufferedResponse(status, emptyList(), NO_BYTES), staysOpen = false))
-        closeAfterWrites()
+    private class ArrivedRequest(
+        val request: CallerRequest,
+        val reservedBytes: Int,
+    ) {
+        var job: Job? = null
     }
 
+    private class UnreadPart(
+        val part: HttpObject,
+        val arrivedAt: Duration,
+    )
+
     private companion object {
         const val REQUEST_TIMEOUT = 408
-        const val INITIAL_BODY_BYTES = 256
-
-        /** Decoded parts of pipelined requests, kept while an earlier one is served, after which no more are read. */
-        const val MAX_PIPELINED_PARTS = 64
+        val LOST = BufferedResponse(ResultCode.ANSWER_LOST.httpStatus, emptyList(), NO_BYTES)
 
         /** Heads' worth of bytes in a request: of its first line, its head, its trailers, and empty lines before it. */
         const val HEADS_PER_REQUEST = 4L
@@ -358,13 +350,8 @@
         /** Bytes on the wire for each byte of the longest body: small chunks need as much again for their framing. */
         const val FRAMING_FACTOR = 2L
 
-        /** Rate at which a body must arrive on average beyond the idle timeout; the slowest links are faster. */
-        const val MIN_BODY_BYTES_PER_SECOND = 1_000.0
-
-        /** Time in which a caller may still send after the end of its last response, and bytes that are discarded then. */
-        val LINGER_TIME = 1.seconds
-        const val MAX_DISCARDED_BYTES = 4L * 1024 * 1024
-        val STATUSES_WITHOUT_BODY = setOf(204, 304)
+        /** Bytes behind a request that asks for close after which reading stops until its response is written. */
+        const val MAX_DROPPED_BYTES = 256L * 1024
         val log = eventLog("caller")
     }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.version.CallerLimits
+import kingcuptide.forwarder.process.DaemonMetrics
 import kotlinx.coroutines.CoroutineScope
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
@@ -19,6 +20,7 @@
  * Accepts requests from callers and from the target on this host. Used on the event loop.
  *
  * @param refuseByHead returns the refusal of a request of which only the head has arrived, or null
+ * @param isIdempotent whether a request may start before the responses of those before it on its connection are written
  */
 class CallerServer(
     private val loop: EventLoop,
@@ -27,14 +29,16 @@
     private val address: InetSocketAddress,
     private val limits: () -> CallerLimits,
     private val refuseByHead: (CallerRequest) -> BufferedResponse? = { null },
+    private val isIdempotent: (CallerRequest) -> Boolean = { false },
     private val serve: suspend (CallerRequest) -> BufferedResponse,
 ) {
     private val connections = LinkedHashSet<CallerConnection>()
     private val buffers = BufferLimit(MAX_BUFFERED_BYTES)
+    private val counts = PipelineCounts()
     private var server: Channel? = null
 
     /** Number of requests that wait for their response. */
-    val inFlight: Int get() = connections.count { it.isServing }
+    val inFlight: Int get() = connections.sumOf { it.runningCount }
 
     fun listen() {
         server =
@@ -54,13 +58,20 @@
                 .channel()
     }
 
+    /** Registers the counts of pipelined requests in [metrics]. */
+    fun registerIn(metrics: DaemonMetrics) {
+        metrics.registerCounter("kingcuptide_caller_request_starts", "start", "in_turn") { counts.inTurn }
+        metrics.registerCounter("kingcuptide_caller_request_starts", "start", "early") { counts.early }
+        metrics.registerGauge("kingcuptide_held_response_bytes") { connections.sumOf { it.heldBytes } }
+    }
+
     /** Ends connections that exceed their time limits; called a few times a second. */
     fun tick() {
         val current = limits()
         connections.toList().forEach { it.checkTimeouts(current) }
     }
 
-    /** From now on each connection closes after its next response, which announces it. */
+    /** From now on each connection closes after the responses to what has arrived, the last of which announces it. */
     fun closeAfterResponses() {
         connections.forEach { it.closesAfterResponse = true }
         closing = true
@@ -74,8 +85,17 @@
     fun close() {
         closeAfterResponses()
         connections.toList().forEach { it.abortRequest() }
-        loop.schedule({ server?.close() }, ACCEPT_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-        loop.schedule(::endConnections, CLOSE_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        loop.schedule(::endAccepting, ACCEPT_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    /**
+     * The time to read counts from here: on a slow host one turn of the event loop, which accepts many connections, can
+     * take longer than [CLOSE_TIME], and they would be closed before the first read.
+     */
+    private fun endAccepting() {
+        server?.close()
+        val readTime = CLOSE_TIME - ACCEPT_TIME
+        loop.schedule(::endConnections, readTime.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private fun endConnections() {
@@ -95,6 +115,8 @@
                 buffers,
                 serve,
                 refuseByHead,
+                isIdempotent,
+                counts,
                 onClosed = { connections -= it },
             )
         connection.closesAfterResponse = closing
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
@@ -85,9 +85,12 @@
 class BufferLimit(private val maxBytes: Long) {
     private var usedBytes = 0L
 
+    /** Returns whether [bytes] can be reserved now. */
+    fun hasRoomFor(bytes: Int): Boolean = bytes <= maxBytes - usedBytes
+
     /** Reserves [bytes] and returns true, or returns false if they are too many. */
     fun tryReserve(bytes: Int): Boolean {
-        if (bytes > maxBytes - usedBytes) return false
+        if (!hasRoomFor(bytes)) return false
         usedBytes += bytes
         return true
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -137,7 +137,16 @@
         )
     private val entry = EntryService(clock, platform.names, entryDependencies, gateTransport, metrics, counts)
     private val callers =
-        CallerServer(loop, scope, clock, settings.callerAddress, ::callerLimits, ::refuseByKey, ::serveCaller)
+        CallerServer(
+            loop,
+            scope,
+            clock,
+            settings.callerAddress,
+            ::callerLimits,
+            ::refuseByKey,
+            entry::isIdempotent,
+            ::serveCaller,
+        )
     private val readiness =
         CallerServer(loop, scope, clock, settings.readinessAddress, { DEFAULT_CALLER_LIMITS }) {
             readinessEndpoint.respond(it.path)
@@ -147,6 +156,7 @@
 
     init {
         counts.registerIn(metrics)
+        callers.registerIn(metrics)
         metrics.registerGauge("kingcuptide_entry_requests_in_flight") { callers.inFlight }
         metrics.registerGauge("kingcuptide_gate_requests_in_flight") { gate.inFlight }
         metrics.registerGauge("kingcuptide_gate_requests_waiting") { gate.queued }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryAccess.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryAccess.kt
@@ -29,8 +29,7 @@
                 ?: return Admission.Refused(ResultCode.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_AFTER)
         val requestId = request.headers.first(names.requestId)
         if (requestId.isNullOrEmpty()) return Admission.Refused(ResultCode.MALFORMED_REQUEST)
-        val host = request.headers.first("Host").orEmpty().substringBefore(':').lowercase(Locale.ROOT)
-        val route = routing.match(host, request.path) ?: return Admission.Refused(ResultCode.UNKNOWN_ROUTE)
+        val route = routeOf(request) ?: return Admission.Refused(ResultCode.UNKNOWN_ROUTE)
         val isCall = dependencies.running.hasMade(requestId)
         val authorization =
             request.headers.filter { it.first.equals(names.authorization, ignoreCase = true) }.map { it.second }
@@ -49,6 +48,12 @@
         }
     }
 
+    /** Returns the route that [request] matches now, or null. */
+    fun routeOf(request: CallerRequest): ForwardRoute? {
+        val host = request.headers.first("Host").orEmpty().substringBefore(':').lowercase(Locale.ROOT)
+        return dependencies.published.routing?.match(host, request.path)
+    }
+
     private fun retryAfter(code: ResultCode): Duration =
         if (code == ResultCode.NO_TARGET) NO_REGION_RETRY_AFTER else UNCONFIRMED_RETRY_AFTER
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -55,6 +55,9 @@
         return answered(request, refusals.refuse(request, refusal))
     }
 
+    /** Returns whether [request] may be repeated; one that no route matches does not run, so that it may. */
+    fun isIdempotent(request: CallerRequest): Boolean = access.routeOf(request)?.idempotent ?: true
+
     private fun answered(request: CallerRequest, response: BufferedResponse): BufferedResponse {
         metrics.answered(response.status)
         counts.answered(response.status)
