--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/CallerPipeline.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/CallerPipeline.kt
@@ -30,8 +30,8 @@
     /** Whether no request waits for its response. */
     public val isEmpty: Boolean get() = entries.isEmpty()
 
-    /** Whether a started request has no response yet. */
-    public val isRunning: Boolean get() = (0 until startedCount).any { entries[it].response == null }
+    /** Number of started requests that have no response yet. */
+    public val runningCount: Int get() = (0 until startedCount).count { entries[it].response == null }
 
     /** Returns whether the next request, of which there would then be [bytes], may be read on. */
     public fun mayRead(bytes: Long): Boolean {
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/PipelineHistory.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/PipelineHistory.kt
@@ -41,6 +41,7 @@
     private var isWritable = true
     private var isStopping = false
     private var isEnded = false
+    private var isCloseAsked = false
     private var isDisconnected = false
 
     val violations = ArrayList<String>()
@@ -52,7 +53,7 @@
         when (random.nextInt(STEP_KINDS)) {
             in 0..34 -> send()
             in 35..69 -> running.randomOrNull(random)?.let { finish(it) }
-            in 70..79 -> byId.values.randomOrNull(random)?.let { if (it !in running) deliver(it.id!!, "duplicate", 1) }
+            in 70..79 -> duplicate()
             in 80..89 -> isWritable = !isWritable
             90 -> if (random.nextInt(4) == 0) stop()
             91 -> if (isStopping) end()
@@ -71,7 +72,8 @@
             pump()
         }
         val isOpen = !isDisconnected && closedBy == null
-        if (isOpen && (unread.isNotEmpty() || sent.any { it.response == null })) violations += "a request waits for ever"
+        val isWaiting = unread.isNotEmpty() || sent.any { it.response == null }
+        if (isOpen && isWaiting) violations += "a request waits for ever"
         if (pipeline.heldBytes != 0L) violations += "${pipeline.heldBytes} held bytes at the end"
     }
 
@@ -92,8 +94,15 @@
         deliver(receiver.id!!, "response ${request.number}", bytes)
     }
 
+    /** Delivers a response to a request that has one, has none because it has not started, or was cancelled. */
+    private fun duplicate() {
+        val request = byId.values.randomOrNull(random)?.takeIf { it !in running } ?: return
+        deliver(request.id!!, "duplicate", 1)
+    }
+
     private fun deliver(id: Long, response: String, bytes: Long) {
-        pipeline.finished(id, SizedResponse(response, bytes), asksClose = random.nextInt(100) == 0)
+        val asksClose = random.nextInt(100) == 0
+        if (pipeline.finished(id, SizedResponse(response, bytes), asksClose) && asksClose) isCloseAsked = true
     }
 
     private fun stop() {
@@ -108,8 +117,8 @@
 
     private fun disconnect() {
         isDisconnected = true
-        val cancelled = if (fault == PipelineFault.DISCONNECT_OVERLOOKED) emptyList() else pipeline.cancel()
-        if (fault != PipelineFault.DISCONNECT_OVERLOOKED && cancelled.size != running.size) violations += "not cancelled"
+        val isOverlooked = fault == PipelineFault.DISCONNECT_OVERLOOKED
+        if (!isOverlooked && pipeline.cancel().size != running.size) violations += "not cancelled"
         running.clear()
     }
 
@@ -149,11 +158,12 @@
             request.started -> violations += "starts twice"
             isDisconnected || isEnded -> violations += "starts after the end"
             closedBy != null -> violations += "starts behind the response that closed"
+            isCloseAsked -> violations += "starts after a response that asks for close"
             isEarly != start.isEarly -> violations += "early=${start.isEarly} is wrong"
             isEarly && !request.idempotent -> violations += "non-idempotent request starts early"
             isEarly && isStopping -> violations += "early start while stopping"
             isEarly && held >= limits.maxHeldBytes -> violations += "early start with $held held bytes"
-            sent.take(request.number).any { it.asksClose } -> violations += "starts behind a request that asks for close"
+            sent.take(request.number).any { it.asksClose } -> violations += "starts behind one that asks for close"
         }
         request.started = true
         running += request
@@ -174,6 +184,8 @@
         if (request.asksClose && !write.closes && !isOverlooked) violations += "asked close is not done"
         if (!write.closes && !isOverlooked && !isInTheMiddle) return true
         closedBy = request
+        val isLeftOut = byId.size > writtenCount || unread.isNotEmpty()
+        if (isLeftOut && !isEnded && !isCloseAsked && !request.asksClose) violations += "closes before others in a stop"
         if (sent.drop(writtenCount).any { it.started }) violations += "a request behind the close has started"
         return true
     }
