Do work that is equal for all peers once

The codecs of a daemon now share the encoded heads of the latest messages that go to many peers, a connection knows the address that it was opened to, a section knows its tombstones, and the digest is copied from one that was found once. The bytes on the wire are the same.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/KeyDigest.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/KeyDigest.kt
@@ -22,9 +22,13 @@
         private const val ENCODED_CHARS = 22
         private val ENCODER = Base64.getUrlEncoder().withoutPadding()
 
+        /** Copied for each digest, since the search for an implementation by name costs more than most digests. */
+        private val SHA_256 = MessageDigest.getInstance("SHA-256")
+
         /** Returns the digest of [key]. */
         public fun of(key: String): KeyDigest {
-            val hash = ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray()))
+            val sha256 = SHA_256.clone() as MessageDigest
+            val hash = ByteBuffer.wrap(sha256.digest(key.encodeToByteArray()))
             return KeyDigest(hash.getLong(), hash.getLong())
         }
 
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedSection.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedSection.kt
@@ -15,6 +15,7 @@
     private val rules: RestoreRules = RestoreRules.NONE,
 ) {
     private val items = LinkedHashMap<String, SourceItem>()
+    private val tombstoneKeys = HashSet<String>()
     private val bases = HashMap<String, SourceItem>()
     private val effectiveRevisions = HashMap<String, Long>()
 
@@ -93,6 +94,7 @@
         val current = items[item.key]
         if (current != null && !replaces(current, item)) return false
         items[item.key] = item
+        if (item.value == null) tombstoneKeys += item.key else tombstoneKeys -= item.key
         if (current != null && isLarge(current) && isLarge(item)) bases[item.key] = current else bases.remove(item.key)
         return current?.value != null || item.value != null
     }
@@ -108,13 +110,15 @@
 
     private fun completeUpTo(revision: Long) {
         asOf = maxOf(asOf, revision)
-        val (needless, needed) = items.values.filter { it.value == null }.partition { it.revision <= asOf }
+        if (tombstoneKeys.isEmpty()) return
+        val (needless, needed) = tombstoneKeys.map(items::getValue).partition { it.revision <= asOf }
         needless.forEach(::forget)
         needed.sortedBy { it.revision }.dropLast(MAX_TOMBSTONES).forEach(::forget)
     }
 
     private fun forget(tombstone: SourceItem) {
         items.remove(tombstone.key)
+        tombstoneKeys.remove(tombstone.key)
         effectiveRevisions.remove(tombstone.key)
     }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
@@ -11,21 +11,20 @@
 
 /** Encodes frames of [PeerMessage]s: length, kind, head length, CBOR head, raw body. Large heads are deflated. */
 internal class PeerCodec(
+    private val heads: EncodedHeads = EncodedHeads(),
     private val onSent: (kind: String, bytes: Int) -> Unit = { _, _ -> },
 ) : ByteToMessageCodec<PeerFrame>() {
     override fun isSharable(): Boolean = false
 
     override fun encode(context: ChannelHandlerContext, frame: PeerFrame, out: ByteBuf) {
         val kind = kindOf(frame.message)
-        val uncompressed = encodeHead(kind, frame.message)
-        val compressed = if (uncompressed.size >= MIN_COMPRESSED_HEAD_BYTES) deflate(uncompressed) else uncompressed
-        val head = if (compressed.size < uncompressed.size) compressed else uncompressed
-        out.writeInt(HEADER_BYTES + head.size + frame.body.size)
-        out.writeByte(if (head === uncompressed) kind.ordinal else kind.ordinal or COMPRESSED_FLAG)
-        out.writeInt(head.size)
-        out.writeBytes(head)
+        val head = headOf(kind, frame.message)
+        out.writeInt(HEADER_BYTES + head.bytes.size + frame.body.size)
+        out.writeByte(if (head.isCompressed) kind.ordinal or COMPRESSED_FLAG else kind.ordinal)
+        out.writeInt(head.bytes.size)
+        out.writeBytes(head.bytes)
         out.writeBytes(frame.body)
-        onSent(kind.label, LENGTH_BYTES + HEADER_BYTES + head.size + frame.body.size)
+        onSent(kind.label, LENGTH_BYTES + HEADER_BYTES + head.bytes.size + frame.body.size)
     }
 
     override fun decode(context: ChannelHandlerContext, input: ByteBuf, out: MutableList<Any>) {
@@ -51,23 +50,34 @@
         out += PeerFrame(cbor.decodeFromByteArray(kind.serializer, head), body)
     }
 
-    private fun encodeHead(kind: Kind, message: PeerMessage): ByteArray {
+    private fun headOf(kind: Kind, message: PeerMessage): EncodedHeads.Head {
+        if (!kind.isSentToMany) return encodeHead(kind, message)
+        return heads.find(message) ?: encodeHead(kind, message).also { heads.keep(message, it) }
+    }
+
+    private fun encodeHead(kind: Kind, message: PeerMessage): EncodedHeads.Head {
         @Suppress("UNCHECKED_CAST")
-        return cbor.encodeToByteArray(kind.serializer as KSerializer<PeerMessage>, message)
+        val uncompressed = cbor.encodeToByteArray(kind.serializer as KSerializer<PeerMessage>, message)
+        val compressed = if (uncompressed.size >= MIN_COMPRESSED_HEAD_BYTES) deflate(uncompressed) else uncompressed
+        val isSmaller = compressed.size < uncompressed.size
+        return EncodedHeads.Head(if (isSmaller) compressed else uncompressed, isSmaller)
     }
 
-    private enum class Kind(val serializer: KSerializer<out PeerMessage>) {
-        HELLO(PeerMessage.Hello.serializer()),
+    private enum class Kind(
+        val serializer: KSerializer<out PeerMessage>,
+        val isSentToMany: Boolean = false,
+    ) {
+        HELLO(PeerMessage.Hello.serializer(), isSentToMany = true),
         FORWARD(PeerMessage.Forward.serializer()),
         CANCEL(PeerMessage.Cancel.serializer()),
         ANSWER(PeerMessage.Response.serializer()),
         REFUSAL(PeerMessage.Refusal.serializer()),
         LOSS(PeerMessage.OutcomeUnknown.serializer()),
-        PING(PeerMessage.Ping.serializer()),
+        PING(PeerMessage.Ping.serializer(), isSentToMany = true),
         WHOLE(PeerMessage.SectionSnapshot.serializer()),
-        NEWS(PeerMessage.ItemUpdates.serializer()),
+        NEWS(PeerMessage.ItemUpdates.serializer(), isSentToMany = true),
         ASK(PeerMessage.SectionRequest.serializer()),
-        SUSPECTS(PeerMessage.Suspects.serializer()),
+        SUSPECTS(PeerMessage.Suspects.serializer(), isSentToMany = true),
         QUOTA_ASK(PeerMessage.QuotaAsk.serializer()),
         QUOTA_GRANT(PeerMessage.QuotaGrant.serializer()),
         ;
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
@@ -35,6 +35,7 @@
 ) {
     private val linksByIp = LinkedHashMap<String, Link>()
     private val accepted = LinkedHashMap<PeerSession, Int>()
+    private val heads = EncodedHeads()
 
     /** Outbound connections that get no further request but still have calls, with the time since. */
     private val retired = LinkedHashMap<PeerSession, Duration>()
@@ -57,6 +58,9 @@
     /** Returns the outbound connection to the daemon at [ip] if it is open. */
     fun outboundSession(ip: String): PeerSession? = linksByIp[ip]?.session?.takeIf { it.isOpen }
 
+    /** Returns the address to which [session] is the outbound connection in use, or null if it is not. */
+    fun outboundIpOf(session: PeerSession): String? = session.ip?.takeIf { outboundSession(it) === session }
+
     /** Starts to accept connections from other daemons. */
     fun listen() {
         server =
@@ -141,7 +145,7 @@
 
     private fun connect(link: Link) {
         link.connecting = true
-        val session = PeerSession(clock, outboundListener(link), hello, isOutbound = true)
+        val session = PeerSession(clock, outboundListener(link), hello, isOutbound = true, link.ip)
         Bootstrap()
             .group(loop)
             .channelFactory { NioSocketChannel() }
@@ -203,7 +207,9 @@
         PipelineInitializer { channel ->
             val created = session()
             val codec =
-                PeerCodec { kind, bytes -> counts.sentToPeer(kind, isOtherRegion = !isSameRegion(created), bytes) }
+                PeerCodec(heads) { kind, bytes ->
+                    counts.sentToPeer(kind, isOtherRegion = !isSameRegion(created), bytes)
+                }
             channel.pipeline().addLast(codec, created)
         }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
@@ -7,12 +7,17 @@
 import kingcuptide.coordination.process.FailureDomainId
 import kotlin.time.Duration
 
-/** One connection to another daemon, whichever side opened it. Used on its event loop. */
+/**
+ * One connection to another daemon, whichever side opened it. Used on its event loop.
+ *
+ * @property ip address of the peer if this side opened the connection
+ */
 class PeerSession internal constructor(
     private val clock: Clock,
     private val listener: PeerListener,
     private val hello: PeerMessage.Hello,
     val isOutbound: Boolean,
+    internal val ip: String? = null,
 ) : SimpleChannelInboundHandler<PeerFrame>(),
     StatePeer {
     private var channel: Channel? = null
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -390,8 +390,9 @@
         private fun pinged(session: PeerSession, ping: PeerMessage.Ping) {
             stateSync.pinged(session, ping)
             val host = session.peer?.host ?: return
-            if (!session.isOutbound || host == settings.host.value) return
-            published.targets.filter { mesh.outboundSession(it.entry.ip) === session }
+            val ip = mesh.outboundIpOf(session)
+            if (ip == null || host == settings.host.value) return
+            published.targets.filter { it.entry.ip == ip }
                 .forEach { entryDependencies.recordLoadReport(it.entry, ping.loadReport.toGateLoadReport()) }
         }
     }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerCodecTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerCodecTest.kt
@@ -46,6 +46,27 @@
         expectThat(snapshot.items.single().value?.decodeToString()).isEqualTo(value.decodeToString())
     }
 
+    /** Guards against a kept head that is sent for a later message, or that changes what a peer receives. */
+    @Test
+    fun `Given codecs that share encoded heads, when messages alternate, then each peer gets those that were sent`() {
+        val heads = EncodedHeads()
+        val channels = List(2) { EmbeddedChannel(PeerCodec(heads)) }
+        val items = listOf(PeerMessage.Item("k", 3, "route ".repeat(500).encodeToByteArray()))
+        val updates = PeerMessage.ItemUpdates(0, false, items, 1, 3, 0)
+        val load = PeerMessage.LoadReport(0, 0, 4, 0, false)
+        val pings = List(2) { PeerMessage.Ping(listOf(5, 5), it.toLong(), 1, false, load, 9, 0) }
+        for (message in listOf(pings[0], forward, updates, pings[0], pings[1], updates.copy(relayInRegion = true))) {
+            for (channel in channels) {
+                channel.writeOutbound(PeerFrame(message))
+                expectThat(bytesOf(channel.readOutbound())).isEqualTo(bytesOf(encoded(message)))
+            }
+        }
+    }
+
+    private fun bytesOf(buffer: ByteBuf): List<Byte> = ByteArray(
+        buffer.readableBytes(),
+    ).also(buffer::readBytes).toList()
+
     /** Guards against quota messages that are larger on the wire than the simulation of their traffic assumes. */
     @Test
     fun `Given a quota message, when it is sent, then it has few bytes and is decoded again`() {
