Run all periodic tasks of a daemon on one timer

Two coroutines woke the event loop every 20 and every 100 ms, and each wake-up went through a suspension and a new timer. One timer of the event loop now runs every 20 ms, and every fifth time also the tasks that are due every 100 ms.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -54,7 +54,6 @@
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -114,6 +113,7 @@
         SourceFollower(scope, clock, platform.source, stateSync, random, settings.isFirstStart, readerRole)
     private val roleMonitor = ReaderRoleMonitor(clock, readerRole, published, follower, mesh, ::isSameRegion)
     private val stop = PlannedStop(clock)
+    private var tickCount = 0
     private val gateTransport = PeerGateTransport(settings.ip, gateService, { mesh }) { stop.isStopping }
     private val location = DaemonLocation(settings.failureDomain, settings.region) { settings.regionByDomain[it] }
     private val picker = TargetPicker(clock, location, random)
@@ -171,8 +171,7 @@
         loop.execute {
             follower.start()
             targetMonitor.start()
-            scope.launch { repeat(minOf(TargetGate.MAX_SERVE_INTERVAL, QuotaAccount.TICK_INTERVAL)) { tickQueues() } }
-            scope.launch { repeat(PeerMesh.MAX_TICK_INTERVAL) { tickAll() } }
+            loop.scheduleWithFixedDelay(::tick, 0, TICK_INTERVAL.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         }
         log.info(
             "daemon_started",
@@ -220,17 +219,15 @@
         mesh.close()
     }
 
-    private suspend fun repeat(interval: Duration, action: () -> Unit) {
-        while (true) {
-            runCatching(action).onFailure { log.error("task_failed", it) }
-            delay(interval.inWholeMilliseconds)
-        }
+    /** One timer for all, since each wake-up of the event loop costs processor time. */
+    private fun tick() {
+        runOrLog(gate::serve)
+        runOrLog(quota::tick)
+        if (tickCount++ % TICKS_PER_FULL_TICK == 0) runOrLog(::tickAll)
     }
 
-    /** One task for both, since each wake-up of the event loop costs processor time. */
-    private fun tickQueues() {
-        runCatching(gate::serve).onFailure { log.error("task_failed", it) }
-        quota.tick()
+    private inline fun runOrLog(action: () -> Unit) {
+        runCatching(action).onFailure { log.error("task_failed", it) }
     }
 
     private fun tickAll() {
@@ -412,6 +409,9 @@
         /** Share of the allowed slack that is used; the rest is for requests in transit. */
         const val COLD_SLACK_SHARE = 0.6
 
+        val TICK_INTERVAL = minOf(TargetGate.MAX_SERVE_INTERVAL, QuotaAccount.TICK_INTERVAL)
+        val TICKS_PER_FULL_TICK = (PeerMesh.MAX_TICK_INTERVAL / TICK_INTERVAL).toInt()
+
         val STOP_CHECK_INTERVAL = 50.milliseconds
 
         /** Time for the last connections to be closed and their last responses to leave the socket buffers. */
