Choose targets by reported run times and by the demand of failure domains

Cause: each entry learned by itself how fast a target is, and chose the best score from reports that are seconds old.

Change: TargetSpeed measures run times by route at the gate, load reports carry them, and FleetSpeeds compares them with the mean of the service. Pings carry the demand of the callers of their daemon; SpillPlan moves what exceeds a common level to other domains. LoadSpread draws a sample by capacity and queue. Without run times the choice is as before.

--- a/cli/src/main/kotlin/kingcuptide/cli/RequestStory.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/RequestStory.kt
@@ -97,9 +97,14 @@
     val gate = requestLines.lastOrNull { it.event in GATE_EVENTS }
     val atGate = gate?.let { ", at ${it.fields["target"]}: ${describeGateEvent(it)}" }.orEmpty()
     val byKey = if (code in KEY_CODES) describeKeyRefusal(resultLine) else ""
-    return "${code?.number ?: "no code"}, ${describeResultCode(code)}$atGate$byKey"
+    val speed = requestLines.lastOrNull { it.fields["target_speed"] != null }?.let(::describeAssumedSpeed).orEmpty()
+    return "${code?.number ?: "no code"}, ${describeResultCode(code)}$atGate$byKey$speed"
 }
 
+/** What the entry believed of the last target that it sent the request to. */
+private fun describeAssumedSpeed(line: LogLine): String =
+    "; target ${line.fields["target"]} was assumed to have ${line.fields["target_speed"]} times the mean speed"
+
 /** Which version refused the key, why, and how current that version was known to be. */
 private fun describeKeyRefusal(line: LogLine): String {
     val age = line.fields["knowledge_age_ms"]
--- /dev/null
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/DomainDemand.kt
@@ -0,0 +1,107 @@
+package kingcuptide.coordination.request
+
+import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.version.TargetId
+import kotlin.math.exp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Demand of the callers of a daemon by the key of the service: the mean number of targets' slots that it occupies. */
+public typealias Demand = Map<Int, Double>
+
+/** Returns the key of [service] in reports of demand, which is shorter than its name. Equal in all daemons. */
+public fun serviceKeyOf(service: ServiceId): Int = service.value.hashCode()
+
+/** Measures the demand of the callers of this daemon, and sums that of others by failure domain. Not thread-safe. */
+internal class DomainDemand(private val ownDomain: FailureDomainId) {
+    /** Averages over two times; their difference is the trend, by which the demand is ahead of the average. */
+    private class Meter(private var at: Duration) {
+        private var short = 0.0
+        private var long = 0.0
+
+        fun record(work: Duration, now: Duration) {
+            decay(now)
+            short += work / SHORT_TIME
+            long += work / LONG_TIME
+        }
+
+        fun expected(now: Duration): Double {
+            decay(now)
+            return maxOf(0.0, short + (short - long) * ((SHORT_TIME + REPORT_AGE) / (LONG_TIME - SHORT_TIME)))
+        }
+
+        private fun decay(now: Duration) {
+            short *= exp(-((now - at) / SHORT_TIME))
+            long *= exp(-((now - at) / LONG_TIME))
+            at = now
+        }
+    }
+
+    private class Report(val domain: FailureDomainId, val demand: Demand, val at: Duration)
+
+    private class Sums(val at: Duration, val byDomain: Map<FailureDomainId, Double>)
+
+    private val meters = LinkedHashMap<Int, Meter>()
+    private val reports = HashMap<TargetId, Report>()
+    private val sums = HashMap<Int, Sums>()
+
+    /** Records a request of a caller for [service] that occupies a slot of a mean target for [work]. */
+    fun requested(service: ServiceId, work: Duration, now: Duration) {
+        val key = serviceKeyOf(service)
+        val meter = meters.remove(key) ?: Meter(now)
+        meter.record(work, now)
+        meters[key] = meter
+        if (meters.size > MAX_SERVICES) meters.remove(meters.keys.first())
+    }
+
+    /** Returns the demand of the callers of this daemon. */
+    fun own(now: Duration): Demand = meters.mapValues { it.value.expected(now) }.filterValues { it > 0 }
+
+    /** Records the [demand] of the daemon beside [reporter] in [domain]; one with a value out of range is ignored. */
+    fun record(reporter: TargetId, domain: FailureDomainId, demand: Demand, now: Duration) {
+        if (demand.size > MAX_SERVICES || demand.values.any { it !in 0.0..MAX_DEMAND }) return
+        reports[reporter] = Report(domain, demand, now)
+    }
+
+    /** Drops the reports of all daemons but those beside [ids]. */
+    fun retain(ids: Set<TargetId>) {
+        reports.keys.retainAll(ids)
+    }
+
+    /** Returns the demand for [service] by failure domain, empty without recent reports. */
+    fun of(service: ServiceId, now: Duration): Map<FailureDomainId, Double> {
+        val key = serviceKeyOf(service)
+        sums[key]?.takeIf { now - it.at < MAX_SUMS_AGE }?.let { return it.byDomain }
+        val byDomain = HashMap<FailureDomainId, Double>()
+        for (report in reports.values) {
+            if (now - report.at <=
+                MAX_REPORT_AGE
+            ) {
+                byDomain.merge(report.domain, report.demand[key] ?: 0.0, Double::plus)
+            }
+        }
+        if (byDomain.isNotEmpty()) byDomain.merge(ownDomain, meters[key]?.expected(now) ?: 0.0, Double::plus)
+        if (sums.size >= MAX_SERVICES) sums.clear()
+        sums[key] = Sums(now, byDomain)
+        return byDomain
+    }
+
+    companion object {
+        /** Greatest number of services in a report. */
+        const val MAX_SERVICES = 16
+        const val MAX_DEMAND = 1e6
+
+        /** Times over which the own demand is averaged, and the usual age of a report when it is used. */
+        private val SHORT_TIME = 1.seconds
+        private val LONG_TIME = 5.seconds
+        private val REPORT_AGE = 2.seconds
+
+        /** Age from which a report is unknown; longer than several lost pings. */
+        private val MAX_REPORT_AGE = 10.seconds
+
+        /** Sums are computed again at this interval and not for each request, to save processor time. */
+        private val MAX_SUMS_AGE = 200.milliseconds
+    }
+}
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
@@ -15,7 +15,7 @@
  * @property deadline when its caller gives up, on this daemon's clock
  * @property objectiveAt when its response loses most of its value, on this daemon's clock
  * @property objective latency objective of its route
- * @property shareGroup workspace or route whose share of a full target it counts towards
+ * @property shareGroup group whose share of a full target it counts towards; the forwarder groups by workspace
  */
 public class GateRequest(
     public val route: RouteId,
@@ -39,25 +39,6 @@
     val retryAfter: Duration,
 )
 
-/**
- * Load report of a gate, for daemons that choose among gates.
- *
- * @property queued number of queued requests that can still meet their objective
- * @property limit greatest number of requests in flight; 0 if the target is not open
- * @property wait expected queue time of the next request
- * @property ratePerSecond requests a second that the target has named as its limit, or null for none
- * @property leavingTarget the target, if it has said in a response that it leaves
- */
-public data class GateLoadReport(
-    val inFlight: Int,
-    val queued: Int,
-    val limit: Int,
-    val wait: Duration,
-    val cold: Boolean,
-    val ratePerSecond: Double? = null,
-    val leavingTarget: LeavingTarget? = null,
-)
-
 /** Whether the target may receive requests. */
 public enum class TargetState {
     /** The target accepts requests. */
@@ -92,6 +73,7 @@
     private val namedRate = NamedRate()
     private val averages = RouteAverages()
     private val shares = ShareFloors()
+    private val speed = TargetSpeed()
     private var reportedColdUntil = Duration.INFINITE
     private var presumedColdUntil = Duration.ZERO
     private var isServing = false
@@ -157,10 +139,21 @@
     /** Records the end of a request; [completed] means that its run time counts towards the average of its route. */
     public fun ended(request: GateRequest, completed: Boolean) {
         if (!running.remove(request)) return
-        if (completed) averages.recordRunTime(request.route, clock.now() - request.startedAt)
+        if (completed) recordRunTime(request.route, clock.now() - request.startedAt)
         serve()
     }
 
+    private fun recordRunTime(route: RouteId, runTime: Duration) {
+        averages.recordRunTime(route, runTime)
+        speed.record(route, runTime, clock.now())
+    }
+
+    /** An entry knows [runTimes] that this gate reported before a restart. */
+    public fun runTimesTold(runTimes: RunTimes): Unit = speed.told(runTimes)
+
+    /** Another target responds: its speed is unknown. */
+    public fun targetReplaced(): Unit = speed.reset()
+
     /** Removes a queued request whose caller has disconnected. Returns whether it was queued. */
     public fun withdraw(request: GateRequest): Boolean = waiting.remove(request)
 
@@ -188,7 +181,8 @@
         val now = clock.now()
         val onTime = waiting.count { canMeetObjective(it, now) }
         val wait = minOf(expectedWait(onTime, now), MAX_REPORTED_WAIT)
-        return GateLoadReport(running.size, onTime, limitNow(), wait, isCold(now), ratePerSecond, leavingTarget)
+        val (inFlight, limit) = running.size to limitNow()
+        return GateLoadReport(inFlight, onTime, limit, wait, isCold(now), ratePerSecond, leavingTarget, speed.runTimes)
     }
 
     /** Returns the recent requests of [group] at this gate, apart from those that came too late to be served. */
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -10,21 +10,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
-import kotlin.time.Duration.Companion.seconds
-
-/** Statistics of one target. [reportedAt] is the time of the latest load report, [loadReport]. */
-public class TargetRecord {
-    internal var loadReport: GateLoadReport? = null
-    internal var reportedAt: Duration = Duration.ZERO
-    internal var ratePerSecond: Double? = null
-    internal var ratedAt: Duration = Duration.ZERO
-    internal var sentSinceReport = 0
-    internal var outstanding = 0
-    internal var failureRate = 0.0
-    internal var failureRateAt: Duration = Duration.ZERO
-    internal var runTimeRatio = 1.0
-    internal var ejectedUntil: Duration = Duration.ZERO
-}
 
 /**
  * Properties of a request for which a target is chosen.
@@ -46,8 +31,9 @@
 /**
  * Chooses the target of a request at the daemon that received it from its caller.
  *
- * The score of a candidate is its probability of a response within the objective, less a penalty for the network path,
- * so near targets are preferred as long as they have capacity. Not thread-safe.
+ * If gates report the run times of their targets, [LoadSpread] chooses by queue, speed, slots and distance. Otherwise the
+ * candidate with the best score is chosen: its probability of a response within the objective, less a penalty for the
+ * network path, so near targets are preferred as long as they have capacity. Not thread-safe.
  */
 public class TargetPicker(
     private val clock: Clock,
@@ -56,16 +42,55 @@
 ) {
     private val records = HashMap<TargetId, TargetRecord>()
     private val averages = RouteAverages()
+    private val speeds = FleetSpeeds()
+    private val spread = LoadSpread(random)
+    private val demands = DomainDemand(location.failureDomain)
 
-    /** Returns the candidate with the best score among those not tried yet, or null if there is none. */
+    /**
+     * Returns the best candidate among those not tried yet, or null if there is none: by [LoadSpread] if gates report
+     * the run times of at least half of the candidates, and by their score otherwise.
+     */
     public fun pick(candidates: List<KnownTarget>, request: PickRequest): KnownTarget? {
         val now = clock.now()
+        recordDemand(candidates, request, now)
         val untried = candidates.filter { it.entry.id !in request.tried }
         if (untried.size <= 1) return untried.firstOrNull()
         val available = untried.filter { recordOf(it.entry.id).ejectedUntil <= now }.ifEmpty { untried }
+        val ratios = speeds.ratiosOf(candidates, now)
+        if (ratios.isNotEmpty() && available.count { it.entry.id in ratios } * 2 >= available.size) {
+            val open = available.filterNot { isBlocked(recordOf(it.entry.id), request, now) }.ifEmpty { available }
+            val options = open.map { optionOf(it, ratios[it.entry.id], now) }
+            return spread.choose(options, spillPlan(options, now))
+        }
         return available.maxBy { scoreOf(it, request, now) + random.nextDouble() * MAX_TIE_BREAK }
     }
 
+    /** Demand of the callers of this daemon, for the other daemons. */
+    public fun ownDemand(): Demand = demands.own(clock.now())
+
+    /** Records the [demand] of the callers of the daemon beside [reporter] in [domain]. */
+    public fun recordDemand(reporter: TargetId, domain: FailureDomainId, demand: Demand): Unit =
+        demands.record(reporter, domain, demand, clock.now())
+
+    private fun recordDemand(candidates: List<KnownTarget>, request: PickRequest, now: Duration) {
+        if (candidates.isEmpty() || request.tried.isNotEmpty()) return
+        val work = averages.expectedRunTime(request.route, request.objective)
+        demands.requested(candidates.first().entry.service, work, now)
+    }
+
+    private fun spillPlan(options: List<SpreadOption>, now: Duration): SpillPlan {
+        val demand = demands.of(options.first().target.entry.service, now)
+        if (demand.isEmpty()) return SpillPlan.NONE
+        val capacities = options.groupBy({ it.target.entry.failureDomain }, { it.capacity })
+        return SpillPlan.of(
+            location.failureDomain,
+            (demand.keys + capacities.keys).map {
+                val region = if (it == location.failureDomain) location.region else location.regionOf(it)
+                DomainBalance(it, region, demand[it] ?: 0.0, capacities[it]?.sum() ?: 0.0)
+            },
+        )
+    }
+
     /** Records that a request was sent to [id]. */
     public fun sent(id: TargetId) {
         val record = recordOf(id)
@@ -76,8 +101,8 @@
     /** Records a load report of the gate of [id]. */
     public fun recordLoadReport(id: TargetId, report: GateLoadReport) {
         val record = recordOf(id)
-        record.loadReport = report
-        record.reportedAt = clock.now()
+        record.recordLoadReport(report, clock.now())
+        speeds.record(id, report.runTimes)
         record.sentSinceReport = 0
         if (report.ratePerSecond != null) recordRate(id, report.ratePerSecond)
     }
@@ -99,6 +124,30 @@
         return record.ratePerSecond.takeIf { clock.now() - record.ratedAt <= MAX_RATE_AGE }
     }
 
+    /** Returns the run times that the gate of [id] has reported, if its latest report lacks them; null otherwise. */
+    public fun lostRunTimes(id: TargetId): RunTimes? {
+        val record = records[id] ?: return null
+        if (record.loadReport?.runTimes?.isEmpty() != true ||
+            clock.now() - record.runTimesAt > MAX_RATE_AGE
+        ) {
+            return null
+        }
+        return speeds.runTimesOf(id)
+    }
+
+    /** Returns the speed that is assumed for [id], as a multiple of the mean of its service. */
+    public fun assumedSpeed(id: TargetId): Double = 1 / (speeds.lastRatioOf(id) ?: recordOf(id).runTimeRatio)
+
+    /** Returns the expected time from now until the response of [target] to a request of [route]. */
+    public fun expectedTimeToFinish(target: KnownTarget, route: RouteId, objective: Duration): Duration {
+        val record = recordOf(target.entry.id)
+        val ratio = speeds.lastRatioOf(target.entry.id) ?: record.runTimeRatio
+        val runTime = averages.expectedRunTime(route, objective) * ratio
+        val queued = (record.queue(clock.now()) ?: 0.0) - target.entry.slots
+        val wait = runTime * (maxOf(0.0, queued) / maxOf(1, target.entry.slots))
+        return wait + runTime + pathTo(target.entry.failureDomain).roundTrip
+    }
+
     /** Records a response of the target after it ran for [ran]; [successful] is false if the response was a failure. */
     public fun answered(
         id: TargetId,
@@ -110,12 +159,12 @@
     ) {
         val record = recordOf(id)
         record.outstanding--
-        recordOutcome(record, if (successful) 0.0 else 1.0)
+        record.recordOutcome(if (successful) 0.0 else 1.0, clock.now())
         if (!successful) return
         val expectedRun = averages.expectedRunTime(route, objective)
         val ratio = (ran / expectedRun).coerceIn(MIN_RUN_TIME_RATIO, MAX_RUN_TIME_RATIO)
         record.runTimeRatio += (ratio - record.runTimeRatio) * RUN_TIME_RATIO_SMOOTHING
-        averages.recordRunTime(route, ran)
+        averages.recordRunTime(route, ran / (speeds.lastRatioOf(id) ?: 1.0))
         averages.recordResponseBytes(route, bytes)
     }
 
@@ -130,7 +179,7 @@
     public fun failed(id: TargetId) {
         val record = recordOf(id)
         record.outstanding--
-        recordOutcome(record, 1.0)
+        record.recordOutcome(1.0, clock.now())
     }
 
     /** Records that a request was abandoned before its result was known. */
@@ -141,23 +190,23 @@
     /** Drops the statistics of all targets except [ids]. */
     public fun retain(ids: Set<TargetId>) {
         records.keys.retainAll(ids)
+        speeds.retain(ids)
+        demands.retain(ids)
     }
 
-    /** Returns the failure rate, which decays with time, so that a target that is healthy again gets requests. */
-    private fun failureRateOf(record: TargetRecord, now: Duration): Double =
-        record.failureRate * HALF.pow((now - record.failureRateAt) / FAILURE_HALF_LIFE)
-
-    private fun recordOutcome(record: TargetRecord, failed: Double) {
-        val now = clock.now()
-        val currentRate = failureRateOf(record, now)
-        record.failureRate = currentRate + (failed - currentRate) * FAILURE_SMOOTHING
-        record.failureRateAt = now
-        if (failed > 0 && record.failureRate > EJECTION_FAILURE_RATE) {
-            record.ejectedUntil = clock.now() + FAILING_EJECTION_TIME
-            record.failureRate = FAILURE_RATE_AFTER_EJECTION
-        }
+    /** A target whose gate reports no run times counts with the ratio that this entry has learned. */
+    private fun optionOf(target: KnownTarget, ratio: Double?, now: Duration): SpreadOption {
+        val record = recordOf(target.entry.id)
+        val health = (1 - record.failureRate(now)).pow(FAILURE_EXPONENT).coerceAtLeast(MIN_HEALTH)
+        val capacity = maxOf(1, target.entry.slots) * health / (ratio ?: record.runTimeRatio)
+        val distance = location.distanceTo(target.entry.failureDomain)
+        return SpreadOption(target, distance, capacity, record.queue(now), record.outstanding)
     }
 
+    /** Whether the gate is closed, or the rate that its target has named leaves no room for [request]. */
+    private fun isBlocked(record: TargetRecord, request: PickRequest, now: Duration): Boolean =
+        record.isClosed(now) || record.expectedRateWait(now) > maxOf(request.untilObjective, Duration.ZERO)
+
     private fun scoreOf(target: KnownTarget, request: PickRequest, now: Duration): Double {
         val record = recordOf(target.entry.id)
         val path = pathTo(target.entry.failureDomain)
@@ -166,7 +215,7 @@
         val onTimeProbability = probabilityWithin(completionTime, request.untilObjective)
         val inTimeProbability = probabilityWithin(completionTime, request.untilDeadline)
         val expectedValue = onTimeProbability * (1 - LATE_VALUE) + inTimeProbability * LATE_VALUE
-        val successValue = expectedValue * (1 - failureRateOf(record, now)).pow(FAILURE_EXPONENT)
+        val successValue = expectedValue * (1 - record.failureRate(now)).pow(FAILURE_EXPONENT)
         val bytes = request.bodyBytes + averages.expectedResponseBytes(request.route) + HEADER_BYTES
         val penalty = completionTime / maxOf(request.objective, MIN_OBJECTIVE) * COMPLETION_TIME_PENALTY
         return successValue - path.penaltyPerByte * bytes - penalty
@@ -180,22 +229,10 @@
         val reportWeight = (1 - reportAge / MAX_LOAD_REPORT_AGE).coerceIn(0.0, 1.0)
         val load = (report.inFlight + report.queued) * reportWeight + record.sentSinceReport
         val slotWait = if (load < limit) Duration.ZERO else runTime * ((load - limit + 1) / limit)
-        val rateWait = report.ratePerSecond?.let { expectedRateWait(record, report, it, reportAge) } ?: Duration.ZERO
+        val rateWait = record.expectedRateWait(now)
         return maxOf(slotWait, report.wait * reportWeight, rateWait)
     }
 
-    /** The wait at a target with a named rate ends by its rate alone, however old the report is. */
-    private fun expectedRateWait(
-        record: TargetRecord,
-        report: GateLoadReport,
-        ratePerSecond: Double,
-        reportAge: Duration,
-    ): Duration {
-        if (ratePerSecond == 0.0) return MAX_RATE_WAIT
-        val reportedWait = (report.wait - reportAge).coerceAtLeast(Duration.ZERO)
-        return minOf(reportedWait + 1.seconds * (record.sentSinceReport / ratePerSecond), MAX_RATE_WAIT)
-    }
-
     /** Returns the probability that a request expected to take [completionTime] ends within [limit]. */
     private fun probabilityWithin(completionTime: Duration, limit: Duration): Double {
         if (limit <= Duration.ZERO) return 0.0
@@ -223,12 +260,7 @@
         /** Estimated length of the headers of request and response together. */
         const val HEADER_BYTES = 500.0
         const val RUN_TIME_RATIO_SMOOTHING = 0.1
-        const val FAILURE_SMOOTHING = 0.15
         const val FAILURE_EXPONENT = 1.5
-        const val HALF = 0.5
-
-        /** Half-life of the failure rate while nothing is sent to the target. */
-        val FAILURE_HALF_LIFE = 1_200.milliseconds
         const val MIN_RUN_TIME_RATIO = 0.2
         const val MAX_RUN_TIME_RATIO = 10.0
 
@@ -243,18 +275,14 @@
         const val ON_TIME_RATIO = 0.6
         const val LATE_RATIO = 1.4
 
-        /** Failure rate above which a target is ejected, and its assumed failure rate after the ejection. */
-        const val EJECTION_FAILURE_RATE = 0.7
-        const val FAILURE_RATE_AFTER_EJECTION = 0.4
-        val FAILING_EJECTION_TIME = 1.seconds
         val CLOSED_EJECTION_TIME = 300.milliseconds
 
-        /** Greatest expected wait at a target with a named rate. */
-        val MAX_RATE_WAIT = 1.minutes
-
         /** Age at which a rate is no longer told to a gate; longer than any restart of a daemon. */
         val MAX_RATE_AGE = 1.minutes
 
+        /** Least share of its capacity with which a failing target counts. */
+        const val MIN_HEALTH = 0.02
+
         /** Age at which a load report has no weight any more. */
         val MAX_LOAD_REPORT_AGE = 1_000.milliseconds
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -21,6 +21,7 @@
      * A request for the target beside the receiver; the request body follows the head.
      *
      * @property ratePerSecond the rate that the sender knows the target to have named, if any
+     * @property runTimes run times that the receiver reported before it lost them, as in [LoadReport]
      */
     @Serializable
     data class Forward(
@@ -38,6 +39,7 @@
         @CborLabel(12) val targetId: String,
         @CborLabel(13) val workspace: String? = null,
         @CborLabel(14) val ratePerSecond: Double? = null,
+        @CborLabel(15) val runTimes: List<Int> = emptyList(),
     ) : PeerMessage
 
     /** Cancels a request: its caller has left, or the entry gave it up. */
@@ -77,6 +79,8 @@
     /**
      * The load of a gate. [waitMs] is the expected queue time of a new request, [ratePerSecond] the rate that the target
      * has named, if any, and [leavingTarget] the id of the target if it has said that it leaves, with its start.
+     * [runTimes] has pairs of route key and run time in tenths of a millisecond, [demand] those of service key and
+     * demand in thousandths of a slot. A daemon that sends neither has told nothing of them.
      */
     @Serializable
     data class LoadReport(
@@ -88,6 +92,8 @@
         @CborLabel(6) val ratePerSecond: Double? = null,
         @CborLabel(7) val leavingTarget: String? = null,
         @CborLabel(8) val leavingStartedAtUnixMs: Long = 0,
+        @CborLabel(9) val runTimes: List<Int> = emptyList(),
+        @CborLabel(10) val demand: List<Int> = emptyList(),
     )
 
     /**
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/DaemonMetrics.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/DaemonMetrics.kt
@@ -19,6 +19,8 @@
     private val quotaWorkspaces = ConcurrentHashMap.newKeySet<String>()
     private val addedLatency = histogram("kingcuptide_request_duration_ms")
     private val gateWait = histogram("kingcuptide_gate_wait_ms")
+    private val expectedFinish = histogram("kingcuptide_target_finish_expected_ms")
+    private val actualFinish = histogram("kingcuptide_target_finish_ms")
     private val targetRun = histogram("kingcuptide_target_run_ms")
 
     /** Counts a refusal that this daemon sent to a caller ([Side.ENTRY]) or to a peer ([Side.GATE]). */
@@ -82,6 +84,12 @@
     /** Records how long the target beside this daemon took to respond to a request. */
     fun recordTargetRunTime(duration: Duration) = targetRun.record(duration.toDouble(DurationUnit.MILLISECONDS))
 
+    /** Records how long this entry expected to wait for the response of the target that it chose, and the actual time. */
+    fun recordTimeToFinish(expected: Duration, actual: Duration) {
+        expectedFinish.record(expected.toDouble(DurationUnit.MILLISECONDS))
+        actualFinish.record(actual.toDouble(DurationUnit.MILLISECONDS))
+    }
+
     /** Registers a counter that is kept elsewhere as [name], with the label [label] set to [value]. */
     fun registerCounter(name: String, label: String, value: String, count: () -> Number) {
         FunctionCounter.builder(name, this) { count().toDouble() }.tag(label, value).register(registry)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -344,7 +344,7 @@
             stateAgeMs(),
             roleMonitor.ownRank,
             stop.isStopping,
-            gate.loadReport().toMessage(),
+            gate.loadReport().copy(demand = picker.ownDemand()).toMessage(),
             published.digest(),
             roleMonitor.ownState.ordinal,
         )
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
@@ -49,6 +49,7 @@
     /** Records a load report of the gate of [target]. */
     fun recordLoadReport(target: TargetEntry, report: GateLoadReport) {
         picker.recordLoadReport(target.id, report)
+        if (report.demand.isNotEmpty()) picker.recordDemand(target.id, target.failureDomain, report.demand)
         report.leavingTarget?.let(::recordLeaving)
     }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -24,6 +24,7 @@
 import kingcuptide.forwarder.process.eventLog
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
+import java.util.Locale
 import kotlin.coroutines.resume
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -210,7 +211,9 @@
                     target.entry.id,
                     workspace?.name,
                     dependencies.picker.lastRate(target.entry.id),
+                    dependencies.picker.lostRunTimes(target.entry.id),
                 )
+            val expected = dependencies.picker.expectedTimeToFinish(target, route.id, route.objective)
             dependencies.picker.sent(target.entry.id)
             inFlightTarget = target
             val result = suspendCancellableCoroutine { continuation ->
@@ -221,6 +224,7 @@
                 }
             }
             inFlightTarget = null
+            if (result is ForwardResult.Answered) metrics.recordTimeToFinish(expected, clock.now() - now)
             return result
         }
 
@@ -248,6 +252,7 @@
                     "request" to requestId,
                     "target" to target.entry.id,
                     "status" to result.response.status,
+                    "target_speed" to speedOf(target),
                 )
             }
             return BufferedResponse(result.response.status, endToEnd(result.response.headers), result.response.body)
@@ -297,9 +302,13 @@
                 "target" to target.entry.id,
                 "code" to code.number,
                 "reason" to reason,
+                "target_speed" to speedOf(target),
             )
         }
 
+        private fun speedOf(target: KnownTarget): String =
+            "%.2f".format(Locale.ROOT, dependencies.picker.assumedSpeed(target.entry.id))
+
         private fun giveUp(code: ResultCode, retryAfter: Duration?, reason: String): BufferedResponse {
             hasNotRun = code.outcome == Outcome.NOT_RUN && !mayHaveRun
             val tookMs = (clock.now() - request.receivedAt).inWholeMilliseconds
@@ -314,6 +323,7 @@
                 "reason" to reason,
                 "took_ms" to tookMs,
                 "target" to inFlightTarget?.entry?.id,
+                "target_speed" to inFlightTarget?.let(::speedOf),
                 "reached" to targetsReached,
                 "hops" to gateRefusals,
                 "knowledge_age_ms" to refusals.knowledgeAgeMs(),
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
@@ -5,6 +5,7 @@
 import kingcuptide.coordination.request.Fingerprint
 import kingcuptide.coordination.request.GateLoadReport
 import kingcuptide.coordination.request.Outcome
+import kingcuptide.coordination.request.RunTimes
 import kingcuptide.coordination.request.fingerprintOf
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.BufferedResponse
@@ -16,6 +17,7 @@
  *
  * @property workspace name of the workspace whose API key the request had, or null
  * @property ratePerSecond the rate that the entry knows the target to have named, or null
+ * @property runTimes the run times that the gate reported before it lost them, or null
  */
 class ForwardCall(
     val requestId: String,
@@ -32,6 +34,7 @@
     val targetId: TargetId,
     val workspace: String? = null,
     val ratePerSecond: Double? = null,
+    val runTimes: RunTimes? = null,
 ) {
     /** Equal for requests with the same route, method, target and body. */
     val fingerprint: Fingerprint by lazy(LazyThreadSafetyMode.NONE) { fingerprintOf(route, method, target, body) }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateEndpoint.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateEndpoint.kt
@@ -77,5 +77,6 @@
             TargetId(message.targetId),
             message.workspace,
             message.ratePerSecond,
+            toRunTimes(message.runTimes).ifEmpty { null },
         )
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -56,11 +56,16 @@
     /** Submits [call] to the gate; [onResult] is called once, possibly before this returns, unless cancelled. */
     fun submit(call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation {
         val gateCall = GateCall(call, onResult)
-        if (currentTarget() in setOf(null, call.targetId)) call.ratePerSecond?.let(notices::rateTold)
+        if (currentTarget() in setOf(null, call.targetId)) told(call)
         gate.offer(gateCall.request)
         return gateCall
     }
 
+    private fun told(call: ForwardCall) {
+        call.ratePerSecond?.let(notices::rateTold)
+        call.runTimes?.let(gate::runTimesTold)
+    }
+
     /** Returns and clears the requests whose connections broke within the last [CRASH_DETECTION_WINDOW]. */
     fun drainInterrupted(): List<Fingerprint> {
         val now = clock.now()
--- /dev/null
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/LoadReportPairs.kt
@@ -0,0 +1,27 @@
+package kingcuptide.forwarder.request
+
+import kingcuptide.coordination.request.Demand
+import kingcuptide.coordination.request.RunTimes
+import kotlin.math.roundToInt
+import kotlin.time.Duration.Companion.microseconds
+
+/** Returns [runTimes] as pairs of route key and tenths of a millisecond. */
+internal fun flattenRunTimes(runTimes: RunTimes): List<Int> =
+    runTimes.flatMap { (route, time) -> listOf(route, (time.inWholeMicroseconds / MICROS_PER_UNIT).toInt()) }
+
+/** Returns the run times in [pairs]; empty if they are incomplete. Their range is checked where they are used. */
+internal fun toRunTimes(pairs: List<Int>): RunTimes =
+    toMap(pairs).mapValues { (_, units) -> (units * MICROS_PER_UNIT).microseconds }
+
+/** Returns [demand] as pairs of service key and thousandths of a slot. */
+internal fun flattenDemand(demand: Demand): List<Int> =
+    demand.flatMap { (service, slots) -> listOf(service, (slots * UNITS_PER_SLOT).roundToInt()) }
+
+/** Returns the demand in [pairs]; empty if they are incomplete. Its range is checked where it is used. */
+internal fun toDemand(pairs: List<Int>): Demand = toMap(pairs).mapValues { (_, units) -> units / UNITS_PER_SLOT }
+
+private fun toMap(pairs: List<Int>): Map<Int, Int> =
+    if (pairs.size % 2 == 0) pairs.chunked(2).associate { (key, value) -> key to value } else emptyMap()
+
+private const val MICROS_PER_UNIT = 100L
+private const val UNITS_PER_SLOT = 1_000.0
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -118,6 +118,7 @@
             call.targetId.value,
             call.workspace,
             call.ratePerSecond,
+            flattenRunTimes(call.runTimes.orEmpty()),
         )
 
     private class PendingCall(
@@ -153,6 +154,8 @@
         ratePerSecond,
         leavingTarget?.id?.value,
         leavingTarget?.startedAtUnixMs ?: 0,
+        flattenRunTimes(runTimes),
+        flattenDemand(demand),
     )
 
 internal fun PeerMessage.LoadReport.toGateLoadReport() = GateLoadReport(
@@ -163,4 +166,6 @@
     cold,
     ratePerSecond,
     leavingTarget?.let { LeavingTarget(TargetId(it), leavingStartedAtUnixMs) },
+    toRunTimes(runTimes),
+    toDemand(demand),
 )
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetNotices.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetNotices.kt
@@ -54,6 +54,7 @@
         namedAt = -Duration.INFINITE
         isNamedByHealthChecks = false
         hasResponded = false
+        gate.targetReplaced()
         limitRate(null, "replaced")
     }
 
--- /dev/null
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/LoadReportPairsTest.kt
@@ -0,0 +1,54 @@
+package kingcuptide.forwarder.request
+
+import io.netty.channel.embedded.EmbeddedChannel
+import kingcuptide.coordination.request.GateLoadReport
+import kingcuptide.forwarder.connection.PeerCodec
+import kingcuptide.forwarder.connection.PeerFrame
+import kingcuptide.forwarder.connection.PeerMessage
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+internal class LoadReportPairsTest {
+    private val report = GateLoadReport(3, 1, 10, 20.milliseconds, cold = false)
+
+    private fun throughCodec(sent: GateLoadReport): Pair<GateLoadReport, Int> {
+        val channel = EmbeddedChannel(PeerCodec())
+        channel.writeOutbound(PeerFrame(PeerMessage.OutcomeUnknown(1, 300, sent.toMessage())))
+        val bytes = channel.readOutbound<io.netty.buffer.ByteBuf>()
+        val size = bytes.readableBytes()
+        channel.writeInbound(bytes)
+        val message = channel.readInbound<PeerFrame>().message as PeerMessage.OutcomeUnknown
+        return message.loadReport.toGateLoadReport() to size
+    }
+
+    @Test
+    fun `Given run times and demand, when a report crosses the wire, then both arrive, rounded`() {
+        val sent = report.copy(runTimes = mapOf(-7 to 12.3.milliseconds, 9 to 5.milliseconds), demand = mapOf(4 to 1.5))
+        expectThat(throughCodec(sent).first).isEqualTo(sent)
+    }
+
+    @Test
+    fun `Given a report without them, when it crosses the wire, then it is as short as before and has none`() {
+        val (received, size) = throughCodec(report)
+        val (_, sizeWithFour) = throughCodec(
+            report.copy(
+                runTimes = (1..4).associate {
+                    it.shl(28) to 120.milliseconds
+                },
+            ),
+        )
+        println("bytes: $size without run times, $sizeWithFour with four")
+        expectThat(received).isEqualTo(report)
+    }
+
+    @Test
+    fun `Given an incomplete pair, when it is read, then the field is ignored`() {
+        expectThat(toRunTimes(listOf(1, 2, 3))).isEmpty()
+        expectThat(toDemand(listOf(1))).isEmpty()
+        expectThat(toRunTimes(listOf(1, 0))).isEqualTo(mapOf(1 to Duration.ZERO))
+    }
+}
