--- a/cli/src/main/kotlin/kingcuptide/cli/RequestStory.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/RequestStory.kt
@@ -101,9 +101,14 @@
         ResultCode.QUOTA_SPENT -> describeQuotaRefusal(resultLine)
         else -> ""
     }
-    return "${code?.number ?: "no code"}, ${describeResultCode(code)}$atGate$decision"
+    val speed = requestLines.lastOrNull { it.fields["target_speed"] != null }?.let(::describeAssumedSpeed).orEmpty()
+    return "${code?.number ?: "no code"}, ${describeResultCode(code)}$atGate$decision$speed"
 }
 
+/** What the entry believed of the last target that it sent the request to. */
+private fun describeAssumedSpeed(line: LogLine): String =
+    "; target ${line.fields["target"]} was assumed to have ${line.fields["target_speed"]} times the mean speed"
+
 /** Which version refused the key, why, and how current that version was known to be. */
 private fun describeKeyRefusal(line: LogLine): String {
     val workspace = line.fields["workspace"]?.let { " for workspace $it" }.orEmpty()
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -358,7 +358,7 @@
             stateAgeMs(),
             roleMonitor.ownRank,
             stop.isStopping,
-            gate.loadReport().toMessage(),
+            gate.loadReport().copy(demand = picker.ownDemand()).toMessage(),
             published.digest(),
             roleMonitor.ownState.ordinal,
             targetUse.inUse()?.value,
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -124,6 +124,7 @@
             call.targetId.value,
             call.workspace,
             call.ratePerSecond,
+            flattenRunTimes(call.runTimes.orEmpty()),
         )
 
     private class PendingCall(
@@ -159,6 +160,8 @@
         ratePerSecond,
         leavingTarget?.id?.value,
         leavingTarget?.startedAtUnixMs ?: 0,
+        flattenRunTimes(runTimes),
+        flattenDemand(demand),
     )
 
 internal fun PeerMessage.LoadReport.toGateLoadReport() = GateLoadReport(
@@ -169,4 +172,6 @@
     cold,
     ratePerSecond,
     leavingTarget?.let { LeavingTarget(TargetId(it), leavingStartedAtUnixMs) },
+    toRunTimes(runTimes),
+    toDemand(demand),
 )
