--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
@@ -99,6 +99,8 @@
         /** Counts the bytes of a call before they are decoded, since the decoder skips some and never ends others. */
         val byteHandler =
             object : ChannelInboundHandlerAdapter() {
+                override fun isSharable(): Boolean = false
+
                 override fun channelRead(context: ChannelHandlerContext, message: Any) {
                     if (message is ByteBuf && !canReceive(context, message.readableBytes())) {
                         message.release()
