--- a/cli/src/test/kotlin/kingcuptide/cli/ExplainLogsTest.kt
+++ b/cli/src/test/kotlin/kingcuptide/cli/ExplainLogsTest.kt
@@ -22,7 +22,8 @@
         line(
             "10:00:10.300",
             "entry",
-            "event=request_given_up request=7 route=/read/ code=202 status=503 reason=\"refused by t-2\" hops=1",
+            "event=request_given_up request=7 route=/read/ code=202 status=503 reason=\"refused by t-2\" hops=1 " +
+                "target=t-2 target_speed=0.52",
         ),
         line("10:00:10.400", "entry", "event=request_given_up request=8 code=201 status=503 reason=\"no target\""),
         line(
@@ -60,6 +61,11 @@
             expectThat(result.statusCode).isEqualTo(0)
         }
 
+        @Test
+        fun `when a refused request is explained, then the cause names the speed that was assumed for its target`() {
+            expectThat(explain("7").output).contains("target t-2 was assumed to have 0.52 times the mean speed")
+        }
+
         @Test
         fun `when a refused key is explained, then the cause names reason, version and age of knowledge`() {
             expectThat(explain("9").output)
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -13,6 +13,7 @@
 import kingcuptide.coordination.request.LeavingTargets
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.RetryAllowanceSettings
+import kingcuptide.coordination.request.RunTimes
 import kingcuptide.coordination.request.TargetPicker
 import kingcuptide.coordination.request.quota.QuotaDecision
 import kingcuptide.coordination.version.CallerLimits
@@ -558,6 +559,26 @@
         }
     }
 
+    @Nested
+    inner class `Run times of targets` {
+        private fun answeredWith(runTimes: RunTimes): ForwardResult {
+            val report = GateLoadReport(0, 0, 10, Duration.ZERO, false, runTimes = runTimes)
+            return ForwardResult.Answered(BufferedResponse(200, emptyList(), NO_BYTES), 5.milliseconds, report)
+        }
+
+        /** Guards against a gate that has restarted and whose target counts as a mean one until it is measured again. */
+        @Test
+        fun `Given a gate that lost its run times, when a request is sent to it, then it gets them back, and only then`() {
+            start()
+            val known = mapOf(7 to 40.milliseconds)
+            for (runTimes in listOf(known, known, emptyMap(), known)) {
+                results += answeredWith(runTimes)
+                serve("/read/x")
+            }
+            expectThat(sent.map { it.second.runTimes }).containsExactly(null, null, null, known)
+        }
+    }
+
     private companion object {
         const val ROUTE_PRIORITY = 1
     }
