Choose quota lenders by processor share and hand weights over

Cause: rendezvous hashing placed lenders on hosts with 0.3 of a core. A host that was late itself took its lender for silent, a silent lender was used again after 2 s, each change of lender cost its children the end of a lease, a host that had just joined could become lender at once, and a tick 500 ms late dropped all tokens.

Change: each daemon announces its share of a core in its Hello. Lenders are the hosts with a whole core, that are older than 5 s, do not leave and were not silent, as long as there are any. A silent lender is passed over for 10 to 60 s. Time in which a host was late itself does not count as silence of its lender. A child that changes its lender withdraws its weight, and the old lender answers once neither it nor the root counts it, so no lease has to end. Buckets fill by the exact ends of the leases, and a pause is 1 s in place of 0.5 s. A request waits up to 200 ms in place of 100. The time since the start of the process counts towards the wait for the leases of the previous one. Adds event=quota_lender_changed and the gauge kingcuptide_quota_share.

Two faults of the simulation are mended: killed groups included hosts that had not joined, and on a slow host messages queued behind all requests, although the event loop takes turns between connections. Its hosts now also need time to start. A lender also ignored the order of messages of one child; stamps now give it.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaAccount.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaAccount.kt
@@ -11,26 +11,36 @@
  *
  * Every host owns an equal part of each quota and delegates it for a lease to the lender that [tree] determines; tokens
  * come back by demand. All state is in memory. Messages go out by [send], which may lose them. Not thread-safe.
+ *
+ * @param processAge time since this process started, in which no previous one of this host was running any more
  */
 public class QuotaAccount(
     private val self: HostId,
     private val clock: Clock,
     private val tree: QuotaTree,
     random: Random,
+    processAge: Duration = Duration.ZERO,
+    private val onLenderChanged: (QuotaLenderChange) -> Unit = {},
     send: (HostId, QuotaMessage) -> Unit,
 ) {
-    private val weights = QuotaWeights(clock)
+    private val weights = QuotaWeights(clock, processAge)
     private val pool = QuotaPool(clock, weights)
     private val uplink = QuotaUplink(clock, pool, send, random.nextInt(QuotaUplink.NUMBERS))
     private val lender = QuotaLender(clock, pool, send, random.nextInt())
     private val waiting = ArrayList<QuotaTokens>()
     private var tickedAt = clock.now()
 
+    /** Until when no request is refused for its time: this host was late, and what came meanwhile is handled first. */
+    private var lateUntil = tickedAt
+    private var isConnected = false
+    private var connectedTo: HostId? = null
+    private var wasDomainLender = false
+
     /** Whether any workspace has a limit; without limits there is nothing to do and no message is sent. */
     public val isNeeded: Boolean get() = pool.limits.isNotEmpty()
 
     /** Part of each quota that this host spends as a root lender, from 0 to 1. */
-    internal val share: Double get() = weights.share
+    public val share: Double get() = weights.currentShare()
 
     /** Applies [limits] by workspace, in place of all previous ones, to every token at this host at once. */
     public fun configure(limits: Map<Int, QuotaLimit>) {
@@ -106,11 +116,27 @@
         val isDomainLender = nearest == self || weights.hasLeafChildren
         val parent = if (isDomainLender) root else nearest
         val isRoot = root == self
-        uplink.connect(parent.takeIf { !isRoot }, isDomainLender)
+        val lenderHost = parent.takeIf { !isRoot }
+        reportChange(lenderHost, isDomainLender)
+        uplink.connect(lenderHost, isDomainLender)
         lender.hasLender = !isRoot
         pool.refreshShare(isRoot)
     }
 
+    private fun reportChange(lenderHost: HostId?, isDomainLender: Boolean) {
+        val before = connectedTo
+        val isChanged = !isConnected || lenderHost != before
+        val reason = when {
+            !isConnected -> QuotaLenderChange.Reason.STARTED
+            isDomainLender != wasDomainLender || before == null || lenderHost == null -> QuotaLenderChange.Reason.ROLE
+            else -> tree.reasonAgainst(before)
+        }
+        isConnected = true
+        connectedTo = lenderHost
+        wasDomainLender = isDomainLender
+        if (isChanged) onLenderChanged(QuotaLenderChange(before, lenderHost, reason))
+    }
+
     private fun serve() {
         serveWaiters()
         lender.serveDeferred()
@@ -123,9 +149,10 @@
         waiting.removeIf { tokens ->
             while (tokens.waiters.isNotEmpty()) {
                 val first = tokens.waiters.first()
+                val until = maxOf(first.until, lateUntil)
                 val decision = when {
                     pool.take(tokens, 1) == 1 -> QuotaDecision.Allowed
-                    first.until <= now || now + roomIn(tokens, now) > first.until -> refusal(tokens, now)
+                    until <= now || now + roomIn(tokens, now) > until -> refusal(tokens, now)
                     else -> break
                 }
                 decided += tokens.waiters.removeFirst() to decision
@@ -152,6 +179,7 @@
 
     /** Tokens from before a pause may have been spent again by others since. */
     private fun dropAfterPause(now: Duration) {
+        if (now - tickedAt > MAX_LATENESS) lateUntil = now + LATE_TIME
         if (now - tickedAt > QuotaWeights.MAX_STEP) {
             uplink.giveUp()
             pool.dropAll()
@@ -164,8 +192,14 @@
         /** Interval of [tick]. */
         public val TICK_INTERVAL: Duration = 20.milliseconds
 
-        /** Longest time for which a request waits for a token: enough for a message between regions to be lost once. */
-        public val MAX_WAIT: Duration = 100.milliseconds
+        /** Longest time for which a request waits for a token: most pauses of a lender with a whole core are shorter. */
+        public val MAX_WAIT: Duration = 200.milliseconds
+
+        /** Time without any event of this host after which it was late. */
+        private val MAX_LATENESS = 60.milliseconds
+
+        /** Time to handle what arrived while this host was late. */
+        private val LATE_TIME = 40.milliseconds
 
         /** Requests of one workspace that wait for tokens at one host. */
         private const val MAX_WAITERS = 256
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaLender.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaLender.kt
@@ -16,6 +16,7 @@
     private val stampOffsetMs: Int,
 ) {
     private val deferred = ArrayDeque<Deferred>()
+    private val releases = QuotaReleases(clock, pool.weights, send)
 
     /** Whether this host gets its tokens from another. */
     var hasLender = false
@@ -23,6 +24,7 @@
     fun received(from: HostId, ask: QuotaMessage.Ask) {
         if (!ask.isValid()) return
         val child = pool.weights.child(from) ?: return
+        if (ask.weight == QuotaMessage.RELEASED) return release(from, child, ask)
         val known = child.replyTo(ask)
         if (known != null) return send(from, known)
         if (deferred.any { it.from == from && it.ask == ask }) return
@@ -35,8 +37,15 @@
         if (mustWait(entry)) defer(entry) else reply(entry)
     }
 
+    private fun release(from: HostId, child: QuotaChild, ask: QuotaMessage.Ask) {
+        releases.add(from, child, ask.number)
+        pool.refreshShare(isRoot = !hasLender)
+        releases.confirm()
+    }
+
     /** Answers the asks for which tokens have arrived or for which none are under way. */
     fun serveDeferred() {
+        releases.confirm()
         if (deferred.isEmpty()) return
         val now = clock.now()
         val entries = deferred.toList()
@@ -66,11 +75,15 @@
     }
 
     private fun extendLease(child: QuotaChild, ask: QuotaMessage.Ask) {
+        if (child.isDomainLender != ask.isDomainLender) child.weight = 0
         child.isDomainLender = ask.isDomainLender
         if (ask.stamp == 0) return
         val ageMs = (stampOf(clock.now()) - ask.stamp) and Int.MAX_VALUE
         val lease = pool.weights.leaseOf(ask.isDomainLender)
-        if (ageMs >= lease.inWholeMilliseconds) return
+        val stampMs = clock.now().inWholeMilliseconds - ageMs
+        if (ageMs >= lease.inWholeMilliseconds || stampMs < child.weightStampMs) return
+        child.weightStampMs = stampMs
+        child.releasedAt = null
         child.weight = ask.weight
         child.weightUntil = clock.now() - ageMs.milliseconds + lease
     }
@@ -100,8 +113,9 @@
         }
         val lastStamp = entry.child.stampedAt
         val needsStamp = lastStamp == null || entry.ask.isDomainLender || now - lastStamp >= STAMP_INTERVAL
-        if (needsStamp) entry.child.stampedAt = now
-        val stamp = if (needsStamp) stampOf(now) else 0
+        val stampedAt = if (lastStamp == null) now else maxOf(now, lastStamp + STAMP_STEP)
+        if (needsStamp) entry.child.stampedAt = stampedAt
+        val stamp = if (needsStamp) stampOf(stampedAt) else 0
         val isShort = rooms.any { it > 0 }
         val grant =
             QuotaMessage.Grant(entry.ask.number, stamp, entry.granted.toList(), if (isShort) rooms else emptyList())
@@ -140,6 +154,9 @@
 
         /** Time after which a host that lends to no other gets a new stamp, so that not every message carries one. */
         val STAMP_INTERVAL = 150.milliseconds
+
+        /** No child gets the same stamp twice, so that its messages have an order. */
+        val STAMP_STEP = 1.milliseconds
         const val MAX_DEFERRED = 1_024
     }
 }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaMessage.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaMessage.kt
@@ -7,7 +7,7 @@
      *
      * @property number identifies the message among those that the sender has in flight; a repeated one gets the same reply
      * @property stamp latest [Grant.stamp] of the receiver, from which the lease of [weight] counts; 0 for no delegation
-     * @property weight hosts whose share of every quota the receiver may spend until the lease ends
+     * @property weight hosts whose share of every quota the receiver may spend until the lease ends, or [RELEASED]
      * @property isDomainLender whether the sender lends to other hosts, so that the receiver acts as the root lender
      * @property isUrgent whether requests wait for the tokens
      * @property keys workspaces, by [quotaKey]
@@ -31,7 +31,7 @@
                 (returned.isEmpty() || returned.size == keys.size) &&
                 wanted.all { it in 0..MAX_LISTED_TOKENS } &&
                 returned.all { it in 0..MAX_LISTED_TOKENS } &&
-                weight in 0..QuotaWeights.MAX_CHILDREN
+                weight in RELEASED..QuotaWeights.MAX_CHILDREN
     }
 
     /**
@@ -50,6 +50,12 @@
     ) : QuotaMessage
 
     public companion object {
+        /**
+         * Weight of a message that withdraws the weight of its sender. It is answered once neither the receiver nor its
+         * lender counts the weight; a receiver that does not know the value does not answer, and the lease ends.
+         */
+        public const val RELEASED: Int = -1
+
         /** Largest number of workspaces in one message; further ones follow in the next. */
         public const val MAX_LISTED_WORKSPACES: Int = 1_024
 
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaUplink.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaUplink.kt
@@ -19,8 +19,14 @@
     private var lender: HostId? = null
     private var isDomainLender = false
     private var stamp = 0
+    private var latestStamp = 0
     private var sentWeight = 0
     private var stampedAt = Duration.ZERO
+    private var unansweredFor = Duration.ZERO
+    private var checkedAt = clock.now()
+    private var releaseNumber = 0
+    private var releaseTo: HostId? = null
+    private var releaseSentAt = Duration.ZERO
     private var lastSentAt = -URGENT_INTERVAL
     private var nextRegularAt = Duration.ZERO
 
@@ -37,23 +43,53 @@
     fun giveUp() {
         inFlight.values.forEach { forget(it.ask) }
         inFlight.clear()
+        unansweredFor = Duration.ZERO
         stamp = 0
+        latestStamp = 0
         sentWeight = 0
     }
 
-    /** Repeats late messages; returns a lender that has been silent for [SILENCE_TIMEOUT], or null. */
+    /**
+     * Repeats late messages; returns a lender that has been silent for [SILENCE_TIMEOUT], or null. Time in which this host
+     * itself was late does not count, since replies may have arrived that it has not handled yet.
+     */
     fun checkReplies(): HostId? {
         val now = clock.now()
+        val step = minOf(now - checkedAt, MAX_COUNTED_STEP)
+        checkedAt = now
+        release(now)
         val to = lender ?: return null
-        if (inFlight.values.any { now - it.firstAt >= SILENCE_TIMEOUT }) return to
+        unansweredFor = if (inFlight.isEmpty()) Duration.ZERO else unansweredFor + step
+        if (unansweredFor >= SILENCE_TIMEOUT) return to
         for (sent in inFlight.values) {
-            if (now - sent.lastAt < REPEAT_AFTER) continue
+            if (now - sent.lastAt < sent.repeatAfter) continue
             sent.lastAt = now
+            sent.repeatAfter = minOf(sent.repeatAfter * 2, MAX_REPEAT_AFTER)
             send(to, sent.ask)
         }
         return null
     }
 
+    /** Asks a previous lender to stop counting the weight of this host, so that its lease need not end. */
+    private fun release(now: Duration) {
+        val isElsewhere = pool.weights.isDelegated && !pool.weights.isDelegatedTo(lender, isDomainLender)
+        val holder = pool.weights.delegatedTo?.takeIf { isElsewhere }
+        if (holder == null || (holder == releaseTo && now - releaseSentAt < RELEASE_INTERVAL)) {
+            if (holder == null) releaseTo = null
+            return
+        }
+        if (holder != releaseTo) releaseNumber = nextNumber()
+        releaseTo = holder
+        releaseSentAt = now
+        val none = emptyList<Int>()
+        send(holder, QuotaMessage.Ask(releaseNumber, 0, QuotaMessage.RELEASED, isDomainLender, false, none, none, none))
+    }
+
+    private fun nextNumber(): Int {
+        lastNumber = (lastNumber + 1) % NUMBERS
+        return lastNumber
+    }
+
     /** Sends a message if one is due, or if one is urgent and the last one is not too recent. */
     fun flush() {
         val to = lender ?: return
@@ -96,7 +132,7 @@
             wanted += missing
             returned += excess
         }
-        lastNumber = (lastNumber + 1) % NUMBERS
+        val number = nextNumber()
         val weight = delegable(to)
         val echoed = if (weight == 0) 0 else stamp
         if (weight > 0) {
@@ -105,7 +141,7 @@
             stamp = 0
         }
         val sparse = if (returned.all { it == 0 }) emptyList() else returned
-        return QuotaMessage.Ask(lastNumber, echoed, weight, isDomainLender, isUrgent, keys, wanted, sparse)
+        return QuotaMessage.Ask(number, echoed, weight, isDomainLender, isUrgent, keys, wanted, sparse)
     }
 
     /** Whether more weight can be delegated than the lender counts now. */
@@ -118,18 +154,27 @@
 
     /** Applies a reply of [from]; returns false if it answers no message in flight. */
     fun received(from: HostId, grant: QuotaMessage.Grant): Boolean {
+        if (from == releaseTo && grant.number == releaseNumber) {
+            releaseTo = null
+            pool.weights.released()
+            return true
+        }
         if (from != lender) return false
-        val ask = inFlight[grant.number]?.ask ?: return false
+        val sent = inFlight[grant.number] ?: return false
+        val ask = sent.ask
         if (grant.granted.size != ask.keys.size ||
             (grant.roomInMs.isNotEmpty() && grant.roomInMs.size != ask.keys.size)
         ) {
             return false
         }
         inFlight.remove(grant.number)
+        unansweredFor = Duration.ZERO
+        if (ask.stamp != 0) pool.weights.confirmed(sent.firstAt)
         forget(ask)
         val now = clock.now()
-        if (grant.stamp != 0) {
+        if (grant.stamp != 0 && !isOvertaken(grant.stamp)) {
             stamp = grant.stamp
+            latestStamp = stamp
             stampedAt = now
         }
         ask.keys.forEachIndexed { index, key ->
@@ -141,6 +186,10 @@
         return true
     }
 
+    /** Whether a later stamp of the lender has arrived: a message with this one would count as late there. */
+    private fun isOvertaken(received: Int): Boolean =
+        latestStamp != 0 && ((latestStamp - received) and Int.MAX_VALUE) in 1..OVERTAKEN_MS
+
     private fun forget(ask: QuotaMessage.Ask) {
         ask.keys.forEachIndexed {
             index,
@@ -155,6 +204,7 @@
         val firstAt: Duration,
     ) {
         var lastAt = firstAt
+        var repeatAfter = REPEAT_AFTER
     }
 
     companion object {
@@ -173,9 +223,21 @@
         /** Longer than a reply takes between regions, so that a lost message is repeated while its requests wait. */
         private val REPEAT_AFTER = 30.milliseconds
 
-        /** Time without a reply after which another lender is used. */
+        /** Repeats become rarer, so that a lender that is late does not get more to do. */
+        private val MAX_REPEAT_AFTER = 120.milliseconds
+
+        /** Time without any reply after which another lender is used. */
         private val SILENCE_TIMEOUT = 400.milliseconds
 
+        /** Time between two ticks beyond which this host was late itself. */
+        private val MAX_COUNTED_STEP = 40.milliseconds
+
+        /** A stamp that is older by more is of another incarnation of the lender, whose clock has another origin. */
+        private const val OVERTAKEN_MS = 2_000
+
+        /** Interval of messages to a previous lender; longer than a reply takes between regions. */
+        private val RELEASE_INTERVAL = 60.milliseconds
+
         /** Numbers of one byte on the wire, and several times as many as are in flight. */
         const val NUMBERS = 24
     }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/quota/QuotaSimulation.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/quota/QuotaSimulation.kt
@@ -34,9 +34,12 @@
     private val begin = now
     private var limits = workload.associate { it.key to it.limit }
     private val hosts = List(hostCount + JOINING) { Host(it) }
+
+    /** The hosts that run from the begin. */
+    private val present = hosts.take(hostCount)
     private val byId = hosts.associateBy { it.id }
     private var contactSince = begin
-    private val liveBySide = HashMap<Int, Map<HostId, FailureDomainId>>()
+    private val liveBySide = HashMap<Int, Map<HostId, QuotaPeer>>()
     val history = QuotaHistory(begin, workload.associate { it.key to it.limit })
     private val sentBy = LongArray(hosts.size)
     private var published = hostCount + if (hasSlowHosts) ABSENT else 0
@@ -56,7 +59,7 @@
     override fun now(): Duration = now
 
     fun run(): QuotaSimulation {
-        hosts.take(hostCount).forEach { it.start() }
+        present.forEach { it.start() }
         updateViews(Duration.ZERO)
         workload.forEach(::arrive)
         after(FAULT_AT, ::strike)
@@ -77,7 +80,7 @@
             QuotaFault.LIMIT_RISES -> changeLimits(3.0)
             QuotaFault.HERD_KILLED -> kill(group(), length)
             QuotaFault.LENDERS_KILLED -> kill(hosts.filter { it.isLender() }, length)
-            QuotaFault.ALL_RESTART -> kill(hosts.take(hostCount), 100.milliseconds)
+            QuotaFault.ALL_RESTART -> kill(present, 100.milliseconds)
             QuotaFault.PAUSED -> pause(group(), length)
             QuotaFault.CUT -> cut(group(), length * 2)
             QuotaFault.JOIN_AND_LEAVE -> joinAndLeave()
@@ -86,9 +89,9 @@
 
     /** A failure domain, a region, or some hosts of all. */
     private fun group(): List<Host> = when (random.nextInt(3)) {
-        0 -> random.nextInt(DOMAINS).let { drawn -> hosts.filter { it.number % DOMAINS == drawn } }
-        1 -> random.nextInt(DOMAINS / 2).let { drawn -> hosts.filter { it.region == drawn } }
-        else -> hosts.take(hostCount).shuffled(random).take(hostCount / 3)
+        0 -> random.nextInt(DOMAINS).let { drawn -> present.filter { it.number % DOMAINS == drawn } }
+        1 -> random.nextInt(DOMAINS / 2).let { drawn -> present.filter { it.region == drawn } }
+        else -> present.shuffled(random).take(hostCount / 3)
     }
 
     private fun joinAndLeave() {
@@ -101,7 +104,7 @@
             }
         }
         val lenders = hosts.filter { it.isLender() }.shuffled(random).take(2)
-        (lenders + hosts.take(hostCount).shuffled(random).take(1)).distinct().forEach { host ->
+        (lenders + present.shuffled(random).take(1)).distinct().forEach { host ->
             after(LONGEST_FAULT * random.nextDouble()) { leave(host) }
         }
     }
@@ -170,12 +173,12 @@
     private fun updateViews(delay: Duration) = hosts.forEach { host ->
         liveBySide.clear()
         after(delay + 20.milliseconds * random.nextDouble()) {
-            if (!host.isPaused) host.tree?.setLive(liveOn(host.side))
+            if (!host.isPaused) host.tree?.setLive(liveOn(host.side), host.isLeaving)
         }
     }
 
-    private fun liveOn(side: Int): Map<HostId, FailureDomainId> = liveBySide.getOrPut(side) {
-        hosts.filter { it.isUp && !it.isPaused && it.side == side }.associate { it.id to it.domain }
+    private fun liveOn(side: Int): Map<HostId, QuotaPeer> = liveBySide.getOrPut(side) {
+        hosts.filter { it.isUp && !it.isPaused && it.side == side }.associate { it.id to it.asPeer() }
     }
 
     private fun checkContact() {
@@ -268,6 +271,18 @@
         private val cpu = if (hasSlowHosts) SimulatedCpu(cpuShareOf(number), Random(seed * 1_000 + number)) else null
         var isLeaving = false
 
+        private var startedAt = now
+
+        /** The clocks by which hosts tell their start differ by up to 0.5 s. */
+        private val clockOffset = Random(number).nextInt(500).milliseconds
+
+        fun asPeer() = QuotaPeer(
+            domain,
+            cpu?.share ?: QuotaPeer.WHOLE_CORE,
+            (startedAt + clockOffset).inWholeMilliseconds,
+            isLeaving,
+        )
+
         /** Some hosts are live and get no requests. */
         val isIdle = hasSlowHosts && number % hostCount >= hostCount - IDLE
 
@@ -275,7 +290,7 @@
         private val ownBucket = if (planted != PlantedFault.CHILD_FILLS_OWN_BUCKET) {
             null
         } else {
-            QuotaAccount(id, this@QuotaSimulation, QuotaTree(this@QuotaSimulation, id, domain), random) { _, _ -> }
+            QuotaAccount(id, this@QuotaSimulation, QuotaTree(this@QuotaSimulation, id, asPeer()), random) { _, _ -> }
                 .also { it.configure(limits) }
                 .also { it.setHostCount(hostCount) }
         }
@@ -283,13 +298,25 @@
         var incarnation = 0
         val isUp: Boolean get() = account != null
 
+        /** Starts a process; the daemon in it is ready after some time on a slow host. */
         fun start() {
-            val view = QuotaTree(this@QuotaSimulation, id, domain)
-            val started =
-                QuotaAccount(id, this@QuotaSimulation, view, random) { to, message -> send(this, to, message) }
+            startedAt = now
+            val startup = cpu?.start(now) ?: return ready(Duration.ZERO)
+            val of = ++incarnation
+            after(startup) {
+                if (incarnation != of) return@after
+                ready(startup)
+                if (startedAt >= begin + FAULT_AT) faultEndedAt = now - begin
+                updateViews(100.milliseconds)
+            }
+        }
+
+        private fun ready(processAge: Duration) {
+            val view = QuotaTree(this@QuotaSimulation, id, asPeer())
+            val send = { to: HostId, message: QuotaMessage -> send(this, to, message) }
+            val started = QuotaAccount(id, this@QuotaSimulation, view, random, processAge, send = send)
             started.configure(limits)
             started.setHostCount(published)
-            cpu?.start(now)
             tree = view
             account = started
             tick(++incarnation)
@@ -299,7 +326,9 @@
         fun handle(cost: Duration, action: () -> Unit) {
             if (cpu == null) return action()
             val of = incarnation
-            after(cpu.finish(now, cost) - now) { if (incarnation == of) action() }
+            val isRequest = cost == SimulatedCpu.REQUEST_COST
+            val delay = cpu.finish(now, cost, isRequest) - now
+            after(delay) { if (incarnation == of) action() }
         }
 
         fun acquire(key: Int, onDecision: (QuotaDecision) -> Unit) {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -1,6 +1,7 @@
 package kingcuptide.forwarder.connection
 
 import kingcuptide.coordination.connection.SuspectRecord
+import kingcuptide.coordination.request.quota.QuotaPeer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
@@ -8,13 +9,18 @@
 
 /** A message between daemons. Field keys are numbers on the wire, to save bytes: most messages cross regions. */
 sealed interface PeerMessage {
-    /** The first message in each direction. */
+    /**
+     * The first message in each direction.
+     *
+     * @property cpuShare processor time that the sender may use, in thousandths of a core; a whole one if it does not say
+     */
     @Serializable
     data class Hello(
         @CborLabel(1) val protocol: Int,
         @CborLabel(2) val host: String,
         @CborLabel(3) val failureDomain: String,
         @CborLabel(4) val incarnation: Long,
+        @CborLabel(5) val cpuShare: Int = QuotaPeer.WHOLE_CORE,
     ) : PeerMessage
 
     /**
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -14,6 +14,7 @@
 import kingcuptide.coordination.request.TargetPicker
 import kingcuptide.coordination.request.TargetState
 import kingcuptide.coordination.request.quota.QuotaAccount
+import kingcuptide.coordination.request.quota.QuotaPeer
 import kingcuptide.coordination.version.CallerLimits
 import kingcuptide.coordination.version.KnownTarget
 import kingcuptide.coordination.version.PublishedState
@@ -118,7 +119,16 @@
     private val location = DaemonLocation(settings.failureDomain, settings.region) { settings.regionByDomain[it] }
     private val picker = TargetPicker(clock, location, random)
     private val quota =
-        QuotaService(settings.host, settings.failureDomain, clock, random, published, metrics, mesh::distinctPeers)
+        QuotaService(
+            settings.host,
+            ownQuotaPeer(),
+            clock,
+            random,
+            published,
+            metrics,
+            { stop.isStopping },
+            mesh::distinctPeers,
+        )
     private val allowance = RetryAllowance(clock, { settings.retries }) { published.targets.size }
     private val entryDependencies =
         EntryDependencies(
@@ -333,7 +343,15 @@
     private fun regionOf(peer: StatePeer): RegionId? = peer.failureDomain?.let { settings.regionByDomain[it] }
 
     private fun hello() =
-        PeerMessage.Hello(PeerCodec.PROTOCOL_VERSION, settings.host.value, settings.failureDomain.value, incarnation)
+        PeerMessage.Hello(
+            PeerCodec.PROTOCOL_VERSION,
+            settings.host.value,
+            settings.failureDomain.value,
+            incarnation,
+            settings.cpuShare,
+        )
+
+    private fun ownQuotaPeer() = QuotaPeer(settings.failureDomain, settings.cpuShare, incarnation)
 
     /** Age of the published state, or -1 while there is none. */
     private fun stateAgeMs(): Long = published.age().let { if (it.isFinite()) it.inWholeMilliseconds else -1 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/ForwarderSettings.kt
@@ -6,6 +6,7 @@
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.RetryAllowanceSettings
 import kingcuptide.coordination.request.RevocationSettings
+import kingcuptide.coordination.request.quota.QuotaPeer
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 
@@ -16,6 +17,7 @@
  * @property callerAddress where callers and the target beside this daemon send requests
  * @property peerPort port on which every daemon accepts connections from the others
  * @property isFirstStart whether the whole fleet starts for the first time, so that there is no traffic yet
+ * @property cpuShare processor time that this process may use, in thousandths of a core
  * @property stopLimit longest time from the request to stop until the process ends
  */
 data class ForwarderSettings(
@@ -36,6 +38,7 @@
     val coldSlack: Double,
     val retries: RetryAllowanceSettings,
     val revocation: RevocationSettings = RevocationSettings(),
+    val cpuShare: Int = QuotaPeer.WHOLE_CORE,
 ) {
     /** Returns the settings that can't change while the process runs. */
     fun addresses(): List<Any> = listOf(ip, targetAddress, callerAddress, readinessAddress, peerPort, sourceAddress)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/SettingsFile.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/SettingsFile.kt
@@ -10,6 +10,7 @@
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.RetryAllowanceSettings
 import kingcuptide.coordination.request.RevocationSettings
+import kingcuptide.coordination.request.quota.QuotaPeer
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -52,6 +53,8 @@
     val retryWindow: String,
     val strictRevocation: Boolean = false,
     val revoke: String? = null,
+    val cpuShare: Double? = null,
+    val cpuCores: Double? = null,
 ) {
     fun toSettings(): ForwarderSettings {
         require(peerPort in PORTS) { "peerPort: $peerPort is not a port from 1 to 65535" }
@@ -80,9 +83,18 @@
             coldSlack = coldSlack,
             retries = RetryAllowanceSettings(retryRatio, wholeRetries(), durationOf("retryWindow", retryWindow)),
             revocation = revocation(),
+            cpuShare = cpuThousandths(),
         )
     }
 
+    /** The process may use [cpuShare] of each of [cpuCores]; without both, it counts as one that has a whole core. */
+    private fun cpuThousandths(): Int {
+        if (cpuShare == null || cpuCores == null) return QuotaPeer.WHOLE_CORE
+        requireCount("cpuShare", cpuShare)
+        requireCount("cpuCores", cpuCores)
+        return (cpuShare * cpuCores * QuotaPeer.WHOLE_CORE).coerceIn(1.0, MAX_COUNT.toDouble()).toInt()
+    }
+
     private fun revocation(): RevocationSettings {
         val settings = RevocationSettings(isStrict = strictRevocation)
         return if (revoke == null) settings else settings.copy(maxPeerSilence = durationOf("revoke", revoke))
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/QuotaService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/QuotaService.kt
@@ -6,7 +6,9 @@
 import kingcuptide.coordination.request.quota.QuotaAccount
 import kingcuptide.coordination.request.quota.QuotaDecision
 import kingcuptide.coordination.request.quota.QuotaHosts
+import kingcuptide.coordination.request.quota.QuotaLenderChange
 import kingcuptide.coordination.request.quota.QuotaMessage
+import kingcuptide.coordination.request.quota.QuotaPeer
 import kingcuptide.coordination.request.quota.QuotaTree
 import kingcuptide.coordination.request.quota.hasLimit
 import kingcuptide.coordination.request.quota.quotaKey
@@ -17,6 +19,8 @@
 import kingcuptide.forwarder.connection.PeerMessage
 import kingcuptide.forwarder.connection.PeerSession
 import kingcuptide.forwarder.process.DaemonMetrics
+import kingcuptide.forwarder.process.eventLog
+import kingcuptide.forwarder.process.processAge
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlin.coroutines.resume
 import kotlin.random.Random
@@ -26,20 +30,25 @@
 /** Connects the quota account of this host to its peers and to the published state. Used on the event loop. */
 class QuotaService(
     self: HostId,
-    domain: FailureDomainId,
+    own: QuotaPeer,
     private val clock: Clock,
     random: Random,
     private val published: PublishedState,
     private val metrics: DaemonMetrics,
+    private val isStopping: () -> Boolean = { false },
     private val peers: () -> Collection<PeerSession>,
 ) : QuotaAdmission {
-    private val tree = QuotaTree(clock, self, domain)
-    private val account = QuotaAccount(self, clock, tree, random, ::send)
+    private val tree = QuotaTree(clock, self, own)
+    private val account = QuotaAccount(self, clock, tree, random, processAge(), ::lenderChanged, ::send)
     private val hosts = QuotaHosts(clock)
     private var sessions = emptyMap<HostId, PeerSession>()
     private var workspaces = Workspaces.NONE
     private var peersCheckedAt = -PEERS_INTERVAL
 
+    init {
+        metrics.registerGauge("kingcuptide_quota_share") { account.share }
+    }
+
     override suspend fun acquire(workspace: Workspace, maxWait: Duration): QuotaDecision {
         if (!workspace.hasLimit) return QuotaDecision.Allowed
         val decision = suspendCancellableCoroutine { continuation ->
@@ -89,10 +98,23 @@
         peersCheckedAt = clock.now()
         val live = peers().filter { it.isOpen }
         sessions = live.associateBy { HostId(checkNotNull(it.peer).host) }
-        tree.setLive(live.associate { HostId(checkNotNull(it.peer).host) to checkNotNull(it.failureDomain) })
+        tree.setLive(live.associate { HostId(checkNotNull(it.peer).host) to it.toQuotaPeer() }, isStopping())
         countHosts()
     }
 
+    private fun PeerSession.toQuotaPeer(): QuotaPeer {
+        val hello = checkNotNull(peer)
+        val isLeaving = lastPing?.leaving == true
+        return QuotaPeer(FailureDomainId(hello.failureDomain), hello.cpuShare, hello.incarnation, isLeaving)
+    }
+
+    private fun lenderChanged(change: QuotaLenderChange) = log.info(
+        "quota_lender_changed",
+        "lender" to (change.after ?: "self"),
+        "before" to (change.before ?: "self"),
+        "reason" to change.reason.label,
+    )
+
     private fun countHosts() {
         val leavingByAddress = HashMap<String, Boolean>()
         published.targets.forEach { leavingByAddress.merge(it.entry.ip, it.entry.leaving, Boolean::and) }
@@ -106,6 +128,7 @@
     private companion object {
         /** Interval of looking at which hosts are connected; a host that is silent is noticed without this. */
         val PEERS_INTERVAL = 200.milliseconds
+        val log = eventLog("quota")
     }
 }
 
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerCodecTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerCodecTest.kt
@@ -69,6 +69,19 @@
         }
     }
 
+    /** Guards against a hello that a daemon of an earlier version can't read, or whose sender counts as slow. */
+    @Test
+    fun `Given hellos with and without a processor share, when they are sent, then a whole core is left out`() {
+        val withShare = PeerMessage.Hello(PeerCodec.PROTOCOL_VERSION, "h", "a", 1, 300)
+        val without = PeerMessage.Hello(PeerCodec.PROTOCOL_VERSION, "h", "a", 1)
+        expectThat(encoded(without).readableBytes()).isEqualTo(encoded(withShare).readableBytes() - 4)
+        for (hello in listOf(withShare, without)) {
+            val channel = EmbeddedChannel(PeerCodec())
+            channel.writeInbound(encoded(hello))
+            expectThat(channel.readInbound<PeerFrame>().message).isEqualTo(hello)
+        }
+    }
+
     @Test
     fun `Given a frame length out of range, when it arrives, then decoding fails`() {
         val channel = EmbeddedChannel(PeerCodec())
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/process/SettingsFileTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/process/SettingsFileTest.kt
@@ -39,6 +39,17 @@
         return fields.entries.joinToString(",\n", "{\n// bounds\n", ",\n}") { "\"${it.key}\": ${it.value}" }
     }
 
+    @Nested
+    inner class `Given the processor time of the process` {
+        @Test
+        fun `when share and cores are read, then they are multiplied, and a whole core is assumed without them`() {
+            val limited = readForwarderSettings(settingsWith("cpuShare", "0.3, \"cpuCores\": 1")).get()
+            expectThat(limited).isNotNull().get { cpuShare }.isEqualTo(300)
+            val unlimited = readForwarderSettings(settingsWith("cpuCores", "2")).get()
+            expectThat(unlimited).isNotNull().get { cpuShare }.isEqualTo(1_000)
+        }
+    }
+
     @Nested
     inner class `Given bounds that a small fleet has as fractions` {
         @Test
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/QuotaServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/QuotaServiceTest.kt
@@ -4,6 +4,7 @@
 import kingcuptide.coordination.process.HostId
 import kingcuptide.coordination.request.quota.QuotaAccount
 import kingcuptide.coordination.request.quota.QuotaDecision
+import kingcuptide.coordination.request.quota.QuotaPeer
 import kingcuptide.coordination.version.CallerLimits
 import kingcuptide.coordination.version.PublishedItem
 import kingcuptide.coordination.version.PublishedState
@@ -34,7 +35,7 @@
     private var routing = PublishedItem.Configuration(routingOf(workspace(0.0)))
     private val published = PublishedState(time, { routing })
     private val service =
-        QuotaService(HostId("h"), FailureDomainId("a"), time, Random(1), published, metrics) { emptyList() }
+        QuotaService(HostId("h"), QuotaPeer(FailureDomainId("a")), time, Random(1), published, metrics) { emptyList() }
 
     private fun workspace(perSecond: Double, name: String = "w") = Workspace(name, null, perSecond, 5.0, emptySet())
 
