--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/QuotaServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/QuotaServiceTest.kt
@@ -77,6 +77,17 @@
         expectThat(allowedOf(50, workspace(0.0))).isEqualTo(50)
     }
 
+    /** Guards against a document version that gives every workspace its burst again, or drops what is left of it. */
+    @Test
+    fun `Given a version that changes no limit, when it comes into force, then the tokens stay as they are`() {
+        val limited = workspace(1.0)
+        publish(limited)
+        run(8_000)
+        expectThat(allowedOf(3, limited)).isEqualTo(3)
+        publish(workspace(1.0))
+        expectThat(allowedOf(20, limited) in 2..3).isEqualTo(true)
+    }
+
     @Test
     fun `Given a caller that leaves while it waits, when a credit is free again, then another request gets it`() {
         val limited = workspace(1.0)
