Close the modelled connection when a stop ends while it is idle

Cause: 8 of 20,000 histories ended with requests that waited for ever, as the model did not close a connection that is idle at the end of a stop; CallerConnection does. Change: the model closes it.

--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/PipelineHistory.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/PipelineHistory.kt
@@ -111,7 +111,9 @@
     }
 
     private fun end() {
+        if (isEnded) return
         isEnded = true
+        if (pipeline.isEmpty) return disconnect()
         pipeline.end(SizedResponse("lost", 0)).forEach { running -= byId.getValue(it) }
     }
 
