Send few requests to cold targets in the choice by run times

Cause: the queue of a cold target is short, since its gate refuses most requests, so the choice by run times preferred it.

GateShareWiringTest fails by its assertion, not by a missing key, when a workspace starves.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -198,14 +198,17 @@
     private fun optionOf(target: KnownTarget, ratio: Double?, now: Duration): SpreadOption {
         val record = recordOf(target.entry.id)
         val health = (1 - record.failureRate(now)).pow(FAILURE_EXPONENT).coerceAtLeast(MIN_HEALTH)
-        val capacity = maxOf(1, target.entry.slots) * health / (ratio ?: record.runTimeRatio)
+        val usable = if (record.isCold) health * COLD_CAPACITY else health
+        val capacity = maxOf(1, target.entry.slots) * usable / (ratio ?: record.runTimeRatio)
         val distance = location.distanceTo(target.entry.failureDomain)
         return SpreadOption(target, distance, capacity, record.queue(now), record.outstanding)
     }
 
-    /** Whether the gate is closed, or the rate that its target has named leaves no room for [request]. */
+    /** Whether the gate is closed, or the rate of its target, named or cold, leaves no room for [request]. */
     private fun isBlocked(record: TargetRecord, request: PickRequest, now: Duration): Boolean =
-        record.isClosed(now) || record.expectedRateWait(now) > maxOf(request.untilObjective, Duration.ZERO)
+        record.isClosed(now) ||
+            record.expectedRateWait(now) > maxOf(request.untilObjective, Duration.ZERO) ||
+            record.expectedColdWait(now) > maxOf(request.untilObjective, Duration.ZERO) * MAX_COLD_WAIT_SHARE
 
     private fun scoreOf(target: KnownTarget, request: PickRequest, now: Duration): Double {
         val record = recordOf(target.entry.id)
@@ -280,6 +283,12 @@
         /** Age at which a rate is no longer told to a gate; longer than any restart of a daemon. */
         val MAX_RATE_AGE = 1.minutes
 
+        /** Share of its capacity with which a cold target counts; its gate refuses most of more. */
+        const val COLD_CAPACITY = 0.25
+
+        /** Share of the time until the objective for which a request may wait at a cold target. */
+        const val MAX_COLD_WAIT_SHARE = 0.5
+
         /** Least share of its capacity with which a failing target counts. */
         const val MIN_HEALTH = 0.02
 
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetRecord.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetRecord.kt
@@ -42,6 +42,15 @@
     /** Returns whether the gate has just reported that it takes no requests. */
     fun isClosed(now: Duration): Boolean = loadReport?.limit == 0 && now - reportedAt <= MAX_CLOSED_AGE
 
+    /** Whether the target takes few requests a second until it is warm; also while nothing is known of it. */
+    val isCold: Boolean get() = loadReport?.cold ?: true
+
+    /** Returns the time until a cold target takes another request, by the latest report. */
+    fun expectedColdWait(now: Duration): Duration {
+        val report = loadReport?.takeIf { it.cold } ?: return Duration.ZERO
+        return (report.wait - (now - reportedAt)).coerceAtLeast(Duration.ZERO)
+    }
+
     /** Returns the failure rate, which decays with time, so that a target that is healthy again gets requests. */
     fun failureRate(now: Duration): Double = failureRate * HALF.pow((now - failureRateAt) / FAILURE_HALF_LIFE)
 
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateShareWiringTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateShareWiringTest.kt
@@ -98,7 +98,8 @@
         time.after(TargetGate.MAX_SERVE_INTERVAL, ::tick)
     }
 
-    private fun ratioOf(workspace: String) = served.getValue(workspace).toDouble() / requested.getValue(workspace)
+    private fun ratioOf(workspace: String) =
+        served.getOrDefault(workspace, 0).toDouble() / requested.getValue(workspace)
 
     @Test
     fun `Given a workspace that sends ten times its usual, when the target is full, then others keep a quarter`() {
