Check documents of the users' platform, and explain refusals by quota

Cause: `kingcuptide check` read documents of the project only, so a key of two workspaces, a negative rate or burst, or a repeated workspace name was found by the daemons' logs after the document was stored. `kingcuptide explain` named neither workspace nor version of a 429, and the log line showed a huge age for state that was never confirmed.

Change: `check` recognises a document of the platform by its fields, reads it as daemons do and lists every entry that they do not use as written (code 412), with the workspace and the effect; no message contains a key. `explain` says whose quota it was, what was left, when there is room, which version decided and how old the knowledge was.

--- a/cli/src/main/kotlin/kingcuptide/cli/CheckCommand.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/CheckCommand.kt
@@ -9,8 +9,9 @@
 import com.github.ajalt.clikt.parameters.types.path
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
-import kingcuptide.coordination.version.MAX_RESOURCE_BYTES
 import kingcuptide.forwarder.process.readForwarderSettings
+import kingcuptide.platform.MAX_CHECKED_CHARS
+import kingcuptide.platform.isConfiguration
 import java.nio.file.Path
 import kotlin.io.path.inputStream
 
@@ -30,11 +31,14 @@
     private val json by option("--json", help = "print JSON for scripts").flag()
 
     override fun help(context: Context): String =
-        "Checks a document and names every fault in one run, or a daemon's settings and names the first."
+        "Checks a document, of the project or of the users' platform, and names every fault in one run, or the " +
+            "settings of a daemon and names the first."
 
     override fun run() {
         if (settings) return checkSettings()
-        val report = checkTexts(readBounded(document), hosts?.let { readBounded(it) })
+        val text = readBounded(document)
+        if (hosts != null && isConfiguration(text)) throw UsageError("--hosts goes with a document of the project only")
+        val report = checkTexts(text, hosts?.let { readBounded(it) })
         echo(if (json) OUTPUT_JSON.encodeToString(CheckReport.serializer(), report) else checkText(report))
         if (report.errors > 0) exitWith(ExitCode.REFUSED)
     }
@@ -51,5 +55,5 @@
 
     /** Reads at most one byte more than the size limit, so that the check can detect a file that exceeds it. */
     private fun readBounded(path: Path): String =
-        path.inputStream().use { it.readNBytes(MAX_RESOURCE_BYTES + 1) }.decodeToString()
+        path.inputStream().use { it.readNBytes(MAX_CHECKED_CHARS + 1) }.decodeToString()
 }
--- a/cli/src/main/kotlin/kingcuptide/cli/RequestStory.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/RequestStory.kt
@@ -96,17 +96,30 @@
     }
     val gate = requestLines.lastOrNull { it.event in GATE_EVENTS }
     val atGate = gate?.let { ", at ${it.fields["target"]}: ${describeGateEvent(it)}" }.orEmpty()
-    val byKey = if (code in KEY_CODES) describeKeyRefusal(resultLine) else ""
-    return "${code?.number ?: "no code"}, ${describeResultCode(code)}$atGate$byKey"
+    val decision = when (code) {
+        in KEY_CODES -> describeKeyRefusal(resultLine)
+        ResultCode.QUOTA_SPENT -> describeQuotaRefusal(resultLine)
+        else -> ""
+    }
+    return "${code?.number ?: "no code"}, ${describeResultCode(code)}$atGate$decision"
 }
 
 /** Which version refused the key, why, and how current that version was known to be. */
 private fun describeKeyRefusal(line: LogLine): String {
-    val age = line.fields["knowledge_age_ms"]
-    val known = if (age == null || age == "-1") "never confirmed as current" else "confirmed as current $age ms before"
     val workspace = line.fields["workspace"]?.let { " for workspace $it" }.orEmpty()
     return ": ${line.fields["reason"]}, on route ${line.fields["route"]}$workspace, by document version " +
-        "${line.fields["version"]}, $known"
+        "${line.fields["version"]}, ${describeKnowledge(line)}"
+}
+
+/** Whose quota was used up, how much of it the daemon had left, and by which version. */
+private fun describeQuotaRefusal(line: LogLine): String =
+    ": quota of workspace ${line.fields["workspace"]} on route ${line.fields["route"]}, ${line.fields["left"]} left " +
+        "at this daemon, room for a retry after ${line.fields["retry_after_ms"]} ms, by document version " +
+        "${line.fields["version"]}, ${describeKnowledge(line)}"
+
+private fun describeKnowledge(line: LogLine): String {
+    val age = line.fields["knowledge_age_ms"]
+    return if (age == null || age == "-1") "never confirmed as current" else "confirmed as current $age ms before"
 }
 
 private fun describeGateEvent(line: LogLine): String = when (line.event) {
@@ -126,6 +139,7 @@
     ResultCode.KEYS_UNCONFIRMED -> "the daemon could not tell whether its API keys were current"
     ResultCode.NO_CONFIGURATION -> "the daemon had no configuration yet"
     ResultCode.NO_TARGET -> "no untried target was published, reachable and in a home region"
+    ResultCode.QUOTA_SPENT -> "the workspace had sent more than its quota over all hosts allows"
     ResultCode.TARGETS_UNCONFIRMED -> "the daemon had just started and no gate had told it of a target in use"
     ResultCode.TARGET_FULL -> "the last target tried had a longer queue than it can serve in time"
     ResultCode.TARGET_COLD -> "the last target tried was cold and had reached its rate limit for this second"
--- a/cli/src/test/kotlin/kingcuptide/cli/CheckCommandTest.kt
+++ b/cli/src/test/kotlin/kingcuptide/cli/CheckCommandTest.kt
@@ -63,6 +63,84 @@
         }
     }
 
+    /** Guards against documents that shut out a customer unnoticed, and against keys in the output of the command. */
+    @Nested
+    inner class `Given a document of the users' platform` {
+        private fun platformDocument(vararg tenants: String) =
+            PLATFORM_DOCUMENT.replace("TENANTS", tenants.joinToString())
+
+        private fun checkTenants(vararg tenants: String, options: String? = null): CliktCommandTestResult {
+            val result = check(platformDocument(*tenants), options = options)
+            expectThat(result.output).not().contains("secret")
+            return result
+        }
+
+        @Test
+        fun `when nothing is at fault, then the command ends with 0`() {
+            val result = checkTenants(ACME)
+            expectThat(result.output).isEqualTo("version 7 may come into force: 0 errors, 0 warnings\n")
+            expectThat(result.statusCode).isEqualTo(0)
+        }
+
+        @Test
+        fun `when a key is in two workspaces, then both are named and it ends with 2`() {
+            val other = "{\"name\": \"other\", \"api_keys\": [\"secret-2\", \"secret-3\"]}"
+            val result = checkTenants(ACME, other)
+            for (name in listOf("acme", "other")) {
+                expectThat(result.output)
+                    .contains(Regex("412 .*tenant $name +1 api_keys refused with 401: another tenant lists them too"))
+            }
+            expectThat(result.output).contains("version 7 comes into force, but not as written: 2 errors")
+            expectThat(result.statusCode).isEqualTo(2)
+        }
+
+        @Test
+        fun `when a rate is negative, then the workspace is left out, and with a negative burst it has none`() {
+            expectThat(checkTenants(ACME.replace("50", "-50")).output)
+                .contains("tenant acme")
+                .contains("left out, its keys are refused with 401: rate_per_s is not a number from 0")
+            expectThat(checkTenants(ACME.replace("20", "-20")).output)
+                .contains("tenant acme")
+                .contains("burst is not a number from 0: 0 is used")
+        }
+
+        @Test
+        fun `when a name occurs twice, then both entries are left out`() {
+            val result = checkTenants(ACME, ACME.replace("secret", "secret-more"))
+            expectThat(result.output)
+                .contains("tenant acme")
+                .contains("left out, its keys are refused with 401: the name occurs more than once")
+            expectThat(result.statusCode).isEqualTo(2)
+        }
+
+        @Test
+        fun `when more entries are at fault than daemons log, then all are named`() {
+            val withoutRate = ACME.replace("50", "-50")
+            val tenants = List(30) { withoutRate.replace("acme", "t$it").replace("secret", "secret-$it") }
+            val result = checkTenants(*tenants.toTypedArray(), options = "--json")
+            val report = OUTPUT_JSON.decodeFromString(CheckReport.serializer(), result.stdout)
+            expectThat(report.findings.map { it.path }).isEqualTo(List(30) { "tenant t$it" })
+            expectThat(report.refused).isEqualTo(false)
+        }
+
+        @Test
+        fun `when a key stands in place of a name or a number, then it is not printed`() {
+            checkTenants(ACME.replace("acme", "secret-1").replace("50", "\"secret-1\""))
+            checkTenants(ACME.replace("\"acme\"", "[\"secret-1\"]"))
+            checkTenants("{\"secret-1\": [\"secret-2\"]}", "[\"secret-1\"]", "\"secret-1\"")
+        }
+
+        @Test
+        fun `when it can't be read, then it has one error without a key and ends with 2`() {
+            for (cut in listOf("\"name\"", "\"api_keys\"", "\"secret-1\"", ", \"secret-2\"")) {
+                val result = check(platformDocument(ACME).replace(cut, cut.drop(1)))
+                expectThat(result.output).contains("400").contains("not JSON").contains("is refused: 1 errors")
+                expectThat(result.output).not().contains("secret")
+                expectThat(result.statusCode).isEqualTo(2)
+            }
+        }
+    }
+
     @Nested
     inner class `Given settings of a daemon` {
         @Test
@@ -126,6 +204,19 @@
              "retryRatio": 0.2, "extraRetries": 5, "retryWindow": "10s"}
             """
 
+        const val ACME =
+            "{\"name\": \"acme\", \"api_keys\": [\"secret-1\", \"secret-2\"], \"rate_per_s\": 50, \"burst\": 20}"
+
+        const val PLATFORM_DOCUMENT =
+            """
+            {"version": "r7", "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout": "3s",
+              "idle_timeout": "15s"},
+             "listeners": [{"host": "h", "rules": [{"name": "r1", "kind": "safe", "target_latency": "1s", "priority": 1,
+              "match": {"prefix": "/a/"}, "action": {"service": "s", "timeout": "1s", "max_attempts": 2}}]}],
+             "clusters": [{"name": "s", "health_check_path": "/health", "cold_start": "1s", "cold_per_s": 9.0}],
+             "tenants": [TENANTS]}
+            """
+
         val DOCUMENT =
             """
             {
--- a/cli/src/test/kotlin/kingcuptide/cli/ExplainLogsTest.kt
+++ b/cli/src/test/kotlin/kingcuptide/cli/ExplainLogsTest.kt
@@ -31,6 +31,12 @@
             "event=request_refused request=9 code=112 status=401 version=14 path=/read/x route=/read/ " +
                 "reason=\"no workspace has the key\" knowledge_age_ms=640",
         ),
+        line(
+            "10:00:10.600",
+            "entry",
+            "event=request_refused request=10 code=219 status=429 workspace=acme route=/read/ version=14 left=0 " +
+                "retry_after_ms=310 knowledge_age_ms=650",
+        ),
         "not an event",
     )
     private val gateLog = listOf(
@@ -70,6 +76,16 @@
                 .contains("it has not run")
         }
 
+        @Test
+        fun `when a refusal by quota is explained, then the cause names workspace, version, rest and age`() {
+            expectThat(explain("10").output)
+                .contains("cause: 219, the workspace had sent more than its quota")
+                .contains("quota of workspace acme on route /read/, 0 left at this daemon, ")
+                .contains("room for a retry after 310 ms")
+                .contains("by document version 14, confirmed as current 650 ms")
+                .contains("it has not run")
+        }
+
         @Test
         fun `when the known state changed shortly before, then the change is shown, and an older one is not`() {
             expectThat(explain("7").output).contains("peer_closed").not().contains("target_leaving")
--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/ResultCode.kt
@@ -78,6 +78,7 @@
     NO_TARGET_IN_HOME_REGION(409, 0),
     DUPLICATE_PATH_PREFIX(410, 0),
     HOME_REGION_TAKEN_OUT(411, 0),
+    DOCUMENT_ENTRY_FAULTY(412, 0),
 
     // 5xx: between daemons and with the platform
     PEER_PROTOCOL_VERSION(500, 0),
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
@@ -46,6 +46,9 @@
             override val peerSilence: Duration get() = this@EntryDependencies.peerSilence()
         }
 
+    /** Time since the published state was last known to be current, or -1 if it never was. */
+    fun knowledgeAgeMs(): Long = published.age().let { if (it.isFinite()) it.inWholeMilliseconds else -1 }
+
     /** Records a load report of the gate of [target]. */
     fun recordLoadReport(target: TargetEntry, report: GateLoadReport) {
         picker.recordLoadReport(target.id, report)
@@ -77,7 +80,7 @@
             "version" to published.routing?.number,
             "left" to decision.left,
             "retry_after_ms" to retryAfter.inWholeMilliseconds,
-            "knowledge_age_ms" to published.age().inWholeMilliseconds,
+            "knowledge_age_ms" to knowledgeAgeMs(),
         )
         return retryAfter
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryRefusals.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryRefusals.kt
@@ -64,7 +64,7 @@
     }
 
     /** Time since the published state was last known to be current, or -1 if it never was. */
-    fun knowledgeAgeMs(): Long = dependencies.published.age().let { if (it.isFinite()) it.inWholeMilliseconds else -1 }
+    fun knowledgeAgeMs(): Long = dependencies.knowledgeAgeMs()
 
     private companion object {
         const val RETRY_AFTER_HEADER = "Retry-After"
