--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -39,6 +39,8 @@
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.TrafficCounts
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Nested
@@ -49,6 +51,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isIn
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
@@ -79,10 +82,13 @@
     }
     private val running = RunningRequests(clock)
     private val results = ArrayDeque<ForwardResult>()
+    private val toldInUse = HashSet<String>()
     private val sent = ArrayList<Pair<String, ForwardCall>>()
     private val transport = object : GateTransport {
         override fun canSend(target: KnownTarget) = true
 
+        override fun isToldInUse(target: KnownTarget) = target.entry.id.value in toldInUse
+
         override fun submit(target: KnownTarget, call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation {
             sent += target.entry.id.value to call
             onResult(results.removeFirst())
@@ -121,6 +127,14 @@
     }
 
     private fun start(homeRegions: Set<RegionId> = emptySet(), workspaces: Workspaces = Workspaces.NONE) {
+        startUnconfirmed(homeRegions, workspaces)
+        published.confirmed(Duration.ZERO)
+    }
+
+    private fun startUnconfirmed(
+        homeRegions: Set<RegionId> = emptySet(),
+        workspaces: Workspaces = Workspaces.NONE,
+    ) {
         val open = route("/open/", true, homeRegions).copy(allowsAnonymous = true)
         val routes = listOf(route("/read/", true, homeRegions), route("/book/", false, homeRegions), open)
         val traits = ServiceTraits("/health", 1.seconds, 10.0)
@@ -510,6 +524,56 @@
         }
     }
 
+    /** Guards against requests to a target that had left, which a lagging replica of the source still lists. */
+    @Nested
+    inner class `Targets of a state that is not confirmed` {
+        @Test
+        fun `Given no word from any gate, when a request arrives, then it is refused and nothing is sent`() {
+            startUnconfirmed()
+            results += answered(200)
+            val response = serve("/read/x")
+            expectThat(response.status).isEqualTo(503)
+            expectThat(response.headers.first("Kingcuptide-Code")).isEqualTo("221")
+            expectThat(sent).isEmpty()
+        }
+
+        @Test
+        fun `Given the word of one gate, when requests arrive, then only its target gets them`() {
+            startUnconfirmed()
+            toldInUse += "t-c"
+            repeat(3) { results += answered(200) }
+            repeat(3) { serve("/read/x") }
+            expectThat(sent.map { it.first }).containsExactly("t-c", "t-c", "t-c")
+        }
+
+        @Test
+        fun `Given a request that waits, when a gate tells of its target, then the request is served there`() {
+            startUnconfirmed()
+            results += answered(200)
+            val response = runBlocking {
+                launch {
+                    delay(50)
+                    toldInUse += "t-b"
+                }
+                val headers = listOf("Host" to "h:80", "Id" to "7", "Left" to "3000")
+                entry.serve(CallerRequest("GET", "/read/x", headers, NO_BYTES, clock.now()))
+            }
+            expectThat(response.status to sent.single().first).isEqualTo(200 to "t-b")
+        }
+
+        @Test
+        fun `Given a word of one gate, when the state is confirmed, then all targets get requests`() {
+            startUnconfirmed()
+            toldInUse += "t-c"
+            published.confirmed(Duration.ZERO)
+            repeat(20) {
+                results += answered(200)
+                serve("/read/x")
+            }
+            expectThat(sent.map { it.first }.toSet().size).isGreaterThan(1)
+        }
+    }
+
     @Nested
     inner class `Targets that leave` {
         @Test
@@ -568,7 +632,7 @@
 
         /** Guards against a gate that has restarted and whose target counts as a mean one until it is measured again. */
         @Test
-        fun `Given a gate that lost its run times, when a request is sent to it, then it gets them back`() {
+        fun `Given a gate that lost its run times, when it gets a request, then it gets them back, and only then`() {
             start()
             val known = mapOf(7 to 40.milliseconds)
             for (runTimes in listOf(known, known, emptyMap(), known)) {
