--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/ShareFloors.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/ShareFloors.kt
@@ -12,9 +12,10 @@
 /**
  * Tells which share groups a full gate serves too seldom.
  *
- * Each request belongs to one group; the forwarder groups by workspace, all requests without one together. The floor of a group is [FLOOR_SHARE] of the ratio of
- * served to requested over all groups. A request counts as served when it starts, whatever its response, so that a
- * group whose requests fail at the target gets no precedence for that. Not thread-safe.
+ * Each request belongs to one group; the forwarder groups by workspace, all requests without one together. The floor of
+ * a group is [FLOOR_SHARE] of the ratio of served to requested over all groups. A request counts as served when it
+ * starts, whatever its response, so that a group whose requests fail at the target gets no precedence for that. Not
+ * thread-safe.
  */
 public class ShareFloors {
     private val totals = WindowCounts()
