Count bytes between hosts by what they carry and why they cross

Change: a choice names its reason (PickReason). The line traffic and the metrics split exchanges by distance and reason, messages to peers by kind and distance, and count the bodies of refused requests.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/LoadSpread.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/LoadSpread.kt
@@ -28,21 +28,31 @@
  * requests of this entry, decides between the two or three targets of a sample.
  */
 internal class LoadSpread(private val random: Random) {
-    fun choose(options: List<SpreadOption>, plan: SpillPlan): KnownTarget {
+    fun choose(options: List<SpreadOption>, plan: SpillPlan): TargetPick {
         val (inRegion, elsewhere) = options.partition { it.distance != Distance.OTHER_REGION }
         val (inDomain, nearby) = inRegion.partition { it.distance == Distance.SAME_DOMAIN }
-        if (leaves(inRegion, elsewhere, plan.elsewhere)) return sampleFrom(elsewhere, plan)
+        reasonToLeave(inRegion, elsewhere, plan.elsewhere)?.let { return TargetPick(sampleFrom(elsewhere, plan), it) }
         val toRegion = if (plan.elsewhere < 1) plan.toRegion / (1 - plan.elsewhere) else 0.0
-        if (leaves(inDomain, nearby, toRegion)) return sampleFrom(nearby, plan)
-        return sampleFrom(inDomain, SpillPlan.NONE)
+        reasonToLeave(inDomain, nearby, toRegion)?.let { return TargetPick(sampleFrom(nearby, plan), it) }
+        return TargetPick(sampleFrom(inDomain, SpillPlan.NONE), PickReason.NEAREST)
     }
 
-    /** Draws whether a request goes to [far], by the plan and, with less effect, by the load in reports. */
-    private fun leaves(near: List<SpreadOption>, far: List<SpreadOption>, planned: Double): Boolean {
-        if (near.isEmpty() || far.isEmpty()) return near.isEmpty()
+    /**
+     * Draws whether a request goes to [far], by the plan and, with less effect, by the load in reports. Returns the
+     * reason, or null if it goes to [near].
+     */
+    private fun reasonToLeave(near: List<SpreadOption>, far: List<SpreadOption>, planned: Double): PickReason? {
+        if (near.isEmpty()) return PickReason.NEARER_UNAVAILABLE
+        if (far.isEmpty()) return null
         val excess = (loadOf(near) ?: 0.0) - (loadOf(far) ?: 0.0) - MIN_EXCESS_LOAD
         val spill = planned + (excess * EXCESS_LOAD_GAIN).coerceIn(0.0, MAX_EXCESS_SPILL)
-        return spill > 0 && random.nextDouble() < spill
+        if (spill <= 0) return null
+        val drawn = random.nextDouble()
+        return when {
+            drawn < planned -> PickReason.PLANNED_SPILL
+            drawn < spill -> PickReason.SHORTER_QUEUE
+            else -> null
+        }
     }
 
     private fun sampleFrom(options: List<SpreadOption>, plan: SpillPlan): KnownTarget {
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -2,6 +2,7 @@
 
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.version.KnownTarget
 import kingcuptide.coordination.version.TargetId
@@ -18,6 +19,7 @@
  * @property untilDeadline remaining time until its caller gives up
  * @property bodyBytes length of the request body
  * @property tried targets to which this request has already been sent
+ * @property homeRegions the regions in which it may be served; empty for all
  */
 public data class PickRequest(
     val route: RouteId,
@@ -26,6 +28,7 @@
     val untilDeadline: Duration,
     val bodyBytes: Int,
     val tried: Set<TargetId>,
+    val homeRegions: Set<RegionId> = emptySet(),
 )
 
 /**
@@ -50,11 +53,26 @@
      * Returns the best candidate among those not tried yet, or null if there is none: by [LoadSpread] if gates report
      * the run times of at least half of the candidates, and by their score otherwise.
      */
-    public fun pick(candidates: List<KnownTarget>, request: PickRequest): KnownTarget? {
+    public fun pick(candidates: List<KnownTarget>, request: PickRequest): TargetPick? {
         val now = clock.now()
         recordDemand(candidates, request, now)
+        val pick = pickUntried(candidates, request, now) ?: return null
+        return pick.copy(reason = reasonFor(pick, candidates, request))
+    }
+
+    private fun reasonFor(pick: TargetPick, candidates: List<KnownTarget>, request: PickRequest): PickReason {
+        val distance = distanceTo(pick.target)
+        return when {
+            distance == Distance.SAME_DOMAIN -> PickReason.NEAREST
+            request.homeRegions.isNotEmpty() && location.region !in request.homeRegions -> PickReason.HOME_REGIONS
+            candidates.none { distanceTo(it) < distance } -> PickReason.NONE_NEARER
+            else -> pick.reason
+        }
+    }
+
+    private fun pickUntried(candidates: List<KnownTarget>, request: PickRequest, now: Duration): TargetPick? {
         val untried = candidates.filter { it.entry.id !in request.tried }
-        if (untried.size <= 1) return untried.firstOrNull()
+        if (untried.size <= 1) return untried.firstOrNull()?.let { TargetPick(it, PickReason.NEARER_UNAVAILABLE) }
         val available = untried.filter { recordOf(it.entry.id).ejectedUntil <= now }.ifEmpty { untried }
         val ratios = speeds.ratiosOf(candidates, now)
         if (ratios.isNotEmpty() && available.count { it.entry.id in ratios } * 2 >= available.size) {
@@ -62,7 +80,8 @@
             val options = open.map { optionOf(it, ratios[it.entry.id], now) }
             return spread.choose(options, spillPlan(options, now))
         }
-        return available.maxBy { scoreOf(it, request, now) + random.nextDouble() * MAX_TIE_BREAK }
+        val best = available.maxBy { scoreOf(it, request, now) + random.nextDouble() * MAX_TIE_BREAK }
+        return TargetPick(best, PickReason.BEST_SCORE)
     }
 
     /** Demand of the callers of this daemon, for the other daemons. */
@@ -200,8 +219,7 @@
         val health = (1 - record.failureRate(now)).pow(FAILURE_EXPONENT).coerceAtLeast(MIN_HEALTH)
         val usable = if (record.isCold) health * COLD_CAPACITY else health
         val capacity = maxOf(1, target.entry.slots) * usable / (ratio ?: record.runTimeRatio)
-        val distance = location.distanceTo(target.entry.failureDomain)
-        return SpreadOption(target, distance, capacity, record.queue(now), record.outstanding)
+        return SpreadOption(target, distanceTo(target), capacity, record.queue(now), record.outstanding)
     }
 
     /** Whether the gate is closed, or the rate of its target, named or cold, leaves no room for [request]. */
@@ -242,6 +260,8 @@
         return ((LATE_RATIO - completionTime / limit) / (LATE_RATIO - ON_TIME_RATIO)).coerceIn(0.0, 1.0)
     }
 
+    private fun distanceTo(target: KnownTarget): Distance = location.distanceTo(target.entry.failureDomain)
+
     private fun pathTo(failureDomain: FailureDomainId): NetworkPath = when (location.distanceTo(failureDomain)) {
         Distance.SAME_DOMAIN -> NetworkPath.SAME_DOMAIN
         Distance.SAME_REGION -> NetworkPath.SAME_REGION
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerSpeedTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerSpeedTest.kt
@@ -49,7 +49,7 @@
     /** Returns how many of 4,000 requests that are answered at once go to each target. */
     private fun distribute(): List<Int> {
         val request = PickRequest(ROUTE, 500.milliseconds, 500.milliseconds, 3.seconds, 0, emptySet())
-        val picked = List(4_000) { checkNotNull(picker.pick(targets, request)) }
+        val picked = List(4_000) { checkNotNull(picker.pick(targets, request)).target }
         return targets.map { target -> picked.count { it === target } }
     }
 
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/TargetPickerTest.kt
@@ -59,29 +59,29 @@
     inner class `Preference for near targets` {
         @Test
         fun `Given idle targets, when one is picked, then it is the one in the own failure domain`() {
-            expectThat(picker.pick(all, request())).isEqualTo(own)
+            expectThat(picker.pick(all, request())?.target).isEqualTo(own)
         }
 
         @Test
         fun `Given long queues at the near targets, when one is picked, then it is the idle one in another region`() {
             picker.recordLoadReport(own.entry.id, loadReport(10, 20, wait = 900.milliseconds))
             picker.recordLoadReport(near.entry.id, loadReport(10, 20, wait = 900.milliseconds))
-            expectThat(picker.pick(all, request())).isEqualTo(far)
+            expectThat(picker.pick(all, request())?.target).isEqualTo(far)
         }
 
         @Test
         fun `Given queues at the near targets, when the request body is large, then it stays in the failure domain`() {
             picker.recordLoadReport(own.entry.id, loadReport(10, 5, wait = 300.milliseconds))
             picker.recordLoadReport(near.entry.id, loadReport(10, 5, wait = 300.milliseconds))
-            expectThat(picker.pick(all, request())).isEqualTo(far)
-            expectThat(picker.pick(all, request(bodyBytes = 8_000))).isEqualTo(own)
+            expectThat(picker.pick(all, request())?.target).isEqualTo(far)
+            expectThat(picker.pick(all, request(bodyBytes = 8_000))?.target).isEqualTo(own)
         }
 
         @Test
         fun `Given a load report older than a second, when a target is picked, then the report has no effect`() {
             picker.recordLoadReport(own.entry.id, loadReport(10, 20, wait = 900.milliseconds))
             clock.advance(1_100.milliseconds)
-            expectThat(picker.pick(all, request())).isEqualTo(own)
+            expectThat(picker.pick(all, request())?.target).isEqualTo(own)
         }
 
         @Test
@@ -89,9 +89,9 @@
             val report = loadReport(0, wait = 10.seconds).copy(ratePerSecond = 0.1)
             picker.recordLoadReport(own.entry.id, report)
             clock.advance(3.seconds)
-            expectThat(picker.pick(all, request())).isEqualTo(near)
+            expectThat(picker.pick(all, request())?.target).isEqualTo(near)
             clock.advance(10.seconds)
-            expectThat(picker.pick(all, request())).isEqualTo(own)
+            expectThat(picker.pick(all, request())?.target).isEqualTo(own)
         }
 
         @Test
@@ -112,8 +112,8 @@
 
         @Test
         fun `Given a tried target, when one is picked, then it is another`() {
-            expectThat(picker.pick(all, request(setOf(own.entry.id)))).isEqualTo(near)
-            expectThat(picker.pick(all, request(all.mapTo(HashSet()) { it.entry.id }))).isNull()
+            expectThat(picker.pick(all, request(setOf(own.entry.id)))?.target).isEqualTo(near)
+            expectThat(picker.pick(all, request(all.mapTo(HashSet()) { it.entry.id }))?.target).isNull()
         }
     }
 
@@ -123,7 +123,7 @@
         fun `Given a target that fails half of its requests, when targets are picked, then it gets few requests`() {
             var ownCount = 0
             repeat(200) { round ->
-                val picked = checkNotNull(picker.pick(all, request()))
+                val picked = checkNotNull(picker.pick(all, request())).target
                 picker.sent(picked.entry.id)
                 val failed = picked == own && round % 2 == 0
                 if (failed) picker.failed(picked.entry.id) else answered(picked, 100.milliseconds)
@@ -139,11 +139,11 @@
                 picker.sent(own.entry.id)
                 picker.failed(own.entry.id)
             }
-            expectThat(picker.pick(all, request())).isEqualTo(near)
+            expectThat(picker.pick(all, request())?.target).isEqualTo(near)
             var ownCount = 0
             repeat(400) {
                 clock.advance(20.milliseconds)
-                val picked = checkNotNull(picker.pick(all, request()))
+                val picked = checkNotNull(picker.pick(all, request())).target
                 picker.sent(picked.entry.id)
                 answered(picked, 100.milliseconds)
                 if (picked == own) ownCount++
@@ -164,7 +164,7 @@
                 picker.sent(own.entry.id)
                 answered(own, 500.milliseconds)
             }
-            expectThat(picker.pick(all, request())).isEqualTo(near)
+            expectThat(picker.pick(all, request())?.target).isEqualTo(near)
         }
     }
 
@@ -173,17 +173,17 @@
         @Test
         fun `Given run times of zero, when a target is picked, then there is one`() {
             repeat(200) {
-                val picked = checkNotNull(picker.pick(all, request()))
+                val picked = checkNotNull(picker.pick(all, request())).target
                 picker.sent(picked.entry.id)
                 answered(picked, Duration.ZERO)
             }
-            expectThat(picker.pick(all, request())).isEqualTo(own)
+            expectThat(picker.pick(all, request())?.target).isEqualTo(own)
         }
 
         @Test
         fun `Given an objective of zero, when a target is picked, then there is one`() {
             val withoutObjective = PickRequest(ROUTE, Duration.ZERO, Duration.ZERO, Duration.ZERO, 0, emptySet())
-            expectThat(picker.pick(all, withoutObjective)).isEqualTo(own)
+            expectThat(picker.pick(all, withoutObjective)?.target).isEqualTo(own)
         }
     }
 
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/UnevenTargetSimulation.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/UnevenTargetSimulation.kt
@@ -194,7 +194,7 @@
             val now = clock.now()
             val request =
                 PickRequest(arrival.route, OBJECTIVE, objectiveAt - now, arrival.at + DEADLINE - now, 0, tried)
-            val target = checkNotNull(picker.pick(targets, request))
+            val target = checkNotNull(picker.pick(targets, request)).target
             tried += target.entry.id
             picker.sent(target.entry.id)
             val index = targets.indexOf(target)
--- a/daemon/src/main/kotlin/kingcuptide/daemon/process/DecisionMetrics.kt
+++ b/daemon/src/main/kotlin/kingcuptide/daemon/process/DecisionMetrics.kt
@@ -14,7 +14,7 @@
     metrics.registerGauge("kingcuptide_gate_requests_queued") { decisions.gate.load().queued }
     metrics.registerGauge("kingcuptide_key_witness_records") { decisions.keys.witness.counters().records }
     for (reason in KeyRefusalReason.entries) {
-        metrics.registerCounter("kingcuptide_key_witness_refusals", "reason", reason.name.lowercase()) {
+        metrics.registerCounter("kingcuptide_key_witness_refusals", mapOf("reason" to reason.name.lowercase())) {
             decisions.keys.witness.counters().refused[reason] ?: 0
         }
     }
@@ -23,7 +23,7 @@
 private fun registerVersionMetrics(metrics: DaemonMetrics, decisions: ControlDecisions) {
     val versions = decisions.versions
     for (event in VersionEvent.entries) {
-        metrics.registerCounter("kingcuptide_version_events", "event", event.name.lowercase()) {
+        metrics.registerCounter("kingcuptide_version_events", mapOf("event" to event.name.lowercase())) {
             versions.counters[event]
         }
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
@@ -60,8 +60,8 @@
 
     /** Registers the counts of pipelined requests in [metrics]. */
     fun registerIn(metrics: DaemonMetrics) {
-        metrics.registerCounter("kingcuptide_caller_request_starts", "start", "in_turn") { counts.inTurn }
-        metrics.registerCounter("kingcuptide_caller_request_starts", "start", "early") { counts.early }
+        metrics.registerCounter("kingcuptide_caller_request_starts", mapOf("start" to "in_turn")) { counts.inTurn }
+        metrics.registerCounter("kingcuptide_caller_request_starts", mapOf("start" to "early")) { counts.early }
         metrics.registerGauge("kingcuptide_held_response_bytes") { connections.sumOf { it.heldBytes } }
     }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.request.Distance
 import kingcuptide.forwarder.process.TrafficCounts
 import kingcuptide.forwarder.process.eventLog
 import java.net.InetSocketAddress
@@ -29,7 +30,7 @@
     private val port: Int,
     private val hello: PeerMessage.Hello,
     private val listener: PeerListener,
-    private val isSameRegion: (PeerSession) -> Boolean,
+    private val distanceTo: (PeerSession) -> Distance,
     private val ping: () -> PeerMessage.Ping,
     private val counts: TrafficCounts,
 ) {
@@ -140,6 +141,8 @@
         if (now >= link.retryAt && !link.connecting) connect(link)
     }
 
+    private fun isSameRegion(session: PeerSession): Boolean = distanceTo(session) != Distance.OTHER_REGION
+
     private fun silenceTimeout(session: PeerSession): Duration =
         if (isSameRegion(session)) SILENCE_TIMEOUT else SILENCE_TIMEOUT + PING_INTERVAL * (PINGS_PER_REMOTE_PING - 1)
 
@@ -208,7 +211,7 @@
             val created = session()
             val codec =
                 PeerCodec(heads) { kind, bytes ->
-                    counts.sentToPeer(kind, isOtherRegion = !isSameRegion(created), bytes)
+                    counts.sentToPeer(kind, distanceTo(created), bytes)
                 }
             channel.pipeline().addLast(codec, created)
         }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/DaemonMetrics.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/DaemonMetrics.kt
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.DistributionSummary
 import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.Tag
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kingcuptide.coordination.process.ResultCode
@@ -90,9 +91,10 @@
         actualFinish.record(actual.toDouble(DurationUnit.MILLISECONDS))
     }
 
-    /** Registers a counter that is kept elsewhere as [name], with the label [label] set to [value]. */
-    fun registerCounter(name: String, label: String, value: String, count: () -> Number) {
-        FunctionCounter.builder(name, this) { count().toDouble() }.tag(label, value).register(registry)
+    /** Registers a counter that is kept elsewhere as [name], with [labels] by their names. */
+    fun registerCounter(name: String, labels: Map<String, String>, count: () -> Number) {
+        val tags = labels.map { (label, value) -> Tag.of(label, value) }
+        FunctionCounter.builder(name, this) { count().toDouble() }.tags(tags).register(registry)
     }
 
     /** Registers a gauge. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -6,6 +6,7 @@
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.DaemonLocation
+import kingcuptide.coordination.request.Distance
 import kingcuptide.coordination.request.Fingerprint
 import kingcuptide.coordination.request.LeavingTarget
 import kingcuptide.coordination.request.LeavingTargets
@@ -102,7 +103,7 @@
         )
     private val gateEndpoint = GateEndpoint(gateService, gate::loadReport)
     private val mesh: PeerMesh =
-        PeerMesh(loop, clock, settings.ip, settings.peerPort, hello(), PeerEvents(), ::isSameRegion, ::ping, counts)
+        PeerMesh(loop, clock, settings.ip, settings.peerPort, hello(), PeerEvents(), ::distanceTo, ::ping, counts)
     private val stateSync =
         PublishedStateSync(
             clock,
@@ -354,6 +355,9 @@
 
     private fun isSameRegion(session: PeerSession): Boolean = regionOf(session) == settings.region
 
+    private fun distanceTo(peer: StatePeer): Distance =
+        peer.failureDomain?.let(location::distanceTo) ?: Distance.OTHER_REGION
+
     private fun regionOf(peer: StatePeer): RegionId? = peer.failureDomain?.let { settings.regionByDomain[it] }
 
     private fun hello() =
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -6,7 +6,9 @@
 import kingcuptide.coordination.request.CallerWaits
 import kingcuptide.coordination.request.LeavingTarget
 import kingcuptide.coordination.request.Outcome
+import kingcuptide.coordination.request.PickReason
 import kingcuptide.coordination.request.PickRequest
+import kingcuptide.coordination.request.TargetPick
 import kingcuptide.coordination.request.Verdict
 import kingcuptide.coordination.request.WeightedRoundRobin
 import kingcuptide.coordination.request.codeAfterEarlierAttempts
@@ -151,12 +153,12 @@
 
         private suspend fun attempts(): BufferedResponse {
             while (true) {
-                val target = pick() ?: awaitTargetInUse() ?: return noCandidateLeft()
+                val (target, reason) = pick() ?: awaitTargetInUse() ?: return noCandidateLeft()
                 triedTargets += target.entry.id
                 val result = attempt(target)
                 result.loadReport?.let { dependencies.recordLoadReport(target.entry, it) }
                 val response = when (result) {
-                    is ForwardResult.Answered -> handleResponse(target, result)
+                    is ForwardResult.Answered -> handleResponse(target, reason, result)
                     is ForwardResult.Refused -> handleRefusal(target, result)
                     is ForwardResult.OutcomeUnknown -> handleUnknownOutcome(target, result)
                 }
@@ -177,7 +179,7 @@
         }
 
         /** Waits a short time for the gates of targets, which tell a daemon that has just started what is in use. */
-        private suspend fun awaitTargetInUse(): KnownTarget? {
+        private suspend fun awaitTargetInUse(): TargetPick? {
             repeat(MAX_IN_USE_CHECKS) {
                 if (dependencies.published.isConfirmed || triedTargets.isNotEmpty()) return pick()
                 delay(IN_USE_CHECK_INTERVAL.inWholeMilliseconds)
@@ -186,7 +188,7 @@
             return null
         }
 
-        private fun pick(): KnownTarget? {
+        private fun pick(): TargetPick? {
             val takenOut = dependencies.published.takenOut
             val reachable = dependencies.published.targetsOf(service).filter {
                 !isLeaving(it) && it.entry.failureDomain !in takenOut && isHome(it) && transport.canSend(it)
@@ -204,6 +206,7 @@
                     deadline - now,
                     request.body.size,
                     triedTargets,
+                    admission.homeRegions,
                 ),
             )
         }
@@ -250,7 +253,11 @@
             return result
         }
 
-        private fun handleResponse(target: KnownTarget, result: ForwardResult.Answered): BufferedResponse? {
+        private fun handleResponse(
+            target: KnownTarget,
+            reason: PickReason,
+            result: ForwardResult.Answered,
+        ): BufferedResponse? {
             val successful = result.response.status < FIRST_SERVER_ERROR
             val bytes = result.response.body.size
             dependencies.picker.answered(target.entry.id, route.id, route.objective, result.runTime, bytes, successful)
@@ -259,7 +266,8 @@
             }
             result.loadReport?.let { dependencies.picker.recordRate(target.entry.id, it.ratePerSecond) }
             targetsReached++
-            counts.exchanged(dependencies.location.distanceTo(target.entry.failureDomain), request.body.size + bytes)
+            val distance = dependencies.location.distanceTo(target.entry.failureDomain)
+            counts.exchanged(route.id, distance, reason, request.body.size + bytes)
             if (!successful && route.idempotent && acquireRetry()) {
                 mayHaveRun = true
                 recordRetry(target, ResultCode.TARGET_OVERLOADED, "status ${result.response.status}")
@@ -281,6 +289,7 @@
         }
 
         private fun handleRefusal(target: KnownTarget, result: ForwardResult.Refused): BufferedResponse? {
+            counts.refused(dependencies.location.distanceTo(target.entry.failureDomain), request.body.size)
             if (result.reachedTarget) {
                 targetsReached++
                 dependencies.picker.failed(target.entry.id)
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerMeshTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerMeshTest.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import kingcuptide.coordination.request.Distance
 import kingcuptide.forwarder.ManualClock
 import kingcuptide.forwarder.process.TrafficCounts
 import org.junit.jupiter.api.AfterEach
@@ -32,7 +33,7 @@
         peer.localPort,
         PeerMessage.Hello(PeerCodec.PROTOCOL_VERSION, "own", "a", 1),
         NoListener,
-        { true },
+        { Distance.SAME_REGION },
         { PeerMessage.Ping(emptyList(), 0, 0, false, noLoad, 0, 0) },
         TrafficCounts(clock),
     )
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerRetirementTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerRetirementTest.kt
@@ -10,6 +10,7 @@
 import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.CrashSuspects
+import kingcuptide.coordination.request.Distance
 import kingcuptide.coordination.request.TargetGate
 import kingcuptide.coordination.version.KnownTarget
 import kingcuptide.coordination.version.TargetEntry
@@ -72,7 +73,7 @@
         server.localPort,
         PeerMessage.Hello(PeerCodec.PROTOCOL_VERSION, "own", "a", 1),
         listener,
-        { true },
+        { Distance.SAME_REGION },
         { PeerMessage.Ping(emptyList(), 0, 0, false, noLoad, 0, 0) },
         TrafficCounts(clock),
     )
