Count demand where it may be served

Cause: the spill plan counted all demand for a service in the failure domain of its callers, also that of requests whose home regions exclude it. A domain with room for all that may stay looked overloaded and sent requests to other regions: with 6 of 10 slots in demand that may stay and 3.5 that must leave, it sent away a part of the former.

Change: demand is measured and reported by pool, the service and the home regions of the requests (DemandPool). The part that must leave counts, by capacity, in the domains where it may go (balancesOf). Keys of requests without home regions are as before.

SpillPickTest guards against both faults; the first case was not run on the old code, whose choice has no home regions to tell.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/DomainDemand.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/DomainDemand.kt
@@ -8,12 +8,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Demand of the callers of a daemon by the key of the service: the mean number of targets' slots that it occupies. */
+/** Demand of the callers of a daemon by [DemandPool.key]: the mean number of targets' slots that it occupies. */
 public typealias Demand = Map<Int, Double>
 
-/** Returns the key of [service] in reports of demand, which is shorter than its name. Equal in all daemons. */
-public fun serviceKeyOf(service: ServiceId): Int = service.value.hashCode()
-
 /** Measures the demand of the callers of this daemon, and sums that of others by failure domain. Not thread-safe. */
 internal class DomainDemand(private val ownDomain: FailureDomainId) {
     /** Averages over two times; their difference is the trend, by which the demand is ahead of the average. */
@@ -43,25 +40,25 @@
 
     private class Sums(val at: Duration, val byDomain: Map<FailureDomainId, Double>)
 
-    private val meters = LinkedHashMap<Int, Meter>()
+    private val meters = LinkedHashMap<DemandPool, Meter>()
     private val reports = HashMap<TargetId, Report>()
-    private val sums = HashMap<Int, Sums>()
+    private val sums = HashMap<DemandPool, Sums>()
 
-    /** Records a request of a caller for [service] that occupies a slot of a mean target for [work]. */
-    fun requested(service: ServiceId, work: Duration, now: Duration) {
-        val key = serviceKeyOf(service)
-        val meter = meters.remove(key) ?: Meter(now)
+    /** Records a request of a caller in [pool] that occupies a slot of a mean target for [work]. */
+    fun requested(pool: DemandPool, work: Duration, now: Duration) {
+        val meter = meters.remove(pool) ?: Meter(now)
         meter.record(work, now)
-        meters[key] = meter
-        if (meters.size > MAX_SERVICES) meters.remove(meters.keys.first())
+        meters[pool] = meter
+        if (meters.size > MAX_POOLS) meters.remove(meters.keys.first())
     }
 
     /** Returns the demand of the callers of this daemon. */
-    fun own(now: Duration): Demand = meters.mapValues { it.value.expected(now) }.filterValues { it > 0 }
+    fun own(now: Duration): Demand =
+        meters.entries.associate { (pool, meter) -> pool.key to meter.expected(now) }.filterValues { it > 0 }
 
     /** Records the [demand] of the daemon beside [reporter] in [domain]; one with a value out of range is ignored. */
     fun record(reporter: TargetId, domain: FailureDomainId, demand: Demand, now: Duration) {
-        if (demand.size > MAX_SERVICES || demand.values.any { it !in 0.0..MAX_DEMAND }) return
+        if (demand.size > MAX_POOLS || demand.values.any { it !in 0.0..MAX_DEMAND }) return
         reports[reporter] = Report(domain, demand, now)
     }
 
@@ -70,27 +67,30 @@
         reports.keys.retainAll(ids)
     }
 
-    /** Returns the demand for [service] by failure domain, empty without recent reports. */
-    fun of(service: ServiceId, now: Duration): Map<FailureDomainId, Double> {
-        val key = serviceKeyOf(service)
-        sums[key]?.takeIf { now - it.at < MAX_SUMS_AGE }?.let { return it.byDomain }
+    /** Returns the demand for [service] by pool and failure domain; only pools that callers of this daemon have used. */
+    fun of(service: ServiceId, now: Duration): Map<DemandPool, Map<FailureDomainId, Double>> =
+        meters.keys.filter { it.service == service }.associateWith { of(it, now) }.filterValues { it.isNotEmpty() }
+
+    /** Returns the demand of [pool] by failure domain, empty without recent reports. */
+    fun of(pool: DemandPool, now: Duration): Map<FailureDomainId, Double> {
+        sums[pool]?.takeIf { now - it.at < MAX_SUMS_AGE }?.let { return it.byDomain }
         val byDomain = HashMap<FailureDomainId, Double>()
         for (report in reports.values) {
             if (now - report.at <=
                 MAX_REPORT_AGE
             ) {
-                byDomain.merge(report.domain, report.demand[key] ?: 0.0, Double::plus)
+                byDomain.merge(report.domain, report.demand[pool.key] ?: 0.0, Double::plus)
             }
         }
-        if (byDomain.isNotEmpty()) byDomain.merge(ownDomain, meters[key]?.expected(now) ?: 0.0, Double::plus)
-        if (sums.size >= MAX_SERVICES) sums.clear()
-        sums[key] = Sums(now, byDomain)
+        if (byDomain.isNotEmpty()) byDomain.merge(ownDomain, meters[pool]?.expected(now) ?: 0.0, Double::plus)
+        if (sums.size >= MAX_POOLS) sums.clear()
+        sums[pool] = Sums(now, byDomain)
         return byDomain
     }
 
     companion object {
-        /** Greatest number of services in a report. */
-        const val MAX_SERVICES = 16
+        /** Greatest number of pools in a report. */
+        const val MAX_POOLS = 16
         const val MAX_DEMAND = 1e6
 
         /** Times over which the own demand is averaged, and the usual age of a report when it is used. */
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/SpillPlan.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/SpillPlan.kt
@@ -3,14 +3,6 @@
 import kingcuptide.coordination.process.FailureDomainId
 import kingcuptide.coordination.process.RegionId
 
-/** Demand and capacity of a failure domain for a service, in slots of a mean target. */
-internal class DomainBalance(
-    val domain: FailureDomainId,
-    val region: RegionId?,
-    val demand: Double,
-    val capacity: Double,
-)
-
 /**
  * The share of the requests of a failure domain that goes elsewhere, by the demand and the capacity of all.
  *
@@ -53,8 +45,9 @@
                     maxOf(0.0, level - it.demand / it.capacity)
             }
             val ownBalance = balances.firstOrNull { it.domain == own } ?: return SpillPlan(0.0, 0.0, rooms)
-            if (ownBalance.demand <= 0) return SpillPlan(0.0, 0.0, rooms)
-            val moved = maxOf(0.0, ownBalance.demand - level * ownBalance.capacity) / ownBalance.demand
+            if (ownBalance.movable <= 0) return SpillPlan(0.0, 0.0, rooms)
+            val excess = maxOf(0.0, ownBalance.demand - level * ownBalance.capacity)
+            val moved = minOf(1.0, excess / ownBalance.movable)
             val inRegion = regions.getValue(ownBalance.region).movedInRegion
             return SpillPlan(moved * inRegion, moved * (1 - inRegion), rooms)
         }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -78,7 +78,7 @@
         if (ratios.isNotEmpty() && available.count { it.entry.id in ratios } * 2 >= available.size) {
             val open = available.filterNot { isBlocked(recordOf(it.entry.id), request, now) }.ifEmpty { available }
             val options = open.map { optionOf(it, ratios[it.entry.id], now) }
-            return spread.choose(options, spillPlan(options, now))
+            return spread.choose(options, spillPlan(options, request.homeRegions, now))
         }
         val best = available.maxBy { scoreOf(it, request, now) + random.nextDouble() * MAX_TIE_BREAK }
         return TargetPick(best, PickReason.BEST_SCORE)
@@ -94,22 +94,21 @@
     private fun recordDemand(candidates: List<KnownTarget>, request: PickRequest, now: Duration) {
         if (candidates.isEmpty() || request.tried.isNotEmpty()) return
         val work = averages.expectedRunTime(request.route, request.objective)
-        demands.requested(candidates.first().entry.service, work, now)
+        demands.requested(DemandPool(candidates.first().entry.service, request.homeRegions), work, now)
     }
 
-    private fun spillPlan(options: List<SpreadOption>, now: Duration): SpillPlan {
-        val demand = demands.of(options.first().target.entry.service, now)
+    private fun spillPlan(options: List<SpreadOption>, homeRegions: Set<RegionId>, now: Duration): SpillPlan {
+        val service = options.first().target.entry.service
+        val demand = demands.of(service, now)
         if (demand.isEmpty()) return SpillPlan.NONE
-        val capacities = options.groupBy({ it.target.entry.failureDomain }, { it.capacity })
-        return SpillPlan.of(
-            location.failureDomain,
-            (demand.keys + capacities.keys).map {
-                val region = if (it == location.failureDomain) location.region else location.regionOf(it)
-                DomainBalance(it, region, demand[it] ?: 0.0, capacities[it]?.sum() ?: 0.0)
-            },
-        )
+        val capacities = options.groupBy({ it.target.entry.failureDomain }, { it.capacity }).mapValues { it.value.sum() }
+        val balances = balancesOf(DemandPool(service, homeRegions), demand, capacities, ::regionOf)
+        return SpillPlan.of(location.failureDomain, balances)
     }
 
+    private fun regionOf(domain: FailureDomainId): RegionId? =
+        if (domain == location.failureDomain) location.region else location.regionOf(domain)
+
     /** Records that a request was sent to [id]. */
     public fun sent(id: TargetId) {
         val record = recordOf(id)
--- /dev/null
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/SpillPickTest.kt
@@ -0,0 +1,134 @@
+package kingcuptide.coordination.request
+
+import kingcuptide.coordination.process.FailureDomainId
+import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.process.RouteId
+import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.version.KnownTarget
+import kingcuptide.coordination.version.TargetEntry
+import kingcuptide.coordination.version.TargetId
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isIn
+import strikt.assertions.isLessThan
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Which requests leave the region of their callers, seen by one entry of three regions with one target each. */
+internal class SpillPickTest {
+    private val clock = ManualClock()
+    private val location = DaemonLocation(domain("a"), RegionId("a")) { RegionId(it.value) }
+    private val picker = TargetPicker(clock, location, Random(1))
+    private val targets = REGIONS.map(::target)
+    private val picks = HashMap<RouteId, ArrayList<TargetPick>>()
+
+    private fun domain(name: String) = FailureDomainId(name)
+
+    private fun target(name: String) = KnownTarget(
+        TargetEntry(
+            TargetId(name),
+            SERVICE,
+            "192.0.2.1",
+            80,
+            domain(name),
+            "v1",
+            SLOTS,
+            leaving = false,
+            coldFor = Duration.ZERO,
+            startedAtUnixMs = 0,
+            reports = 1,
+        ),
+        revision = 1,
+    )
+
+    private class Flow(
+        val route: RouteId,
+        val perSecond: Int,
+        val runTime: Duration,
+        val homes: Set<RegionId> = emptySet(),
+        val bodyBytes: Int = 0,
+        val responseBytes: Int = 1_000,
+    ) {
+        val slots: Double get() = perSecond * (runTime / 1.seconds)
+    }
+
+    /** Sends [flows] for [length] while the other regions report the demand [others] for any target of the service. */
+    private fun send(flows: List<Flow>, others: Double, length: Duration = 20.seconds) {
+        val steps = (length / STEP).toInt()
+        repeat(steps) { step ->
+            clock.advance(STEP)
+            if (step % STEPS_PER_REPORT == 0) report(others)
+            for (flow in flows) {
+                val due = (step + 1) * flow.perSecond / STEPS_PER_SECOND - step * flow.perSecond / STEPS_PER_SECOND
+                repeat(due) { send(flow) }
+            }
+        }
+    }
+
+    private fun report(others: Double) {
+        targets.forEach { target ->
+            val runTimes = mapOf(routeKeyOf(RouteId("any")) to 100.milliseconds)
+            val report = GateLoadReport(5, 0, SLOTS, Duration.ZERO, cold = false, runTimes = runTimes)
+            picker.recordLoadReport(target.entry.id, report)
+        }
+        REGIONS.drop(1).forEach {
+            picker.recordDemand(TargetId(it), domain(it), mapOf(DemandPool(SERVICE).key to others))
+        }
+    }
+
+    private fun send(flow: Flow) {
+        val candidates = targets.filter { flow.homes.isEmpty() || RegionId(it.entry.id.value) in flow.homes }
+        val objective = flow.runTime * 3
+        val request =
+            PickRequest(flow.route, objective, objective, 10.seconds, flow.bodyBytes, emptySet(), flow.homes)
+        val pick = checkNotNull(picker.pick(candidates, request))
+        val id = pick.target.entry.id
+        picks.getOrPut(flow.route) { ArrayList() } += pick
+        picker.sent(id)
+        picker.answered(id, flow.route, objective, flow.runTime, flow.responseBytes, successful = true)
+    }
+
+    /** Share of the latter half of the requests of [flow] that left the region. */
+    private fun shareAway(flow: Flow): Double {
+        val list = picks.getValue(flow.route).let { it.drop(it.size / 2) }
+        return list.count { it.target.entry.failureDomain != location.failureDomain } / list.size.toDouble()
+    }
+
+    @Nested
+    inner class `Requests that must leave the region` {
+        private val lookup = Flow(RouteId("lookup"), perSecond = 60, runTime = 100.milliseconds)
+        private val order =
+            Flow(RouteId("order"), perSecond = 35, runTime = 100.milliseconds, homes = setOf(RegionId("b"), RegionId("c")))
+
+        /** Guards against demand that is counted where it may not be served, which displaced requests that could stay. */
+        @Test
+        fun `Given room for all that may stay, when others must leave, then none of the former leaves`() {
+            send(listOf(lookup, order), others = 5.0)
+            expectThat(shareAway(lookup)).isEqualTo(0.0)
+            expectThat(picks.getValue(order.route).map { it.reason }.toSet()).isEqualTo(setOf(PickReason.HOME_REGIONS))
+        }
+
+        /** Guards against a home region that is taken to have room although others send their requests there. */
+        @Test
+        fun `Given more requests that may stay than the level allows, when others must leave, then the excess leaves`() {
+            val busy = Flow(RouteId("lookup"), perSecond = 90, runTime = 100.milliseconds)
+            send(listOf(busy, order), others = 5.0)
+            val excess = 1 - SpillPlan.MIN_LEVEL * SLOTS / busy.slots
+            expectThat(shareAway(busy)).isIn(excess - 0.05..excess + 0.05)
+        }
+    }
+
+    private companion object {
+        val REGIONS = listOf("a", "b", "c")
+        val SERVICE = ServiceId("s")
+        const val SLOTS = 10
+        const val STEPS_PER_SECOND = 100
+        const val STEPS_PER_REPORT = 50
+        val STEP = 1.seconds / STEPS_PER_SECOND
+    }
+}
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/SpillPlanTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/SpillPlanTest.kt
@@ -52,28 +52,28 @@
     @Nested
     inner class `Reports of demand` {
         private val demand = DomainDemand(domain("a"))
-        private val service = ServiceId("s")
+        private val pool = DemandPool(ServiceId("s"))
         private val now = 1_000.seconds
 
         @Test
         fun `Given values out of range, when a report arrives, then it is ignored`() {
             for (value in listOf(-1.0, Double.NaN, Double.POSITIVE_INFINITY, 1e9)) {
-                demand.record(TargetId("t"), domain("b"), mapOf(serviceKeyOf(service) to value), now)
+                demand.record(TargetId("t"), domain("b"), mapOf(pool.key to value), now)
             }
-            expectThat(demand.of(service, now)).isEmpty()
+            expectThat(demand.of(pool, now)).isEmpty()
         }
 
         @Test
         fun `Given a daemon that falls silent, when its report is old, then its demand is no longer counted`() {
-            demand.record(TargetId("t"), domain("b"), mapOf(serviceKeyOf(service) to 5.0), now)
-            expectThat(demand.of(service, now)).isEqualTo(mapOf(domain("a") to 0.0, domain("b") to 5.0))
-            expectThat(demand.of(service, now + 11.seconds)).isEmpty()
+            demand.record(TargetId("t"), domain("b"), mapOf(pool.key to 5.0), now)
+            expectThat(demand.of(pool, now)).isEqualTo(mapOf(domain("a") to 0.0, domain("b") to 5.0))
+            expectThat(demand.of(pool, now + 11.seconds)).isEmpty()
         }
 
         @Test
         fun `Given a steady load, when the own demand is measured, then it is the number of slots in use`() {
-            repeat(2_000) { demand.requested(service, 100.milliseconds, now + 10.milliseconds * it) }
-            expectThat(demand.own(now + 20.seconds).getValue(serviceKeyOf(service))).isIn(9.5..10.5)
+            repeat(2_000) { demand.requested(pool, 100.milliseconds, now + 10.milliseconds * it) }
+            expectThat(demand.own(now + 20.seconds).getValue(pool.key)).isIn(9.5..10.5)
         }
     }
 }
