Move requests with few bytes for their work first

Cause: where some work must leave a failure domain, each request left with the same chance.

Change: SpillOrder ranks the routes of a service by bytes for their work, by what the entry has seen in the last 5 s, and the planned share of the work is taken in that order. Routes that may not leave, or must, do not count.

SpillPickTest names the pattern.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/SpillPlan.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/SpillPlan.kt
@@ -22,6 +22,13 @@
     fun roomShareOf(domain: FailureDomainId): Double =
         if (roomShares.isEmpty()) 1.0 else maxOf(roomShares[domain] ?: 0.0, MIN_ROOM_SHARE)
 
+    /** Returns the plan for requests of which [shareOf] gives the share that leaves, if that share of all work does. */
+    fun forRequests(shareOf: (Double) -> Double): SpillPlan {
+        if (toRegion + elsewhere <= 0) return this
+        val away = shareOf(elsewhere)
+        return SpillPlan(maxOf(0.0, shareOf(toRegion + elsewhere) - away), away, roomShares)
+    }
+
     companion object {
         /** All requests stay near. */
         val NONE = SpillPlan(0.0, 0.0, emptyMap())
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -48,6 +48,7 @@
     private val speeds = FleetSpeeds()
     private val spread = LoadSpread(random)
     private val demands = DomainDemand(location.failureDomain)
+    private val spillOrder = SpillOrder()
 
     /**
      * Returns the best candidate among those not tried yet, or null if there is none: by [LoadSpread] if gates report
@@ -78,7 +79,7 @@
         if (ratios.isNotEmpty() && available.count { it.entry.id in ratios } * 2 >= available.size) {
             val open = available.filterNot { isBlocked(recordOf(it.entry.id), request, now) }.ifEmpty { available }
             val options = open.map { optionOf(it, ratios[it.entry.id], now) }
-            return spread.choose(options, spillPlan(options, request.homeRegions, now))
+            return spread.choose(options, spillPlan(options, request, now))
         }
         val best = available.maxBy { scoreOf(it, request, now) + random.nextDouble() * MAX_TIE_BREAK }
         return TargetPick(best, PickReason.BEST_SCORE)
@@ -94,16 +95,26 @@
     private fun recordDemand(candidates: List<KnownTarget>, request: PickRequest, now: Duration) {
         if (candidates.isEmpty() || request.tried.isNotEmpty()) return
         val work = averages.expectedRunTime(request.route, request.objective)
-        demands.requested(DemandPool(candidates.first().entry.service, request.homeRegions), work, now)
+        val service = candidates.first().entry.service
+        demands.requested(DemandPool(service, request.homeRegions), work, now)
+        if (mayStayOrLeave(request)) spillOrder.record(service, request.route, work, expectedBytes(request), now)
     }
 
-    private fun spillPlan(options: List<SpreadOption>, homeRegions: Set<RegionId>, now: Duration): SpillPlan {
+    private fun mayStayOrLeave(request: PickRequest): Boolean =
+        request.homeRegions.isEmpty() || (location.region in request.homeRegions && request.homeRegions.size > 1)
+
+    /** Returns the bytes that [request] and its response are expected to take between hosts. */
+    private fun expectedBytes(request: PickRequest): Double =
+        request.bodyBytes + averages.expectedResponseBytes(request.route) + HEADER_BYTES
+
+    private fun spillPlan(options: List<SpreadOption>, request: PickRequest, now: Duration): SpillPlan {
         val service = options.first().target.entry.service
         val demand = demands.of(service, now)
         if (demand.isEmpty()) return SpillPlan.NONE
         val capacities = options.groupBy({ it.target.entry.failureDomain }, { it.capacity }).mapValues { it.value.sum() }
-        val balances = balancesOf(DemandPool(service, homeRegions), demand, capacities, ::regionOf)
+        val balances = balancesOf(DemandPool(service, request.homeRegions), demand, capacities, ::regionOf)
         return SpillPlan.of(location.failureDomain, balances)
+            .forRequests { spillOrder.shareOf(service, request.route, it, now) }
     }
 
     private fun regionOf(domain: FailureDomainId): RegionId? =
@@ -236,9 +247,8 @@
         val inTimeProbability = probabilityWithin(completionTime, request.untilDeadline)
         val expectedValue = onTimeProbability * (1 - LATE_VALUE) + inTimeProbability * LATE_VALUE
         val successValue = expectedValue * (1 - record.failureRate(now)).pow(FAILURE_EXPONENT)
-        val bytes = request.bodyBytes + averages.expectedResponseBytes(request.route) + HEADER_BYTES
         val penalty = completionTime / maxOf(request.objective, MIN_OBJECTIVE) * COMPLETION_TIME_PENALTY
-        return successValue - path.penaltyPerByte * bytes - penalty
+        return successValue - path.penaltyPerByte * expectedBytes(request) - penalty
     }
 
     private fun expectedWait(target: KnownTarget, record: TargetRecord, runTime: Duration, now: Duration): Duration {
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/SpillPickTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/SpillPickTest.kt
@@ -123,6 +123,32 @@
         }
     }
 
+    @Nested
+    inner class `A region that must give work away` {
+        private val view = Flow(RouteId("view"), perSecond = 60, runTime = 100.milliseconds, responseBytes = 5_000)
+        private val query = Flow(RouteId("query"), perSecond = 5, runTime = 800.milliseconds, responseBytes = 1_500)
+        private val upload = Flow(RouteId("upload"), perSecond = 5, runTime = 100.milliseconds, bodyBytes = 4_000)
+
+        /** Guards against large responses of short requests that cross regions while long requests with few bytes stay. */
+        @Test
+        fun `Given routes of different size, when some work must leave, then the one with least bytes for its work does`() {
+            send(listOf(view, query, upload), others = 2.0)
+            val work = view.slots + query.slots + upload.slots
+            val excess = (work - SpillPlan.MIN_LEVEL * SLOTS) / query.slots
+            expectThat(shareAway(query)).isIn(excess - 0.1..excess + 0.1)
+            expectThat(shareAway(view)).isEqualTo(0.0)
+            expectThat(shareAway(upload)).isEqualTo(0.0)
+        }
+
+        @Test
+        fun `Given more work to move than one route has, when it leaves, then the next one follows in part`() {
+            val many = Flow(RouteId("view"), perSecond = 100, runTime = 100.milliseconds, responseBytes = 5_000)
+            send(listOf(many, query, upload), others = 1.0)
+            expectThat(shareAway(query)).isGreaterThan(0.95)
+            expectThat(shareAway(many)).isIn(0.15..0.4)
+        }
+    }
+
     private companion object {
         val REGIONS = listOf("a", "b", "c")
         val SERVICE = ServiceId("s")
