Ask no far gate that is known to have no room

Cause: after a refusal an entry asked up to two more gates, also of other regions whose reports said that they have no room.

Change: if all targets are reported without room, near gates are asked, as their reports are old; a gate of another region is not asked once a gate has refused. A request that a target has lost may still go anywhere.

SpillPickTest names the pattern.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -20,6 +20,7 @@
  * @property bodyBytes length of the request body
  * @property tried targets to which this request has already been sent
  * @property homeRegions the regions in which it may be served; empty for all
+ * @property isRefused whether a gate has already refused it for want of room
  */
 public data class PickRequest(
     val route: RouteId,
@@ -29,6 +30,7 @@
     val bodyBytes: Int,
     val tried: Set<TargetId>,
     val homeRegions: Set<RegionId> = emptySet(),
+    val isRefused: Boolean = false,
 )
 
 /**
@@ -51,8 +53,9 @@
     private val spillOrder = SpillOrder()
 
     /**
-     * Returns the best candidate among those not tried yet, or null if there is none: by [LoadSpread] if gates report
-     * the run times of at least half of the candidates, and by their score otherwise.
+     * Returns the best candidate among those not tried yet: by [LoadSpread] if gates report the run times of at least half
+     * of the candidates, and by their score otherwise. Returns null if there is none, or if a gate has refused the request
+     * and only targets of other regions without room are left.
      */
     public fun pick(candidates: List<KnownTarget>, request: PickRequest): TargetPick? {
         val now = clock.now()
@@ -77,7 +80,9 @@
         val available = untried.filter { recordOf(it.entry.id).ejectedUntil <= now }.ifEmpty { untried }
         val ratios = speeds.ratiosOf(candidates, now)
         if (ratios.isNotEmpty() && available.count { it.entry.id in ratios } * 2 >= available.size) {
-            val open = available.filterNot { isBlocked(recordOf(it.entry.id), request, now) }.ifEmpty { available }
+            val open = available.filterNot { isBlocked(recordOf(it.entry.id), request, now) }
+                .ifEmpty { withoutRoom(available, request) }
+            if (open.isEmpty()) return null
             val options = open.map { optionOf(it, ratios[it.entry.id], now) }
             return spread.choose(options, spillPlan(options, request, now))
         }
@@ -232,6 +237,15 @@
         return SpreadOption(target, distanceTo(target), capacity, record.queue(now), record.outstanding)
     }
 
+    /**
+     * Returns those of [available] targets, all of which are reported to have no room, whose gates are asked all the same:
+     * the near ones, as reports are old. A far one has no room either, and the body would cross regions for nothing.
+     */
+    private fun withoutRoom(available: List<KnownTarget>, request: PickRequest): List<KnownTarget> {
+        val near = available.filter { distanceTo(it) != Distance.OTHER_REGION }
+        return if (near.isEmpty() && !request.isRefused) available else near
+    }
+
     /** Whether the gate is closed, or the rate of its target, named or cold, leaves no room for [request]. */
     private fun isBlocked(record: TargetRecord, request: PickRequest, now: Duration): Boolean =
         record.isClosed(now) ||
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/SpillPickTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/SpillPickTest.kt
@@ -13,7 +13,8 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isIn
-import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -149,7 +150,43 @@
         }
     }
 
+    @Nested
+    inner class `Targets that all come back cold` {
+        private val lookup = PickRequest(RouteId("lookup"), 600.milliseconds, 600.milliseconds, 4.seconds, 0, emptySet())
+
+        private fun reportCold(wait: Duration) = targets.forEach { target ->
+            val runTimes = mapOf(routeKeyOf(RouteId("any")) to 100.milliseconds)
+            val report = GateLoadReport(1, 5, SLOTS, wait, cold = true, runTimes = runTimes)
+            picker.recordLoadReport(target.entry.id, report)
+        }
+
+        private fun pick(request: PickRequest) = picker.pick(targets, request)?.target?.entry?.id
+
+        /** Guards against requests that cross regions only to be refused there as well. */
+        @Test
+        fun `Given reports without room, when a near gate has refused, then no gate of another region is asked`() {
+            reportCold(wait = 2.seconds)
+            expectThat(pick(lookup)).isEqualTo(TargetId("a"))
+            expectThat(pick(lookup.copy(tried = setOf(TargetId("a")), isRefused = true))).isNull()
+        }
+
+        @Test
+        fun `Given a far target with room, when a near gate has refused, then the far one is asked`() {
+            reportCold(wait = 2.seconds)
+            val report = GateLoadReport(1, 0, SLOTS, Duration.ZERO, cold = true, runTimes = FAR_RUN_TIMES)
+            picker.recordLoadReport(TargetId("c"), report)
+            expectThat(pick(lookup.copy(tried = setOf(TargetId("a")), isRefused = true))).isEqualTo(TargetId("c"))
+        }
+
+        @Test
+        fun `Given a request that a target has lost, when it is repeated, then another region is asked without room`() {
+            reportCold(wait = 2.seconds)
+            expectThat(pick(lookup.copy(tried = setOf(TargetId("a"))))).isNotNull()
+        }
+    }
+
     private companion object {
+        val FAR_RUN_TIMES = mapOf(routeKeyOf(RouteId("any")) to 100.milliseconds)
         val REGIONS = listOf("a", "b", "c")
         val SERVICE = ServiceId("s")
         const val SLOTS = 10
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -207,6 +207,7 @@
                     request.body.size,
                     triedTargets,
                     admission.homeRegions,
+                    isRefused = gateRefusals > 0,
                 ),
             )
         }
