Charge a retry for the calls that its run makes again

Cause: each daemon used a quarter of the fleet's retry ratio, so that retried runs that make two or more calls stay within the bound of the services that they call.

Change: a response tells the calls of its run by service, those of its calls included; entries learn the mean of each route (CallCosts). Only requests of callers raise the limit, as the rule counts them; before, calls did as well.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/DemandPool.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/DemandPool.kt
@@ -11,7 +11,7 @@
     /** Key in reports of demand, which is shorter than the names and equal in all daemons. */
     val key: Int =
         if (homeRegions.isEmpty()) {
-            service.value.hashCode()
+            serviceKeyOf(service)
         } else {
             (listOf(service.value) + homeRegions.map { it.value }.sorted()).hashCode()
         }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -54,7 +54,11 @@
         @CborLabel(1) val number: Long,
     ) : PeerMessage
 
-    /** The complete response of the target; the response body follows the head. */
+    /**
+     * The complete response of the target; the response body follows the head.
+     *
+     * @property calls pairs of service key and number of calls that the run has made; null if the sender does not know
+     */
     @Serializable
     data class Response(
         @CborLabel(1) val number: Long,
@@ -62,6 +66,7 @@
         @CborLabel(3) val headers: List<String>,
         @CborLabel(4) val ranMs: Long,
         @CborLabel(5) @SerialName("burden") val loadReport: LoadReport,
+        @CborLabel(6) val calls: List<Int>? = null,
     ) : PeerMessage
 
     /** The request did not run and will not. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -3,6 +3,8 @@
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.request.CallCosts
+import kingcuptide.coordination.request.CallCounts
 import kingcuptide.coordination.request.CallerWaits
 import kingcuptide.coordination.request.LeavingTarget
 import kingcuptide.coordination.request.Outcome
@@ -46,6 +48,7 @@
     private val refusals = EntryRefusals(names, dependencies, metrics)
     private val roundRobin = WeightedRoundRobin()
     private val callerWaits = CallerWaits()
+    private val callCosts = CallCosts()
 
     /** Returns the final response to [request]; cancellation also cancels the attempt in flight. */
     suspend fun serve(request: CallerRequest): BufferedResponse = answered(request, responseTo(request))
@@ -92,7 +95,11 @@
         val workspace = admission.workspace
         val retryAfter = workspace?.let { dependencies.acquireQuota(it, admission.requestId, route, timeout) }
         if (retryAfter != null) return refusals.errorResponse(ResultCode.QUOTA_SPENT, retryAfter)
-        dependencies.allowance.recordRequest(service)
+        if (admission.isCall) {
+            dependencies.running.called(admission.requestId, service)
+        } else {
+            dependencies.allowance.recordRequest(service)
+        }
         val waited = if (admission.isCall) Duration.ZERO else callerWaits.record(route.id, requestedTimeout)
         val execution = Execution(request, admission, service, timeout, waited)
         val response = execution.run()
@@ -266,6 +273,7 @@
                 dependencies.recordLeaving(LeavingTarget(target.entry.id, target.entry.startedAtUnixMs))
             }
             result.loadReport?.let { dependencies.picker.recordRate(target.entry.id, it.ratePerSecond) }
+            if (successful) result.calls?.let(::recordCalls)
             targetsReached++
             val distance = dependencies.location.distanceTo(target.entry.failureDomain)
             counts.exchanged(route.id, distance, reason, request.body.size + bytes)
@@ -322,7 +330,12 @@
         private fun acquireRetry(): Boolean =
             targetsReached < route.maxTargets &&
                 deadline - clock.now() > MIN_RETRY_TIME &&
-                dependencies.allowance.tryAcquire(service)
+                dependencies.allowance.tryAcquire(service, callCosts.of(route.id))
+
+        private fun recordCalls(calls: CallCounts) {
+            callCosts.record(route.id, calls)
+            if (isCall) dependencies.running.addCalls(requestId, calls)
+        }
 
         private fun reportableCode(code: ResultCode): ResultCode = codeAfterEarlierAttempts(code, mayHaveRun)
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
@@ -2,6 +2,7 @@
 
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.RouteId
+import kingcuptide.coordination.request.CallCounts
 import kingcuptide.coordination.request.Fingerprint
 import kingcuptide.coordination.request.GateLoadReport
 import kingcuptide.coordination.request.Outcome
@@ -44,11 +45,12 @@
 sealed interface ForwardResult {
     val loadReport: GateLoadReport?
 
-    /** The target responded; [runTime] is how long it took. */
+    /** The target responded; [runTime] is how long it took, and [calls] what it called meanwhile, null if unknown. */
     data class Answered(
         val response: BufferedResponse,
         val runTime: Duration,
         override val loadReport: GateLoadReport?,
+        val calls: CallCounts? = null,
     ) : ForwardResult
 
     /** It did not run and will not. [reachedTarget] is true if the target refused it, false if the gate did. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateEndpoint.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateEndpoint.kt
@@ -47,10 +47,9 @@
             is ForwardResult.Answered -> {
                 val response = result.response
                 val ranMs = result.runTime.inWholeMilliseconds
-                session.send(
-                    PeerMessage.Response(number, response.status, flatten(endToEnd(response.headers)), ranMs, load),
-                    response.body,
-                )
+                val headers = flatten(endToEnd(response.headers))
+                val calls = result.calls?.let(::flattenCalls)
+                session.send(PeerMessage.Response(number, response.status, headers, ranMs, load, calls), response.body)
             }
             is ForwardResult.Refused -> {
                 val afterMs = result.retryAfter.inWholeMilliseconds
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -232,7 +232,7 @@
             }
             noticed(response, startedAt)
             if (!suspects.isEmpty) suspects.answered(call.fingerprint)
-            return ForwardResult.Answered(response, runTime, gate.loadReport())
+            return ForwardResult.Answered(response, runTime, gate.loadReport(), running.callsOf(call.requestId))
         }
 
         private fun noticed(response: BufferedResponse, startedAt: Duration) =
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/LoadReportPairs.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/LoadReportPairs.kt
@@ -1,5 +1,6 @@
 package kingcuptide.forwarder.request
 
+import kingcuptide.coordination.request.CallCounts
 import kingcuptide.coordination.request.Demand
 import kingcuptide.coordination.request.RunTimes
 import kotlin.math.roundToInt
@@ -20,8 +21,16 @@
 /** Returns the demand in [pairs]; empty if they are incomplete. Its range is checked where it is used. */
 internal fun toDemand(pairs: List<Int>): Demand = toMap(pairs).mapValues { (_, units) -> units / UNITS_PER_SLOT }
 
+/** Returns [calls] as pairs of service key and number. */
+internal fun flattenCalls(calls: CallCounts): List<Int> = calls.flatMap { (service, count) -> listOf(service, count) }
+
+/** Returns the calls in [pairs], or null if they are incomplete or negative. */
+internal fun toCalls(pairs: List<Int>): CallCounts? =
+    toMap(pairs).takeIf { calls -> pairs.size % 2 == 0 && calls.values.all { it in 0..MAX_CALLS } }
+
 private fun toMap(pairs: List<Int>): Map<Int, Int> =
     if (pairs.size % 2 == 0) pairs.chunked(2).associate { (key, value) -> key to value } else emptyMap()
 
 private const val MICROS_PER_UNIT = 100L
 private const val UNITS_PER_SLOT = 1_000.0
+private const val MAX_CALLS = 10_000
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -62,7 +62,8 @@
         when (val message = frame.message) {
             is PeerMessage.Response -> complete(session, message.number) {
                 val response = BufferedResponse(message.status, toHeaders(message.headers), frame.body)
-                ForwardResult.Answered(response, message.ranMs.milliseconds, message.loadReport.toGateLoadReport())
+                val load = message.loadReport.toGateLoadReport()
+                ForwardResult.Answered(response, message.ranMs.milliseconds, load, message.calls?.let(::toCalls))
             }
             is PeerMessage.Refusal -> complete(session, message.number) {
                 val after = message.retryAfterMs.milliseconds
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RunningRequests.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RunningRequests.kt
@@ -1,6 +1,10 @@
 package kingcuptide.forwarder.request
 
 import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.request.CallCosts
+import kingcuptide.coordination.request.CallCounts
+import kingcuptide.coordination.request.serviceKeyOf
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -14,6 +18,7 @@
     private val clock: Clock,
 ) {
     private val ids = HashSet<String>()
+    private val callsById = HashMap<String, HashMap<Int, Int>>()
     private val abandonedAt = LinkedHashMap<String, Duration>()
     private val idLengths = HashMap<Int, Int>()
 
@@ -23,11 +28,13 @@
 
     /** The target has responded to the request [id]. */
     fun ended(id: String) {
+        callsById.remove(id)
         if (ids.remove(id)) forgetLength(id)
     }
 
     /** The daemon no longer waits for a response to [id], but the target may still run it and make calls. */
     fun abandoned(id: String) {
+        callsById.remove(id)
         if (!ids.remove(id)) return
         abandonedAt.remove(id)?.let { forgetLength(id) }
         abandonedAt[id] = clock.now()
@@ -37,9 +44,29 @@
     /** Returns whether a request that the target runs, or may still run, has made the call [id]. */
     fun hasMade(id: String): Boolean {
         forgetExpired()
-        return idLengths.keys.any { it < id.length && isKnown(id.substring(0, it)) }
+        return callerOf(id, ::isKnown) != null
     }
 
+    /** Records the call [id] to [service], if the request that has made it is running. */
+    fun called(id: String, service: ServiceId) = addCalls(id, mapOf(serviceKeyOf(service) to 1))
+
+    /** Records the [calls] that the call [id] has made in turn. */
+    fun addCalls(id: String, calls: CallCounts) {
+        val caller = callerOf(id, ids::contains) ?: return
+        val counts = callsById.getOrPut(caller) { HashMap() }
+        for ((service, count) in calls) {
+            if (service in counts || counts.size < CallCosts.MAX_SERVICES) counts.merge(service, count, Int::plus)
+        }
+    }
+
+    /** Returns the calls that the running request [id] has made so far. */
+    fun callsOf(id: String): CallCounts = callsById[id].orEmpty()
+
+    private inline fun callerOf(id: String, isCaller: (String) -> Boolean): String? =
+        idLengths.keys.firstNotNullOfOrNull { length ->
+            if (length < id.length) id.substring(0, length).takeIf(isCaller) else null
+        }
+
     private fun isKnown(id: String) = id in ids || id in abandonedAt
 
     private fun forgetExpired() {
