Ignore trends of demand that chance explains

Cause: the demand of callers was extrapolated from the difference of two averages at each daemon. With few long requests that difference is mostly chance: at half of the capacity, two requests of 2 s in one second looked like a peak and work left the region.

Change: reports carry the mean, the trend and its variance (DemandEstimate). They are added up for each failure domain, and a trend counts as far as it exceeds what chance explains (positive-part James-Stein). The field of the report has a new number, so that daemons of the previous version ignore it and plan without this demand until all are replaced.

SpillPickTest names the pattern.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/DomainDemand.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/DomainDemand.kt
@@ -8,29 +8,30 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Demand of the callers of a daemon by [DemandPool.key]: the mean number of targets' slots that it occupies. */
-public typealias Demand = Map<Int, Double>
-
 /** Measures the demand of the callers of this daemon, and sums that of others by failure domain. Not thread-safe. */
 internal class DomainDemand(private val ownDomain: FailureDomainId) {
-    /** Averages over two times; their difference is the trend, by which the demand is ahead of the average. */
+    /** Averages over two times. */
     private class Meter(private var at: Duration) {
         private var short = 0.0
         private var long = 0.0
+        private var variance = 0.0
 
         fun record(work: Duration, now: Duration) {
             decay(now)
             short += work / SHORT_TIME
             long += work / LONG_TIME
+            variance += (work / SHORT_TIME) * (work / SHORT_TIME)
         }
 
-        fun expected(now: Duration): Double {
+        fun estimate(now: Duration): DemandEstimate {
             decay(now)
-            return maxOf(0.0, short + (short - long) * ((SHORT_TIME + REPORT_AGE) / (LONG_TIME - SHORT_TIME)))
+            return DemandEstimate(long, short - long, variance)
         }
 
         private fun decay(now: Duration) {
-            short *= exp(-((now - at) / SHORT_TIME))
+            val factor = exp(-((now - at) / SHORT_TIME))
+            short *= factor
+            variance *= factor * factor
             long *= exp(-((now - at) / LONG_TIME))
             at = now
         }
@@ -54,11 +55,11 @@
 
     /** Returns the demand of the callers of this daemon. */
     fun own(now: Duration): Demand =
-        meters.entries.associate { (pool, meter) -> pool.key to meter.expected(now) }.filterValues { it > 0 }
+        meters.entries.associate { (pool, meter) -> pool.key to meter.estimate(now) }.filterValues { it.mean > 0 }
 
     /** Records the [demand] of the daemon beside [reporter] in [domain]; one with a value out of range is ignored. */
     fun record(reporter: TargetId, domain: FailureDomainId, demand: Demand, now: Duration) {
-        if (demand.size > MAX_POOLS || demand.values.any { it !in 0.0..MAX_DEMAND }) return
+        if (demand.size > MAX_POOLS || !demand.values.all { it.isValid() }) return
         reports[reporter] = Report(domain, demand, now)
     }
 
@@ -74,15 +75,14 @@
     /** Returns the demand of [pool] by failure domain, empty without recent reports. */
     fun of(pool: DemandPool, now: Duration): Map<FailureDomainId, Double> {
         sums[pool]?.takeIf { now - it.at < MAX_SUMS_AGE }?.let { return it.byDomain }
-        val byDomain = HashMap<FailureDomainId, Double>()
+        val estimates = HashMap<FailureDomainId, DemandEstimate>()
         for (report in reports.values) {
-            if (now - report.at <=
-                MAX_REPORT_AGE
-            ) {
-                byDomain.merge(report.domain, report.demand[pool.key] ?: 0.0, Double::plus)
-            }
+            if (now - report.at > MAX_REPORT_AGE) continue
+            estimates.merge(report.domain, report.demand[pool.key] ?: DemandEstimate.NONE, DemandEstimate::plus)
         }
-        if (byDomain.isNotEmpty()) byDomain.merge(ownDomain, meters[pool]?.expected(now) ?: 0.0, Double::plus)
+        val own = meters[pool]?.estimate(now) ?: DemandEstimate.NONE
+        if (estimates.isNotEmpty()) estimates.merge(ownDomain, own, DemandEstimate::plus)
+        val byDomain = estimates.mapValues { it.value.expected(TRENDS_AHEAD) }
         if (sums.size >= MAX_POOLS) sums.clear()
         sums[pool] = Sums(now, byDomain)
         return byDomain
@@ -91,13 +91,15 @@
     companion object {
         /** Greatest number of pools in a report. */
         const val MAX_POOLS = 16
-        const val MAX_DEMAND = 1e6
 
         /** Times over which the own demand is averaged, and the usual age of a report when it is used. */
         private val SHORT_TIME = 1.seconds
         private val LONG_TIME = 5.seconds
         private val REPORT_AGE = 2.seconds
 
+        /** Trends between the long average and the demand at the time when a report is used, if it grows steadily. */
+        private val TRENDS_AHEAD = 1 + (SHORT_TIME + REPORT_AGE) / (LONG_TIME - SHORT_TIME)
+
         /** Age from which a report is unknown; longer than several lost pings. */
         private val MAX_REPORT_AGE = 10.seconds
 
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/SpillPickTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/SpillPickTest.kt
@@ -13,6 +13,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isIn
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import kotlin.random.Random
@@ -78,7 +79,7 @@
             picker.recordLoadReport(target.entry.id, report)
         }
         REGIONS.drop(1).forEach {
-            picker.recordDemand(TargetId(it), domain(it), mapOf(DemandPool(SERVICE).key to others))
+            picker.recordDemand(TargetId(it), domain(it), mapOf(DemandPool(SERVICE).key to DemandEstimate(others, 0.0, 0.0)))
         }
     }
 
@@ -133,7 +134,7 @@
         /** Guards against large responses of short requests that cross regions while long requests with few bytes stay. */
         @Test
         fun `Given routes of different size, when some work must leave, then the one with least bytes for its work does`() {
-            send(listOf(view, query, upload), others = 2.0)
+            send(listOf(view, query, upload), others = 2.0, length = 90.seconds)
             val work = view.slots + query.slots + upload.slots
             val excess = (work - SpillPlan.MIN_LEVEL * SLOTS) / query.slots
             expectThat(shareAway(query)).isIn(excess - 0.1..excess + 0.1)
@@ -150,6 +151,30 @@
         }
     }
 
+    @Nested
+    inner class `Few long requests` {
+        private val query = Flow(RouteId("query"), perSecond = 1, runTime = 2_000.milliseconds)
+        private val lookup = Flow(RouteId("lookup"), perSecond = 30, runTime = 100.milliseconds)
+        private val random = Random(7)
+
+        /**
+         * Guards against chance that is taken for a growing demand: at half of the capacity, two long requests in one
+         * second looked like a peak, and requests left the region.
+         */
+        @Test
+        fun `Given requests at random times, when the load is half of the capacity, then next to none leaves`() {
+            repeat(30 * STEPS_PER_SECOND) { step ->
+                clock.advance(STEP)
+                if (step % STEPS_PER_REPORT == 0) report(others = 5.0)
+                for (flow in listOf(query, lookup)) {
+                    if (random.nextDouble() < flow.perSecond / STEPS_PER_SECOND.toDouble()) send(flow)
+                }
+            }
+            expectThat(shareAway(lookup)).isLessThan(0.02)
+            expectThat(shareAway(query)).isLessThan(0.1)
+        }
+    }
+
     @Nested
     inner class `Targets that all come back cold` {
         private val lookup = PickRequest(RouteId("lookup"), 600.milliseconds, 600.milliseconds, 4.seconds, 0, emptySet())
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/SpillPlanTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/SpillPlanTest.kt
@@ -57,15 +57,17 @@
 
         @Test
         fun `Given values out of range, when a report arrives, then it is ignored`() {
-            for (value in listOf(-1.0, Double.NaN, Double.POSITIVE_INFINITY, 1e9)) {
-                demand.record(TargetId("t"), domain("b"), mapOf(pool.key to value), now)
+            for (value in listOf(-1.0, Double.NaN, Double.POSITIVE_INFINITY, 1e13)) {
+                demand.record(TargetId("t"), domain("b"), mapOf(pool.key to DemandEstimate(value, 0.0, 0.0)), now)
+                demand.record(TargetId("t"), domain("b"), mapOf(pool.key to DemandEstimate(1.0, 0.0, value)), now)
             }
+            demand.record(TargetId("t"), domain("b"), mapOf(pool.key to DemandEstimate(1.0, Double.NaN, 0.0)), now)
             expectThat(demand.of(pool, now)).isEmpty()
         }
 
         @Test
         fun `Given a daemon that falls silent, when its report is old, then its demand is no longer counted`() {
-            demand.record(TargetId("t"), domain("b"), mapOf(pool.key to 5.0), now)
+            demand.record(TargetId("t"), domain("b"), mapOf(pool.key to DemandEstimate(5.0, 0.0, 0.0)), now)
             expectThat(demand.of(pool, now)).isEqualTo(mapOf(domain("a") to 0.0, domain("b") to 5.0))
             expectThat(demand.of(pool, now + 11.seconds)).isEmpty()
         }
@@ -73,7 +75,7 @@
         @Test
         fun `Given a steady load, when the own demand is measured, then it is the number of slots in use`() {
             repeat(2_000) { demand.requested(pool, 100.milliseconds, now + 10.milliseconds * it) }
-            expectThat(demand.own(now + 20.seconds).getValue(pool.key)).isIn(9.5..10.5)
+            expectThat(demand.own(now + 20.seconds).getValue(pool.key).mean).isIn(9.5..10.5)
         }
     }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -90,8 +90,8 @@
     /**
      * The load of a gate. [waitMs] is the expected queue time of a new request, [ratePerSecond] the rate that the target
      * has named, if any, and [leavingTarget] the id of the target if it has said that it leaves, with its start.
-     * [runTimes] has pairs of route key and run time in tenths of a millisecond, [demand] those of service key and
-     * demand in thousandths of a slot. A daemon that sends neither has told nothing of them.
+     * [runTimes] has pairs of route key and run time in tenths of a millisecond, [demand] groups of key, mean, trend and
+     * variance in thousandths of a slot. A daemon that sends neither has told nothing of them.
      */
     @Serializable
     data class LoadReport(
@@ -104,7 +104,7 @@
         @CborLabel(7) val leavingTarget: String? = null,
         @CborLabel(8) val leavingStartedAtUnixMs: Long = 0,
         @CborLabel(9) val runTimes: List<Int> = emptyList(),
-        @CborLabel(10) val demand: List<Int> = emptyList(),
+        @CborLabel(11) val demand: List<Int> = emptyList(),
     )
 
     /**
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/LoadReportPairs.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/LoadReportPairs.kt
@@ -2,6 +2,7 @@
 
 import kingcuptide.coordination.request.CallCounts
 import kingcuptide.coordination.request.Demand
+import kingcuptide.coordination.request.DemandEstimate
 import kingcuptide.coordination.request.RunTimes
 import kotlin.math.roundToInt
 import kotlin.time.Duration.Companion.microseconds
@@ -14,12 +15,18 @@
 internal fun toRunTimes(pairs: List<Int>): RunTimes =
     toMap(pairs).mapValues { (_, units) -> (units * MICROS_PER_UNIT).microseconds }
 
-/** Returns [demand] as pairs of service key and thousandths of a slot. */
-internal fun flattenDemand(demand: Demand): List<Int> =
-    demand.flatMap { (service, slots) -> listOf(service, (slots * UNITS_PER_SLOT).roundToInt()) }
+/** Returns [demand] as groups of key, mean, trend and variance, in thousandths of a slot. */
+internal fun flattenDemand(demand: Demand): List<Int> = demand.flatMap { (key, estimate) ->
+    listOf(key) + listOf(estimate.mean, estimate.trend, estimate.variance).map { (it * UNITS_PER_SLOT).roundToInt() }
+}
 
-/** Returns the demand in [pairs]; empty if they are incomplete. Its range is checked where it is used. */
-internal fun toDemand(pairs: List<Int>): Demand = toMap(pairs).mapValues { (_, units) -> units / UNITS_PER_SLOT }
+/** Returns the demand in [groups]; empty if they are incomplete. Its range is checked where it is used. */
+internal fun toDemand(groups: List<Int>): Demand {
+    if (groups.size % DEMAND_GROUP_SIZE != 0) return emptyMap()
+    return groups.chunked(DEMAND_GROUP_SIZE).associate { (key, mean, trend, variance) ->
+        key to DemandEstimate(mean / UNITS_PER_SLOT, trend / UNITS_PER_SLOT, variance / UNITS_PER_SLOT)
+    }
+}
 
 /** Returns [calls] as pairs of service key and number. */
 internal fun flattenCalls(calls: CallCounts): List<Int> = calls.flatMap { (service, count) -> listOf(service, count) }
@@ -33,4 +40,5 @@
 
 private const val MICROS_PER_UNIT = 100L
 private const val UNITS_PER_SLOT = 1_000.0
+private const val DEMAND_GROUP_SIZE = 4
 private const val MAX_CALLS = 10_000
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/LoadReportPairsTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/LoadReportPairsTest.kt
@@ -1,6 +1,7 @@
 package kingcuptide.forwarder.request
 
 import io.netty.channel.embedded.EmbeddedChannel
+import kingcuptide.coordination.request.DemandEstimate
 import kingcuptide.coordination.request.GateLoadReport
 import kingcuptide.forwarder.connection.PeerCodec
 import kingcuptide.forwarder.connection.PeerFrame
@@ -9,6 +10,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -27,7 +29,7 @@
 
     @Test
     fun `Given run times and demand, when a report crosses the wire, then both arrive, rounded`() {
-        val sent = report.copy(runTimes = mapOf(-7 to 12.3.milliseconds, 9 to 5.milliseconds), demand = mapOf(4 to 1.5))
+        val sent = report.copy(runTimes = mapOf(-7 to 12.3.milliseconds, 9 to 5.milliseconds), demand = mapOf(4 to DEMAND))
         expectThat(throughCodec(sent).first).isEqualTo(sent)
     }
 
@@ -48,7 +50,19 @@
     @Test
     fun `Given an incomplete pair, when it is read, then the field is ignored`() {
         expectThat(toRunTimes(listOf(1, 2, 3))).isEmpty()
-        expectThat(toDemand(listOf(1))).isEmpty()
+        expectThat(toDemand(listOf(1, 2))).isEmpty()
         expectThat(toRunTimes(listOf(1, 0))).isEqualTo(mapOf(1 to Duration.ZERO))
     }
+
+    @Test
+    fun `Given calls, when they are read, then those that are incomplete or out of range are unknown`() {
+        expectThat(toCalls(flattenCalls(mapOf(7 to 2, -9 to 1)))).isEqualTo(mapOf(7 to 2, -9 to 1))
+        expectThat(toCalls(emptyList())).isEqualTo(emptyMap())
+        expectThat(toCalls(listOf(1))).isNull()
+        expectThat(toCalls(listOf(1, -1))).isNull()
+    }
+
+    private companion object {
+        val DEMAND = DemandEstimate(mean = 1.5, trend = -0.25, variance = 0.125)
+    }
 }
