Keep targets in use for the first part of a stop of their daemon

Cause: a gate closed as soon as its daemon was told to stop, but the daemon runs for 2.5 s more until readiness checks have seen it.

Change: the gate stays open for 1.5 s after the stop begins (PlannedStop.servesTarget); then queued requests go back to their entries, and peers are told. A target that leaves closes its gate at once, as before.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/PlannedStop.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/PlannedStop.kt
@@ -16,6 +16,12 @@
     /** Whether the stop has begun. */
     public val isStopping: Boolean get() = begunAt != null
 
+    /**
+     * Whether the target beside this daemon still gets requests. Readiness checks take most of a stop anyway, and a
+     * restart of many daemons in turn would leave several targets idle for that time.
+     */
+    public val servesTarget: Boolean get() = begunAt.let { it == null || clock.now() - it < TARGET_USE_AFTER_STOP }
+
     /** Begins the stop of a daemon that will be killed after [limit]; returns false if it had already begun. */
     public fun begin(limit: Duration): Boolean {
         if (isStopping) return false
@@ -45,6 +51,9 @@
         /** Time after the stop begins in which requests are accepted: callers may know of no other daemon. */
         public val ACCEPT_AFTER_STOP: Duration = 3_000.milliseconds
 
+        /** Time after the stop begins in which the target gets requests; most of these end before [READINESS_NOTICE]. */
+        public val TARGET_USE_AFTER_STOP: Duration = 1_500.milliseconds
+
         /** Share of the limit kept in reserve; a target still working in the last sixth of the limit is excused. */
         private const val RESERVED_SHARE = 2.0 / 15
 
--- a/coordination/src/test/kotlin/kingcuptide/coordination/process/PlannedStopTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/process/PlannedStopTest.kt
@@ -56,6 +56,15 @@
             expectThat(stop.isOver(isIdle = false)).isTrue()
         }
 
+        /** Guards against targets that are idle for the whole stop of their daemon, several at a time in a restart of all. */
+        @Test
+        fun `Given a stop, when callers have not noticed it yet, then the target is in use until requests would delay it`() {
+            expectThat(stop.servesTarget).isTrue()
+            clock.advance(PlannedStop.TARGET_USE_AFTER_STOP)
+            expectThat(stop.servesTarget).isFalse()
+            expectThat(PlannedStop.TARGET_USE_AFTER_STOP).isLessThan(PlannedStop.READINESS_NOTICE)
+        }
+
         @Test
         fun `Given requests in and after the acceptance period, when they arrive, then only the later is refused`() {
             clock.advance(PlannedStop.ACCEPT_AFTER_STOP)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -122,7 +122,7 @@
             mesh.distinctPeers().mapNotNull { it.lastPing }
         }
     private val gateTransport =
-        PeerGateTransport(settings.ip, gateService, { mesh }, targetUse::inUse) { stop.isStopping }
+        PeerGateTransport(settings.ip, gateService, { mesh }, targetUse::inUse) { !stop.servesTarget }
     private val location = DaemonLocation(settings.failureDomain, settings.region) { settings.regionByDomain[it] }
     private val picker = TargetPicker(clock, location, random)
     private val quota =
@@ -233,9 +233,17 @@
         readerRole.resign()
         roleMonitor.tick()
         mesh.pingNow()
+        loop.schedule(::closeGate, PlannedStop.TARGET_USE_AFTER_STOP.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         scope.launch { awaitIdle(onStopped) }
     }
 
+    /** Hands queued requests back to their entries, which send no more. */
+    private fun closeGate() {
+        updateGate()
+        gate.serve()
+        mesh.pingNow()
+    }
+
     private suspend fun awaitIdle(onStopped: () -> Unit) {
         while (!stop.isOver(isIdle = callers.inFlight == 0 && gate.inFlight + gate.queued == 0)) {
             delay(STOP_CHECK_INTERVAL.inWholeMilliseconds)
@@ -281,7 +289,7 @@
         if (target != null) gate.slots = target.entry.slots
         gate.leavingTarget = leavingTarget()
         gate.state = when {
-            stop.isStopping || isTargetLeaving(target) -> TargetState.LEAVING
+            !stop.servesTarget || isTargetLeaving(target) -> TargetState.LEAVING
             settings.failureDomain in published.takenOut -> TargetState.TAKEN_OUT
             targetMonitor.isDown -> TargetState.DOWN
             else -> TargetState.OPEN
@@ -379,7 +387,7 @@
             stateSync.asOf(),
             stateAgeMs(),
             roleMonitor.ownRank,
-            stop.isStopping,
+            !stop.servesTarget,
             gate.loadReport().copy(demand = picker.ownDemand()).toMessage(),
             published.digest(),
             roleMonitor.ownState.ordinal,
