--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -116,7 +116,9 @@
         val service = options.first().target.entry.service
         val demand = demands.of(service, now)
         if (demand.isEmpty()) return SpillPlan.NONE
-        val capacities = options.groupBy({ it.target.entry.failureDomain }, { it.capacity }).mapValues { it.value.sum() }
+        val capacities = options.groupBy({
+            it.target.entry.failureDomain
+        }, { it.capacity }).mapValues { it.value.sum() }
         val balances = balancesOf(DemandPool(service, request.homeRegions), demand, capacities, ::regionOf)
         return SpillPlan.of(location.failureDomain, balances)
             .forRequests { spillOrder.shareOf(service, request.route, it, now) }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/SpillPickTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/SpillPickTest.kt
@@ -79,7 +79,13 @@
             picker.recordLoadReport(target.entry.id, report)
         }
         REGIONS.drop(1).forEach {
-            picker.recordDemand(TargetId(it), domain(it), mapOf(DemandPool(SERVICE).key to DemandEstimate(others, 0.0, 0.0)))
+            picker.recordDemand(
+                TargetId(it),
+                domain(it),
+                mapOf(
+                    DemandPool(SERVICE).key to DemandEstimate(others, 0.0, 0.0),
+                ),
+            )
         }
     }
 
@@ -105,7 +111,12 @@
     inner class `Requests that must leave the region` {
         private val lookup = Flow(RouteId("lookup"), perSecond = 60, runTime = 100.milliseconds)
         private val order =
-            Flow(RouteId("order"), perSecond = 35, runTime = 100.milliseconds, homes = setOf(RegionId("b"), RegionId("c")))
+            Flow(
+                RouteId("order"),
+                perSecond = 35,
+                runTime = 100.milliseconds,
+                homes = setOf(RegionId("b"), RegionId("c")),
+            )
 
         /** Guards against demand that is counted where it may not be served, which displaced requests that could stay. */
         @Test
@@ -177,7 +188,8 @@
 
     @Nested
     inner class `Targets that all come back cold` {
-        private val lookup = PickRequest(RouteId("lookup"), 600.milliseconds, 600.milliseconds, 4.seconds, 0, emptySet())
+        private val lookup =
+            PickRequest(RouteId("lookup"), 600.milliseconds, 600.milliseconds, 4.seconds, 0, emptySet())
 
         private fun reportCold(wait: Duration) = targets.forEach { target ->
             val runTimes = mapOf(routeKeyOf(RouteId("any")) to 100.milliseconds)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -2,35 +2,17 @@
 
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.ResultCode
-import kingcuptide.coordination.process.ServiceId
-import kingcuptide.coordination.request.CallCosts
-import kingcuptide.coordination.request.CallCounts
 import kingcuptide.coordination.request.CallerWaits
-import kingcuptide.coordination.request.LeavingTarget
-import kingcuptide.coordination.request.Outcome
-import kingcuptide.coordination.request.PickReason
-import kingcuptide.coordination.request.PickRequest
-import kingcuptide.coordination.request.TargetPick
 import kingcuptide.coordination.request.Verdict
 import kingcuptide.coordination.request.WeightedRoundRobin
-import kingcuptide.coordination.request.codeAfterEarlierAttempts
 import kingcuptide.coordination.request.fingerprintOf
 import kingcuptide.coordination.version.ForwardRoute
-import kingcuptide.coordination.version.KnownTarget
-import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.BufferedResponse
 import kingcuptide.forwarder.connection.CallerRequest
-import kingcuptide.forwarder.connection.endToEnd
 import kingcuptide.forwarder.connection.first
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.TrafficCounts
-import kingcuptide.forwarder.process.eventLog
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.suspendCancellableCoroutine
-import kotlinx.coroutines.withTimeoutOrNull
-import java.util.Locale
-import kotlin.coroutines.resume
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -40,7 +22,7 @@
     private val clock: Clock,
     private val names: HeaderNames,
     private val dependencies: EntryDependencies,
-    private val transport: GateTransport,
+    transport: GateTransport,
     private val metrics: DaemonMetrics,
     private val counts: TrafficCounts,
 ) {
@@ -48,7 +30,8 @@
     private val refusals = EntryRefusals(names, dependencies, metrics)
     private val roundRobin = WeightedRoundRobin()
     private val callerWaits = CallerWaits()
-    private val callCosts = CallCosts()
+    private val environment =
+        ExecutionEnvironment(clock, names, dependencies, transport, metrics, counts, refusals)
 
     /** Returns the final response to [request]; cancellation also cancels the attempt in flight. */
     suspend fun serve(request: CallerRequest): BufferedResponse = answered(request, responseTo(request))
@@ -101,7 +84,8 @@
             dependencies.allowance.recordRequest(service)
         }
         val waited = if (admission.isCall) Duration.ZERO else callerWaits.record(route.id, requestedTimeout)
-        val execution = Execution(request, admission, service, timeout, waited)
+        val headers = access.forwardedHeaders(request.headers, admission)
+        val execution = RequestExecution(environment, request, admission, headers, service, timeout, waited)
         val response = execution.run()
         if (workspace != null && execution.hasNotRun) dependencies.quotas.giveBack(workspace)
         return response
@@ -113,309 +97,8 @@
         return dependencies.suspects.verdict(fingerprint) == Verdict.QUARANTINED
     }
 
-    private inner class Execution(
-        private val request: CallerRequest,
-        private val admission: Admission.Granted,
-        private val service: ServiceId,
-        timeout: Duration,
-        waited: Duration,
-    ) {
-        private val requestId = admission.requestId
-        private val route = admission.route
-        private val workspace = admission.workspace
-        private val isCall = admission.isCall
-        private val deadline = request.receivedAt + timeout
-
-        /** Counts from the first attempt of the caller, so that a retry does not delay requests that can be on time. */
-        private val objectiveAt = request.receivedAt + route.objective - waited
-
-        /** A call from a running request should be fast, but its response is of use until the deadline. */
-        private val queueTimeout = if (isCall) timeout else route.objective
-        private val queueUntil = if (isCall) deadline else objectiveAt
-        private val headers = access.forwardedHeaders(request.headers, admission)
-        private val triedTargets = LinkedHashSet<TargetId>()
-        private var targetsReached = 0
-        private var gateRefusals = 0
-        private var mayHaveRun = false
-        private var inFlightTarget: KnownTarget? = null
-        private var soonestRefusal: ForwardResult.Refused? = null
-
-        /** Whether the request was given up before any target began to work on it. */
-        var hasNotRun = false
-            private set
-
-        suspend fun run(): BufferedResponse {
-            val remainingMs = (deadline - clock.now()).inWholeMilliseconds
-            val response = if (remainingMs > 0) withTimeoutOrNull(remainingMs) { attempts() } else null
-            if (response != null) return response
-            val code = if (mayHaveRun ||
-                inFlightTarget != null
-            ) {
-                ResultCode.DEADLINE_PASSED_RUNNING
-            } else {
-                ResultCode.DEADLINE_PASSED
-            }
-            return giveUp(code, null, "time is up")
-        }
-
-        private suspend fun attempts(): BufferedResponse {
-            while (true) {
-                val (target, reason) = pick() ?: awaitTargetInUse() ?: return noCandidateLeft()
-                triedTargets += target.entry.id
-                val result = attempt(target)
-                result.loadReport?.let { dependencies.recordLoadReport(target.entry, it) }
-                val response = when (result) {
-                    is ForwardResult.Answered -> handleResponse(target, reason, result)
-                    is ForwardResult.Refused -> handleRefusal(target, result)
-                    is ForwardResult.OutcomeUnknown -> handleUnknownOutcome(target, result)
-                }
-                if (response != null) return response
-            }
-        }
-
-        private fun noCandidateLeft(): BufferedResponse {
-            val refusal = soonestRefusal ?: return noTarget()
-            return giveUp(reportableCode(refusal.code), refusal.retryAfter, "refused by all of ${triedTargets.size}")
-        }
-
-        private fun noTarget(): BufferedResponse {
-            val isConfirmed = dependencies.published.isConfirmed
-            val code = if (isConfirmed) ResultCode.NO_TARGET else ResultCode.TARGETS_UNCONFIRMED
-            val reason = if (isConfirmed) "no target" else "no target known to be in use since the start"
-            return giveUp(reportableCode(code), NO_TARGET_RETRY_AFTER, reason)
-        }
-
-        /** Waits a short time for the gates of targets, which tell a daemon that has just started what is in use. */
-        private suspend fun awaitTargetInUse(): TargetPick? {
-            repeat(MAX_IN_USE_CHECKS) {
-                if (dependencies.published.isConfirmed || triedTargets.isNotEmpty()) return pick()
-                delay(IN_USE_CHECK_INTERVAL.inWholeMilliseconds)
-                pick()?.let { return it }
-            }
-            return null
-        }
-
-        private fun pick(): TargetPick? {
-            val takenOut = dependencies.published.takenOut
-            val reachable = dependencies.published.targetsOf(service).filter {
-                !isLeaving(it) && it.entry.failureDomain !in takenOut && isHome(it) && transport.canSend(it)
-            }
-            // Targets that a lagging replica of the source still lists may have left.
-            val candidates =
-                if (dependencies.published.isConfirmed) reachable else reachable.filter(transport::isToldInUse)
-            val now = clock.now()
-            return dependencies.picker.pick(
-                candidates,
-                PickRequest(
-                    route.id,
-                    route.objective,
-                    objectiveAt - now,
-                    deadline - now,
-                    request.body.size,
-                    triedTargets,
-                    admission.homeRegions,
-                    isRefused = gateRefusals > 0,
-                ),
-            )
-        }
-
-        private fun isLeaving(target: KnownTarget): Boolean =
-            target.entry.leaving || dependencies.leaving.isLeaving(target.entry.id, target.entry.startedAtUnixMs)
-
-        private fun isHome(target: KnownTarget): Boolean =
-            admission.homeRegions.isEmpty() ||
-                dependencies.location.regionOf(target.entry.failureDomain) in admission.homeRegions
-
-        private suspend fun attempt(target: KnownTarget): ForwardResult {
-            val now = clock.now()
-            val call =
-                ForwardCall(
-                    requestId,
-                    request.method,
-                    request.target,
-                    headers,
-                    request.body,
-                    deadline - now,
-                    queueUntil - now,
-                    queueTimeout,
-                    route.id,
-                    if (isCall) INTERNAL_PRIORITY else workspace?.priority ?: route.priority,
-                    route.idempotent,
-                    target.entry.id,
-                    workspace?.name,
-                    dependencies.picker.lastRate(target.entry.id),
-                    dependencies.picker.lostRunTimes(target.entry.id),
-                )
-            val expected = dependencies.picker.expectedTimeToFinish(target, route.id, route.objective)
-            dependencies.picker.sent(target.entry.id)
-            inFlightTarget = target
-            val result = suspendCancellableCoroutine { continuation ->
-                val cancellation = transport.submit(target, call) { if (continuation.isActive) continuation.resume(it) }
-                continuation.invokeOnCancellation {
-                    dependencies.picker.abandoned(target.entry.id)
-                    cancellation.cancel()
-                }
-            }
-            inFlightTarget = null
-            if (result is ForwardResult.Answered) metrics.recordTimeToFinish(expected, clock.now() - now)
-            return result
-        }
-
-        private fun handleResponse(
-            target: KnownTarget,
-            reason: PickReason,
-            result: ForwardResult.Answered,
-        ): BufferedResponse? {
-            val successful = result.response.status < FIRST_SERVER_ERROR
-            val bytes = result.response.body.size
-            dependencies.picker.answered(target.entry.id, route.id, route.objective, result.runTime, bytes, successful)
-            if (saysLeaving(result.response.headers, names)) {
-                dependencies.recordLeaving(LeavingTarget(target.entry.id, target.entry.startedAtUnixMs))
-            }
-            result.loadReport?.let { dependencies.picker.recordRate(target.entry.id, it.ratePerSecond) }
-            if (successful) result.calls?.let(::recordCalls)
-            targetsReached++
-            val distance = dependencies.location.distanceTo(target.entry.failureDomain)
-            counts.exchanged(route.id, distance, reason, request.body.size + bytes)
-            if (!successful && route.idempotent && acquireRetry()) {
-                mayHaveRun = true
-                recordRetry(target, ResultCode.TARGET_OVERLOADED, "status ${result.response.status}")
-                return null
-            }
-            if (mayHaveRun && result.response.status in NOT_RUN_STATUSES) {
-                return giveUp(ResultCode.ANSWER_LOST, null, "status ${result.response.status} after an earlier attempt")
-            }
-            if (!successful) {
-                log.info(
-                    "request_failed_by_target",
-                    "request" to requestId,
-                    "target" to target.entry.id,
-                    "status" to result.response.status,
-                    "target_speed" to speedOf(target),
-                )
-            }
-            return BufferedResponse(result.response.status, endToEnd(result.response.headers), result.response.body)
-        }
-
-        private fun handleRefusal(target: KnownTarget, result: ForwardResult.Refused): BufferedResponse? {
-            counts.refused(dependencies.location.distanceTo(target.entry.failureDomain), request.body.size)
-            if (result.reachedTarget) {
-                targetsReached++
-                dependencies.picker.failed(target.entry.id)
-            } else {
-                gateRefusals++
-                dependencies.picker.refused(target.entry.id, result.code !in BUSY_CODES)
-            }
-            val refusal = soonestRefusal?.takeIf { it.retryAfter < result.retryAfter } ?: result
-            soonestRefusal = refusal
-            val shouldRetry = if (result.reachedTarget) acquireRetry() else gateRefusals < MAX_GATE_REFUSALS
-            if (shouldRetry) {
-                recordRetry(target, result.code, "refused")
-                return null
-            }
-            return giveUp(reportableCode(refusal.code), refusal.retryAfter, "refused by ${target.entry.id}")
-        }
-
-        private fun handleUnknownOutcome(target: KnownTarget, result: ForwardResult.OutcomeUnknown): BufferedResponse? {
-            targetsReached++
-            mayHaveRun = true
-            dependencies.picker.failed(target.entry.id)
-            if (route.idempotent && result.code in RETRYABLE_CODES && acquireRetry()) {
-                recordRetry(target, result.code, "lost")
-                return null
-            }
-            return giveUp(result.code, null, "lost at ${target.entry.id}")
-        }
-
-        private fun acquireRetry(): Boolean =
-            targetsReached < route.maxTargets &&
-                deadline - clock.now() > MIN_RETRY_TIME &&
-                dependencies.allowance.tryAcquire(service, callCosts.of(route.id))
-
-        private fun recordCalls(calls: CallCounts) {
-            callCosts.record(route.id, calls)
-            if (isCall) dependencies.running.addCalls(requestId, calls)
-        }
-
-        private fun reportableCode(code: ResultCode): ResultCode = codeAfterEarlierAttempts(code, mayHaveRun)
-
-        private fun recordRetry(target: KnownTarget, code: ResultCode, reason: String) {
-            metrics.retried(code)
-            log.info(
-                "request_repeated",
-                "request" to requestId,
-                "target" to target.entry.id,
-                "code" to code.number,
-                "reason" to reason,
-                "target_speed" to speedOf(target),
-            )
-        }
-
-        private fun speedOf(target: KnownTarget): String =
-            "%.2f".format(Locale.ROOT, dependencies.picker.assumedSpeed(target.entry.id))
-
-        private fun giveUp(code: ResultCode, retryAfter: Duration?, reason: String): BufferedResponse {
-            hasNotRun = code.outcome == Outcome.NOT_RUN && !mayHaveRun
-            val tookMs = (clock.now() - request.receivedAt).inWholeMilliseconds
-            log.info(
-                "request_given_up",
-                "request" to requestId,
-                "route" to route.id,
-                "service" to service,
-                "workspace" to workspace?.name,
-                "code" to code.number,
-                "status" to refusals.statusOf(code),
-                "reason" to reason,
-                "took_ms" to tookMs,
-                "target" to inFlightTarget?.entry?.id,
-                "target_speed" to inFlightTarget?.let(::speedOf),
-                "reached" to targetsReached,
-                "hops" to gateRefusals,
-                "knowledge_age_ms" to refusals.knowledgeAgeMs(),
-            )
-            return refusals.errorResponse(code, retryAfter)
-        }
-    }
-
     private companion object {
-        const val FIRST_SERVER_ERROR = 500
-
-        /** Statuses that promise that a request has not run. */
-        val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
-
-        /** Calls that a running request waits for start before new requests. */
-        const val INTERNAL_PRIORITY = -1
-
-        /** Gate refusals after which a request is refused to its caller. */
-        const val MAX_GATE_REFUSALS = 3
-
-        /** Remaining time below which a retry is pointless. */
-        val MIN_RETRY_TIME = 10.milliseconds
         val QUARANTINE_RETRY_AFTER = 30.seconds
         val STOP_RETRY_AFTER = 200.milliseconds
-        val NO_TARGET_RETRY_AFTER = 300.milliseconds
-
-        /**
-         * Together 300 ms: after a start of all daemons, the first health check and the ping that tells its result take
-         * about 250 ms.
-         */
-        const val MAX_IN_USE_CHECKS = 15
-        val IN_USE_CHECK_INTERVAL = 20.milliseconds
-
-        /** Refusals by a gate that is open; any other code means that it is closed. */
-        val BUSY_CODES = setOf(
-            ResultCode.TARGET_FULL,
-            ResultCode.TARGET_COLD,
-            ResultCode.TARGET_RATE_SPENT,
-            ResultCode.DEADLINE_PASSED,
-        )
-        val RETRYABLE_CODES =
-            setOf(
-                ResultCode.ANSWER_LOST,
-                ResultCode.ANSWER_TRUNCATED,
-                ResultCode.TARGET_DIED,
-                ResultCode.PEER_UNREACHABLE,
-            )
-        val log = eventLog("entry")
     }
 }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/LoadReportPairsTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/LoadReportPairsTest.kt
@@ -29,7 +29,12 @@
 
     @Test
     fun `Given run times and demand, when a report crosses the wire, then both arrive, rounded`() {
-        val sent = report.copy(runTimes = mapOf(-7 to 12.3.milliseconds, 9 to 5.milliseconds), demand = mapOf(4 to DEMAND))
+        val sent = report.copy(
+            runTimes = mapOf(-7 to 12.3.milliseconds, 9 to 5.milliseconds),
+            demand = mapOf(
+                4 to DEMAND,
+            ),
+        )
         expectThat(throughCodec(sent).first).isEqualTo(sent)
     }
 
