--- a/coordination/src/test/kotlin/kingcuptide/coordination/process/PlannedStopTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/process/PlannedStopTest.kt
@@ -58,7 +58,7 @@
 
         /** Guards against targets that are idle for the whole stop of their daemon, several at a time in a restart of all. */
         @Test
-        fun `Given a stop, when callers have not noticed it yet, then the target is in use until requests would delay it`() {
+        fun `Given a stop, when callers have not noticed it yet, then the target is still in use for a time`() {
             expectThat(stop.servesTarget).isTrue()
             clock.advance(PlannedStop.TARGET_USE_AFTER_STOP)
             expectThat(stop.servesTarget).isFalse()
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/GateSimulation.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/GateSimulation.kt
@@ -83,6 +83,9 @@
     private val events = PriorityQueue<Event>()
     private val counts = kinds.associate { it.name to Counts() }
 
+    /** The kinds and the times after the start of all first attempts that count. */
+    val firstAttempts = ArrayList<Pair<RequestKind, Duration>>()
+
     fun run(length: Duration = 20.seconds): Map<String, KindResult> {
         val end = clock.now() + length
         kinds.forEach { scheduleArrivals(it, end) }
@@ -108,7 +111,10 @@
             val firstSentAt = next
             repeat(kind.clump) {
                 schedule(firstSentAt) {
-                    if (isMeasured(firstSentAt)) counts.getValue(kind.name).attempted++
+                    if (isMeasured(firstSentAt)) {
+                        counts.getValue(kind.name).attempted++
+                        firstAttempts += kind to firstSentAt - startedAt
+                    }
                     attempt(kind, firstSentAt, kind.retries, patience())
                 }
             }
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/SpillPickTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/SpillPickTest.kt
@@ -128,7 +128,7 @@
 
         /** Guards against a home region that is taken to have room although others send their requests there. */
         @Test
-        fun `Given more requests that may stay than the level allows, when others must leave, then the excess leaves`() {
+        fun `Given more requests that may stay than there is room for, when others leave, then the excess does too`() {
             val busy = Flow(RouteId("lookup"), perSecond = 90, runTime = 100.milliseconds)
             send(listOf(busy, order), others = 5.0)
             val excess = 1 - SpillPlan.MIN_LEVEL * SLOTS / busy.slots
@@ -144,7 +144,7 @@
 
         /** Guards against large responses of short requests that cross regions while long requests with few bytes stay. */
         @Test
-        fun `Given routes of different size, when some work must leave, then the one with least bytes for its work does`() {
+        fun `Given routes of different size, when work must leave, then that with least bytes for its work does`() {
             send(listOf(view, query, upload), others = 2.0, length = 90.seconds)
             val work = view.slots + query.slots + upload.slots
             val excess = (work - SpillPlan.MIN_LEVEL * SLOTS) / query.slots
