Keep slots of a target free for urgent requests

Cause: after the return of a fleet with three targets left for a service, its long requests of low priority held all slots.

Change: UrgentReserve measures the slots that more urgent requests occupy. A request leaves as many and their square root free if its run time, spread over the slots, is longer than a fifth of an urgent objective; at most half of the slots. Shorter requests that wait behind may start.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
@@ -74,6 +74,7 @@
     private val averages = RouteAverages()
     private val shares = ShareFloors()
     private val speed = TargetSpeed()
+    private val urgentReserve = UrgentReserve()
     private var reportedColdUntil = Duration.INFINITE
     private var presumedColdUntil = Duration.ZERO
     private var isServing = false
@@ -192,7 +193,7 @@
     private fun futileRefusalOf(request: GateRequest, now: Duration): GateRefusal? {
         val code = codeIfClosed()
         if (code != null) return GateRefusal(code, CLOSED_RETRY_AFTER)
-        val runTime = averages.expectedRunTime(request.route, request.objective)
+        val runTime = expectedRunTime(request)
         if (now + runTime * MIN_RUN_TIME_SHARE > request.deadline) {
             return GateRefusal(ResultCode.DEADLINE_PASSED, Duration.ZERO)
         }
@@ -201,10 +202,11 @@
 
     private fun capacityRefusalOf(request: GateRequest, now: Duration): GateRefusal? {
         request.floorRounding = shares.recordRequest(request.shareGroup, now)
+        urgentReserve.record(request.priority, expectedRunTime(request), request.objective, now)
         request.isExcessRepeat = isRepeat(request) && shares.recordRepeat(request.shareGroup, now)
-        val queueWait = expectedWait(countAhead(request, now), now)
+        val queueWait = expectedWait(countAhead(request, now), now, reservedFrom(request, now))
         if (queueWait == Duration.ZERO) return null
-        val runTime = averages.expectedRunTime(request.route, request.objective)
+        val runTime = expectedRunTime(request)
         val queueTimeout = queueTimeoutOf(request, runTime, now)
         if (queueWait <= queueTimeout) return null
         return GateRefusal(capacityCode(now), minOf(queueWait + MIN_RETRY_AFTER, MAX_RETRY_AFTER))
@@ -250,7 +252,7 @@
 
     /** Returns whether a first attempt of the route of [request] can be on time at all. */
     private fun couldMeetObjective(request: GateRequest): Boolean =
-        averages.expectedRunTime(request.route, request.objective) <= request.objective
+        expectedRunTime(request) <= request.objective
 
     /** Returns how long [request] may be queued to meet its objective or, if it is late, not to become much later. */
     private fun queueTimeoutOf(request: GateRequest, runTime: Duration, now: Duration): Duration {
@@ -278,18 +280,21 @@
 
     /** A late request is queued behind all that are on time, perhaps without end, so it is refused early. */
     private fun isTooLate(request: GateRequest, now: Duration): Boolean {
-        val runTime = averages.expectedRunTime(request.route, request.objective)
+        val runTime = expectedRunTime(request)
         val lateAt = maxOf(request.objectiveAt - runTime, request.arrivedAt)
         return now > lateAt + request.objective * LATE_QUEUE_TIMEOUT_SHARE
     }
 
+    private fun expectedRunTime(request: GateRequest): Duration =
+        averages.expectedRunTime(request.route, request.objective)
+
     private fun minRunTime(request: GateRequest): Duration =
-        averages.expectedRunTime(request.route, request.objective) * MIN_RUN_TIME_SHARE
+        expectedRunTime(request) * MIN_RUN_TIME_SHARE
 
     private fun startWaiting() {
         while (waiting.isNotEmpty() && canStart(clock.now())) {
             val now = clock.now()
-            val request = pollNext(now)
+            val request = pollNext(now) ?: return
             recentStarts.record(now)
             namedRate.recordStart(now)
             request.startedAt = now
@@ -298,22 +303,31 @@
         }
     }
 
-    private fun pollNext(now: Duration): GateRequest {
-        val preferred = waiting.filter { isPreferred(it, 0, now) }
-        val usual = firstOf(waiting, now)
+    private fun pollNext(now: Duration): GateRequest? {
+        val startable = waiting.filter { running.size < slots - reservedFrom(it, now) }
+        if (startable.isEmpty()) return null
+        val preferred = startable.filter { isPreferred(it, 0, now) }
+        val usual = firstOf(startable, now)
         val request = if (preferred.isEmpty()) usual else firstOf(preferred, now)
         waiting.remove(request)
         shares.recordStart(request.shareGroup, isPreferred = request !== usual, now)
         return request
     }
 
+    /** Returns the number of slots that [request] must leave to more urgent ones and that are not in use by such now. */
+    private fun reservedFrom(request: GateRequest, now: Duration): Int {
+        val reserved = urgentReserve.slotsFor(request.priority, expectedRunTime(request), slots, now)
+        if (reserved == 0) return 0
+        return maxOf(0, reserved - running.count { it.priority < request.priority })
+    }
+
     private fun firstOf(requests: List<GateRequest>, now: Duration): GateRequest {
         val priority = requests.first().priority
         return requests.firstOrNull { it.priority == priority && canMeetObjective(it, now) } ?: requests.first()
     }
 
     private fun canMeetObjective(request: GateRequest, now: Duration): Boolean =
-        now + averages.expectedRunTime(request.route, request.objective) <= request.objectiveAt
+        now + expectedRunTime(request) <= request.objectiveAt
 
     private fun canStart(now: Duration): Boolean {
         if (running.size >= limitNow() || !namedRate.canStart(now)) return false
@@ -322,11 +336,14 @@
 
     private fun limitNow(): Int = if (state == TargetState.OPEN) slots else 0
 
-    private fun expectedWait(ahead: Int, now: Duration): Duration =
-        maxOf(slotWait(ahead, now), coldWait(ahead, now), namedRate.timeUntilStart(ahead, now))
+    private fun expectedWait(ahead: Int, now: Duration, reserved: Int = 0): Duration =
+        maxOf(slotWait(ahead, now, reserved), coldWait(ahead, now), namedRate.timeUntilStart(ahead, now))
 
-    private fun slotWait(ahead: Int, now: Duration): Duration =
-        if (running.size + ahead < slots) Duration.ZERO else meanRunTime(now) * ((ahead + 1).toDouble() / slots)
+    private fun slotWait(ahead: Int, now: Duration, reserved: Int): Duration {
+        val usable = slots - reserved
+        if (running.size + ahead < usable) return Duration.ZERO
+        return meanRunTime(now) * ((ahead + 1).toDouble() / usable)
+    }
 
     private fun coldWait(ahead: Int, now: Duration): Duration {
         if (!isCold(now) || recentStarts.count(now) + ahead < coldRequestsPerSecond) return Duration.ZERO
@@ -337,7 +354,7 @@
     private fun meanRunTime(now: Duration): Duration {
         if (running.isEmpty()) return Duration.ZERO
         val total = running.fold(Duration.ZERO) { sum, it ->
-            sum + maxOf(averages.expectedRunTime(it.route, it.objective), now - it.startedAt)
+            sum + maxOf(expectedRunTime(it), now - it.startedAt)
         }
         return total / running.size
     }
