Keep running requests when the listener of their target closes

A target that leaves closes its listener and works on; a refused connect of a health check made the gate abort all idempotent requests that ran there, and an entry that stops then found three full gates and gave up.

TargetFailure now says what has been observed: a closed listener says nothing of open connections, so what runs there ends with its own connection; a silent target and one that another target has replaced end idempotent requests as before, the latter only those sent to the replaced one.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -26,6 +27,7 @@
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.suspendCancellableCoroutine
 import java.io.ByteArrayOutputStream
+import java.net.ConnectException
 import java.net.InetSocketAddress
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
@@ -51,7 +53,7 @@
 
     /** Sends [call] and waits for a response that [accepts]; cancellation closes the connection. */
     suspend fun exchange(call: HttpCall, accepts: (Headers) -> Boolean = { true }): HttpResult {
-        if (!isUsable) return HttpResult.NotSent("connection closed")
+        if (!isUsable) return HttpResult.NotSent(ConnectFailure("connection closed"))
         val request = requestOf(call)
         return suspendCancellableCoroutine { continuation ->
             receiver.awaitResponse(continuation, accepts)
@@ -268,12 +270,12 @@
         /** Time from the first byte of a head to its last, and to the end of a response to an earlier call. */
         private val HEAD_TIMEOUT = 1.seconds
 
-        /** Opens a connection to [address]. Returns null on failure, after passing the reason to [onFailure]. */
+        /** Opens a connection to [address]. Returns null on failure, after passing its cause to [onFailure]. */
         suspend fun open(
             loop: EventLoop,
             address: InetSocketAddress,
             limits: HttpClientLimits,
-            onFailure: (String) -> Unit = {},
+            onFailure: (ConnectFailure) -> Unit = {},
         ): HttpConnection? {
             val receiver = Receiver(limits)
             val connecting = bootstrap(loop, limits, receiver).connect(address)
@@ -281,13 +283,16 @@
                 continuation.invokeOnCancellation { connecting.channel().close() }
                 connecting.addListener { done ->
                     val channel = (done as ChannelFuture).channel()
-                    if (!done.isSuccess) onFailure(done.cause().toString())
+                    if (!done.isSuccess) onFailure(failureOf(done.cause()))
                     if (!continuation.isActive) return@addListener
                     continuation.resume(if (done.isSuccess) HttpConnection(channel, receiver) else null)
                 }
             }
         }
 
+        private fun failureOf(cause: Throwable) =
+            ConnectFailure(cause.toString(), isRefused = cause is ConnectException && cause !is ConnectTimeoutException)
+
         private fun decoderLimits(): HttpDecoderConfig =
             HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE_BYTES).setMaxHeaderSize(MAX_HEAD_BYTES)
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
@@ -50,6 +50,12 @@
     val body: ByteArray,
 )
 
+/** Why there is no connection for a call; [isRefused] means that the host of the server responded that nobody listens. */
+data class ConnectFailure(
+    val reason: String,
+    val isRefused: Boolean = false,
+)
+
 /** Result of an HTTP call. */
 sealed interface HttpResult {
     /** The complete response has arrived. */
@@ -59,7 +65,7 @@
 
     /** No byte of the call left this process. */
     data class NotSent(
-        val reason: String,
+        val failure: ConnectFailure,
     ) : HttpResult
 
     /** The server may have received the call, but no complete response arrived. [responseStarted]: a part did. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -41,6 +41,7 @@
 import kingcuptide.forwarder.request.QuotaService
 import kingcuptide.forwarder.request.RunningRequests
 import kingcuptide.forwarder.request.TargetClient
+import kingcuptide.forwarder.request.TargetFailure
 import kingcuptide.forwarder.request.TargetMonitor
 import kingcuptide.forwarder.request.TargetNotices
 import kingcuptide.forwarder.request.toGateLoadReport
@@ -327,12 +328,10 @@
 
     private fun ownTraits(): ServiceTraits? = published.routing?.services?.get(settings.service)
 
-    private fun targetChanged() {
+    private fun targetChanged(failure: TargetFailure?) {
         updateGate()
-        if (targetMonitor.isDown) {
-            reportCrash(gateService.drainInterrupted())
-            gateService.targetDown()
-        }
+        if (targetMonitor.isDown) reportCrash(gateService.drainInterrupted())
+        failure?.let(gateService::targetFailed)
         gate.serve()
     }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -9,6 +9,7 @@
 import kingcuptide.coordination.request.TargetGate
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.BufferedResponse
+import kingcuptide.forwarder.connection.ConnectFailure
 import kingcuptide.forwarder.connection.HttpCall
 import kingcuptide.forwarder.connection.HttpResult
 import kingcuptide.forwarder.connection.first
@@ -32,8 +33,8 @@
     /** A request failed on its connection, or another target responded; [reason] goes into the log. */
     fun suspect(reason: String)
 
-    /** No connection to the target can be opened. */
-    fun unreachable(reason: String)
+    /** No connection to the target can be opened, as [failure] says. */
+    fun unreachable(failure: ConnectFailure)
 }
 
 /** Carries out the decisions of the gate: sends admitted requests to the target and validates its responses. */
@@ -79,8 +80,9 @@
         interruptedCalls.addLast(clock.now() to call.fingerprint)
     }
 
-    /** The target is down: ends idempotent requests at once, so that their entries can retry them elsewhere. */
-    fun targetDown() = runningCalls.filter { it.idempotent }.forEach { it.abort() }
+    /** Ends the idempotent requests that get no response after [failure], so that their entries can retry them. */
+    fun targetFailed(failure: TargetFailure) =
+        runningCalls.filter { it.idempotent && failure.endsRequestsAt(it.targetId) }.forEach { it.abort(failure) }
 
     private inner class GateCall(
         private val call: ForwardCall,
@@ -105,8 +107,10 @@
 
         val idempotent: Boolean get() = call.idempotent
 
-        fun abort() {
-            complete(outcomeUnknown(ResultCode.ANSWER_LOST, "target down"))
+        val targetId: TargetId get() = call.targetId
+
+        fun abort(failure: TargetFailure) {
+            complete(outcomeUnknown(ResultCode.ANSWER_LOST, failure.reason))
             job?.cancel()
         }
 
@@ -193,7 +197,7 @@
             return when (result) {
                 null -> outcomeUnknown(ResultCode.DEADLINE_PASSED_RUNNING, "time is up")
                 is HttpResult.NotSent -> {
-                    targetObserver.unreachable(result.reason)
+                    targetObserver.unreachable(result.failure)
                     refused(ResultCode.TARGET_DOWN, reachedTarget = false)
                 }
                 is HttpResult.Broken -> {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
@@ -4,6 +4,7 @@
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.request.IdleLimit
 import kingcuptide.forwarder.connection.BufferLimit
+import kingcuptide.forwarder.connection.ConnectFailure
 import kingcuptide.forwarder.connection.Headers
 import kingcuptide.forwarder.connection.HttpCall
 import kingcuptide.forwarder.connection.HttpClientLimits
@@ -51,7 +52,7 @@
     }
 
     private suspend fun callOnNewConnection(call: HttpCall, accepts: (Headers) -> Boolean): HttpResult {
-        var failure = "connect failed"
+        var failure = ConnectFailure("connect failed")
         val connection =
             HttpConnection.open(loop, address, limits) { failure = it } ?: return HttpResult.NotSent(failure)
         return exchange(connection, call, accepts)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetMonitor.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetMonitor.kt
@@ -6,6 +6,7 @@
 import kingcuptide.coordination.version.ServiceTraits
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.BufferedResponse
+import kingcuptide.forwarder.connection.ConnectFailure
 import kingcuptide.forwarder.connection.HttpCall
 import kingcuptide.forwarder.connection.HttpClientLimits
 import kingcuptide.forwarder.connection.HttpConnection
@@ -13,6 +14,8 @@
 import kingcuptide.forwarder.connection.first
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.eventLog
+import kingcuptide.forwarder.request.TargetFailure.ListenerClosed
+import kingcuptide.forwarder.request.TargetFailure.Unresponsive
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
@@ -28,6 +31,8 @@
  * Checks the health of the target on this host, more often while it is suspected, unhealthy or unreachable.
  *
  * Used on the event loop.
+ *
+ * @param onChange gets what is wrong with the target whenever that changes, or null once the target responds again
  */
 class TargetMonitor(
     private val loop: EventLoop,
@@ -38,7 +43,7 @@
     private val gate: TargetGate,
     private val notices: TargetNotices,
     private val traits: () -> ServiceTraits?,
-    private val onChange: () -> Unit,
+    private val onChange: (TargetFailure?) -> Unit,
 ) : TargetObserver {
     private var connection: HttpConnection? = null
     private var needsFastChecks = true
@@ -50,9 +55,10 @@
     var targetId: TargetId? = null
         private set
 
+    private var failure: TargetFailure? = null
+
     /** Whether the target is unreachable or has been silent for too long. */
-    var isDown: Boolean = false
-        private set
+    val isDown: Boolean get() = failure != null
 
     fun start() {
         scope.launch {
@@ -80,12 +86,12 @@
         wakeUps.trySend(Unit)
     }
 
-    /** No connection to the target can be opened. */
-    override fun unreachable(reason: String) {
+    override fun unreachable(failure: ConnectFailure) {
         needsFastChecks = true
         traits()?.let { gate.presumeCold(it.coldFor) }
         closeConnection()
-        markDown(reason)
+        val isRefused = failure.isRefused
+        markDown(if (isRefused) ListenerClosed(failure.reason) else Unresponsive(failure.reason))
     }
 
     /**
@@ -111,7 +117,7 @@
         val result = withTimeoutOrNull(RESPONSE_TIMEOUT.inWholeMilliseconds) { exchange(call) }
         when (result) {
             is HttpResult.Answered -> applyResponse(result.response, sentAt)
-            is HttpResult.NotSent -> unreachable(result.reason)
+            is HttpResult.NotSent -> unreachable(result.failure)
             else -> noResponse()
         }
     }
@@ -121,20 +127,25 @@
         closeConnection()
         needsFastChecks = true
         val silence = clock.now() - lastResponseAt
-        if (silence > DOWN_AFTER_SILENCE) markDown("no response for ${silence.inWholeMilliseconds} ms")
+        if (silence > DOWN_AFTER_SILENCE) markDown(Unresponsive("no response for ${silence.inWholeMilliseconds} ms"))
     }
 
-    private fun markDown(reason: String) {
-        if (isDown) return
-        log.info("target_down", "address" to address, "reason" to reason)
-        isDown = true
-        onChange()
+    /** A target whose listener has closed may still turn out to be unresponsive, but not the other way round. */
+    private fun markDown(observed: TargetFailure) {
+        val before = failure
+        if (before is Unresponsive || (before != null && observed is ListenerClosed)) return
+        log.info("target_down", "address" to address, "reason" to observed.reason)
+        failure = observed
+        onChange(observed)
     }
 
     private suspend fun exchange(call: HttpCall): HttpResult {
         val open = connection?.takeIf { it.isUsable }
+        var failure = ConnectFailure("connect failed")
         val used =
-            open ?: HttpConnection.open(loop, address, CLIENT_LIMITS) ?: return HttpResult.NotSent("connect failed")
+            open
+                ?: HttpConnection.open(loop, address, CLIENT_LIMITS) { failure = it }
+                ?: return HttpResult.NotSent(failure)
         connection = used
         return used.exchange(call)
     }
@@ -143,15 +154,15 @@
         val id = response.headers.first(names.targetId)?.let(::TargetId)
         if (id != null && id != targetId) {
             log.info("target_identified", "target" to id, "before" to targetId)
-            if (targetId != null) notices.targetReplaced()
+            targetId?.let(::replaced)
             targetId = id
         }
         notices.healthChecked(response.headers, sentAt)
         lastResponseAt = clock.now()
         if (isDown) {
             log.info("target_back", "address" to address)
-            isDown = false
-            onChange()
+            failure = null
+            onChange(null)
         }
         needsFastChecks = response.status != OK_STATUS
         val coldMs = response.headers.first(names.coldMs)?.toDoubleOrNull()
@@ -164,6 +175,11 @@
         }
     }
 
+    private fun replaced(before: TargetId) {
+        notices.targetReplaced()
+        onChange(TargetFailure.Replaced(before))
+    }
+
     private fun closeConnection() {
         connection?.close()
         connection = null
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/HttpConnectionTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/HttpConnectionTest.kt
@@ -62,7 +62,7 @@
         block: suspend CoroutineScope.(HttpConnection) -> Unit,
     ) = runBlocking {
         withContext(loop.asCoroutineDispatcher()) {
-            val connection = HttpConnection.open(loop, address, limits) { error(it) }
+            val connection = HttpConnection.open(loop, address, limits) { error(it.reason) }
             block(checkNotNull(connection))
         }
     }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerRetirementTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerRetirementTest.kt
@@ -82,7 +82,7 @@
         CoroutineScope(Dispatchers.Unconfined),
         clock,
         gate,
-        { _, _, _ -> HttpResult.NotSent("unused") },
+        { _, _, _ -> HttpResult.NotSent(ConnectFailure("unused")) },
         names,
         { null },
         NoObserver,
@@ -98,7 +98,7 @@
 
         override fun suspect(reason: String) = Unit
 
-        override fun unreachable(reason: String) = Unit
+        override fun unreachable(failure: ConnectFailure) = Unit
     }
 
     @AfterEach
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateErrorTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateErrorTest.kt
@@ -7,6 +7,7 @@
 import kingcuptide.coordination.request.TargetGate
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.VirtualTime
+import kingcuptide.forwarder.connection.ConnectFailure
 import kingcuptide.forwarder.connection.NO_BYTES
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
@@ -32,7 +33,7 @@
 
         override fun suspect(reason: String) = Unit
 
-        override fun unreachable(reason: String) = Unit
+        override fun unreachable(failure: ConnectFailure) = Unit
     }
 
     private fun serviceWith(client: TargetCalls) = GateService(
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateShareWiringTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateShareWiringTest.kt
@@ -7,6 +7,7 @@
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.VirtualTime
 import kingcuptide.forwarder.connection.BufferedResponse
+import kingcuptide.forwarder.connection.ConnectFailure
 import kingcuptide.forwarder.connection.HttpResult
 import kingcuptide.forwarder.connection.NO_BYTES
 import kingcuptide.forwarder.connection.first
@@ -61,7 +62,7 @@
 
         override fun suspect(reason: String) = Unit
 
-        override fun unreachable(reason: String) = Unit
+        override fun unreachable(failure: ConnectFailure) = Unit
     }
 
     private fun send(workspace: String, priority: Int) {
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SimulatedHost.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SimulatedHost.kt
@@ -15,6 +15,7 @@
 import kingcuptide.coordination.version.PublishedState
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.VirtualTime
+import kingcuptide.forwarder.connection.ConnectFailure
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.TrafficCounts
@@ -119,7 +120,7 @@
 
         override fun suspect(reason: String) = Unit
 
-        override fun unreachable(reason: String) = Unit
+        override fun unreachable(failure: ConnectFailure) = Unit
     }
 
     companion object {
