Tell targets of the end of a stop

Requests that a daemon forwards or accepts after its stop has begun now carry a deadline before its exit, so a target ends the work itself with a response of its own, and a gate refuses at once what it can't serve by then, which the caller may repeat elsewhere. Requests that were sent before the stop keep their deadline.

Tests: the time that a target gets (EntryServiceTest), the time by which to respond (PlannedStopTest).

--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/PlannedStop.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/PlannedStop.kt
@@ -37,6 +37,12 @@
         return receivedAt - since > ACCEPT_AFTER_STOP
     }
 
+    /**
+     * Returns by when a request must be answered whose caller waits until [deadline]. A target that knows this time ends
+     * the work itself, and one that can't work so fast is not asked.
+     */
+    public fun responseBy(deadline: Duration): Duration = minOf(deadline, endsAt - RESPONSE_TRANSFER_TIME)
+
     /** Returns whether the daemon may exit now; [isIdle] means that every accepted request is answered. */
     public fun isOver(isIdle: Boolean): Boolean {
         val since = begunAt ?: return false
@@ -54,6 +60,9 @@
         /** Time after the stop begins in which the target gets requests; most of these end before [READINESS_NOTICE]. */
         public val TARGET_USE_AFTER_STOP: Duration = 1_500.milliseconds
 
+        /** Time for the response of a target to reach the caller. */
+        private val RESPONSE_TRANSFER_TIME = 150.milliseconds
+
         /** Share of the limit kept in reserve; a target still working in the last sixth of the limit is excused. */
         private const val RESERVED_SHARE = 2.0 / 15
 
--- a/coordination/src/test/kotlin/kingcuptide/coordination/process/PlannedStopTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/process/PlannedStopTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isLessThan
 import strikt.assertions.isTrue
@@ -21,6 +22,7 @@
         fun `Given no stop request, when a request arrives, then it is accepted and the daemon may not exit`() {
             expectThat(stop.isTooLate(clock.now())).isFalse()
             expectThat(stop.isOver(isIdle = true)).isFalse()
+            expectThat(stop.responseBy(START + 60.seconds)).isEqualTo(START + 60.seconds)
         }
     }
 
@@ -65,6 +67,14 @@
             expectThat(PlannedStop.TARGET_USE_AFTER_STOP).isLessThan(PlannedStop.READINESS_NOTICE)
         }
 
+        /** Guards against a target that still works on a request when the daemon of its caller exits. */
+        @Test
+        fun `Given a stop, when a caller would wait for longer, then its response is due before the daemon exits`() {
+            val exitsAt = START + PlannedStop.maxStopDuration(LIMIT)
+            expectThat(stop.responseBy(exitsAt + 1.seconds)).isLessThan(exitsAt)
+            expectThat(stop.responseBy(START + 1.seconds)).isEqualTo(START + 1.seconds)
+        }
+
         @Test
         fun `Given requests in and after the acceptance period, when they arrive, then only the later is refused`() {
             clock.advance(PlannedStop.ACCEPT_AFTER_STOP)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -101,6 +101,7 @@
             suspects,
             running,
             metrics,
+            { stop.responseBy(it) },
         )
     private val gateEndpoint = GateEndpoint(gateService, gate::loadReport)
     private val mesh: PeerMesh =
@@ -152,6 +153,7 @@
             { clock.now() - lastPeerMessageAt },
             quota,
             random,
+            stop::responseBy,
         )
     private val entry = EntryService(clock, platform.names, entryDependencies, gateTransport, metrics, counts)
     private val callers =
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
@@ -23,6 +23,8 @@
 
 /**
  * What an [EntryService] depends on: the published state, target selection, retry limits, quotas and how API keys age.
+ *
+ * @property responseBy returns by when a request must be answered whose caller waits until the given time
  */
 class EntryDependencies(
     val service: () -> ServiceId,
@@ -37,6 +39,7 @@
     private val peerSilence: () -> Duration = { Duration.ZERO },
     val quotas: QuotaAdmission = QuotaAdmission.Unlimited,
     val random: Random = Random.Default,
+    val responseBy: (Duration) -> Duration = { it },
 ) {
     /** What this daemon knows about the age of its API keys. */
     val keyKnowledge: KeyKnowledge =
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -37,7 +37,11 @@
     fun unreachable(failure: ConnectFailure)
 }
 
-/** Carries out the decisions of the gate: sends admitted requests to the target and validates its responses. */
+/**
+ * Carries out the decisions of the gate: sends admitted requests to the target and validates its responses.
+ *
+ * @param responseBy returns by when a request must be answered whose caller waits until the given time
+ */
 class GateService(
     private val scope: CoroutineScope,
     private val clock: Clock,
@@ -50,6 +54,7 @@
     private val suspects: CrashSuspects,
     private val running: RunningRequests,
     private val metrics: DaemonMetrics,
+    private val responseBy: (Duration) -> Duration = { it },
 ) {
     private val runningCalls = LinkedHashSet<GateCall>()
     private val interruptedCalls = ArrayDeque<Pair<Duration, Fingerprint>>()
@@ -89,7 +94,7 @@
         private val onResult: (ForwardResult) -> Unit,
     ) : Cancellation {
         private val arrivedAt = clock.now()
-        private val deadline = arrivedAt + call.remaining
+        private val deadline = responseBy(arrivedAt + call.remaining)
         private var job: Job? = null
         private var sentAt: Duration? = null
         private var isCompleted = false
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
@@ -158,7 +158,7 @@
                 request.target,
                 headers,
                 request.body,
-                deadline - now,
+                dependencies.responseBy(deadline) - now,
                 queueUntil - now,
                 queueTimeout,
                 route.id,
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -96,6 +96,7 @@
         }
     }
     private val quotas = ScriptedQuotas()
+    private var exitsAt = Duration.INFINITE
     private val leaving = LeavingTargets()
     private val allowance = RetryAllowance(clock, { RetryAllowanceSettings(0.2, 100, 10.seconds) }) { 1 }
     private val entry =
@@ -113,6 +114,7 @@
                 leaving,
                 quotas = quotas,
                 random = Random(1),
+                responseBy = { minOf(it, exitsAt) },
             ),
             transport,
             DaemonMetrics(),
@@ -216,6 +218,16 @@
             expectThat(response.headers.first("Retry-After")).isNotNull()
         }
 
+        /** Guards against a target that still works when the daemon of its caller exits, so that its response is lost. */
+        @Test
+        fun `Given a daemon that exits before the caller gives up, when it forwards, then the target gets less time`() {
+            start()
+            exitsAt = clock.now() + 700.milliseconds
+            results += answered(200)
+            expectThat(serve("/read/x").status).isEqualTo(200)
+            expectThat(sent.single().second.remaining).isEqualTo(700.milliseconds)
+        }
+
         @Test
         fun `Given home regions, when their only target refuses, then no other region is tried`() {
             start(setOf(RegionId("south")))
