Run frequent timers only while something waits

The event loop woke up 50 times a second for two checks that mostly had nothing to do: queued requests at the gate, and messages of quotas. These now run every 20 ms only while a request is queued, a workspace with a limit has demand or a message has no answer; everything else is due every 100 ms.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaAccount.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaAccount.kt
@@ -30,8 +30,14 @@
     private val waiting = ArrayList<QuotaTokens>()
     private var tickedAt = clock.now()
 
+    /** Interval in which the next tick is expected. */
+    private var tickInterval = TICK_INTERVAL
+
     /** Until when no request is refused for its time: this host was late, and what came meanwhile is handled first. */
     private var lateUntil = tickedAt
+
+    /** Until when the part of this host is being moved to a new lender, by several messages. */
+    private var settledAt = tickedAt + SETTLING_TIME
     private var isConnected = false
     private var connectedTo: HostId? = null
     private var wasDomainLender = false
@@ -39,6 +45,11 @@
     /** Whether any workspace has a limit; without limits there is nothing to do and no message is sent. */
     public val isNeeded: Boolean get() = pool.limits.isNotEmpty()
 
+    /** Whether any workspace with a limit has demand, or a message waits, so that ticks must come every [TICK_INTERVAL]. */
+    public val isPending: Boolean
+        get() = isNeeded &&
+            (pool.active.isNotEmpty() || uplink.isPending || lender.isPending || clock.now() < settledAt)
+
     /** Part of each quota that this host spends as a root lender, from 0 to 1. */
     public val share: Double get() = weights.currentShare()
 
@@ -92,7 +103,10 @@
         uplink.flush()
     }
 
-    /** Sends what is due and refuses requests that have waited too long; called every [TICK_INTERVAL]. */
+    /**
+     * Sends what is due and refuses requests that have waited too long; called every [TICK_INTERVAL] while [isPending], and
+     * otherwise every [IDLE_TICK_INTERVAL].
+     */
     public fun tick() {
         dropAfterPause(clock.now())
         if (!isNeeded) return
@@ -100,6 +114,7 @@
         connect()
         serve()
         uplink.flush()
+        tickInterval = if (isPending) TICK_INTERVAL else IDLE_TICK_INTERVAL
     }
 
     private fun enqueue(tokens: QuotaTokens, waiter: QuotaWaiter): QuotaTicket {
@@ -134,7 +149,9 @@
         isConnected = true
         connectedTo = lenderHost
         wasDomainLender = isDomainLender
-        if (isChanged) onLenderChanged(QuotaLenderChange(before, lenderHost, reason))
+        if (!isChanged) return
+        settledAt = clock.now() + SETTLING_TIME
+        onLenderChanged(QuotaLenderChange(before, lenderHost, reason))
     }
 
     private fun serve() {
@@ -179,7 +196,7 @@
 
     /** Tokens from before a pause may have been spent again by others since. */
     private fun dropAfterPause(now: Duration) {
-        if (now - tickedAt > MAX_LATENESS) lateUntil = now + LATE_TIME
+        if (now - tickedAt > tickInterval + MAX_LATENESS) lateUntil = now + LATE_TIME
         if (now - tickedAt > QuotaWeights.MAX_STEP) {
             uplink.giveUp()
             pool.dropAll()
@@ -189,18 +206,24 @@
     }
 
     public companion object {
-        /** Interval of [tick]. */
+        /** Interval of [tick] while something waits. */
         public val TICK_INTERVAL: Duration = 20.milliseconds
 
+        /** Interval of [tick] while nothing waits, as often as lenders send regular messages. */
+        public val IDLE_TICK_INTERVAL: Duration = 100.milliseconds
+
         /** Longest time for which a request waits for a token: most pauses of a lender with a whole core are shorter. */
         public val MAX_WAIT: Duration = 200.milliseconds
 
-        /** Time without any event of this host after which it was late. */
-        private val MAX_LATENESS = 60.milliseconds
+        /** Delay of an expected tick from which this host was late. */
+        private val MAX_LATENESS = 40.milliseconds
 
         /** Time to handle what arrived while this host was late. */
         private val LATE_TIME = 40.milliseconds
 
+        /** Longest time until a lender counts the part of a host that has just started, or that comes from another. */
+        private val SETTLING_TIME = 2_000.milliseconds
+
         /** Requests of one workspace that wait for tokens at one host. */
         private const val MAX_WAITERS = 256
     }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaLender.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaLender.kt
@@ -21,6 +21,9 @@
     /** Whether this host gets its tokens from another. */
     var hasLender = false
 
+    /** Whether other hosts wait for an answer of this one. */
+    val isPending: Boolean get() = deferred.isNotEmpty() || releases.isPending
+
     fun received(from: HostId, ask: QuotaMessage.Ask) {
         if (!ask.isValid()) return
         val child = pool.weights.child(from) ?: return
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaReleases.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaReleases.kt
@@ -15,6 +15,9 @@
 ) {
     private val waiting = ArrayList<Waiting>()
 
+    /** Whether a child waits for its answer. */
+    val isPending: Boolean get() = waiting.isNotEmpty()
+
     /** Stops counting the weight of [child], which is [from]; its messages with an earlier stamp are ignored from now on. */
     fun add(from: HostId, child: QuotaChild, number: Int) {
         val now = clock.now()
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaUplink.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/quota/QuotaUplink.kt
@@ -30,6 +30,9 @@
     private var lastSentAt = -URGENT_INTERVAL
     private var nextRegularAt = Duration.ZERO
 
+    /** Whether a lender has not yet answered a message of this host. */
+    val isPending: Boolean get() = inFlight.isNotEmpty() || releaseTo != null
+
     /** Sends to [lender] from now on; messages to another that have no reply yet are given up. */
     fun connect(lender: HostId?, isDomainLender: Boolean) {
         if (lender == this.lender && isDomainLender == this.isDomainLender) return
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/quota/QuotaSimulation.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/quota/QuotaSimulation.kt
@@ -295,6 +295,7 @@
                 .also { it.setHostCount(hostCount) }
         }
         var isPaused = false
+        private var tickedAt = -QuotaAccount.IDLE_TICK_INTERVAL
         var incarnation = 0
         val isUp: Boolean get() = account != null
 
@@ -356,10 +357,18 @@
 
         fun isLender(): Boolean = tree?.let { it.domainLender() == id || it.rootLender() == id } ?: false
 
+        /** Ticks as rarely as the account allows. */
+        private fun tickIfDue() {
+            val ticked = account ?: return
+            if (!ticked.isPending && now - tickedAt < QuotaAccount.IDLE_TICK_INTERVAL) return
+            tickedAt = now
+            ticked.tick()
+        }
+
         private fun tick(of: Int): Unit = after(QuotaAccount.TICK_INTERVAL * (0.9 + 0.2 * random.nextDouble())) {
             if (incarnation != of) return@after
             handle(SimulatedCpu.TICK_COST) {
-                if (!isPaused) account?.tick()
+                if (!isPaused) tickIfDue()
                 tick(of)
             }
         }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -102,6 +102,7 @@
             running,
             metrics,
             { stop.responseBy(it) },
+            { frequentTask.startIfNeeded() },
         )
     private val gateEndpoint = GateEndpoint(gateService, gate::loadReport)
     private val mesh: PeerMesh =
@@ -118,7 +119,8 @@
         SourceFollower(scope, clock, platform.source, stateSync, random, settings.isFirstStart, readerRole)
     private val roleMonitor = ReaderRoleMonitor(clock, readerRole, published, follower, mesh, ::isSameRegion)
     private val stop = PlannedStop(clock)
-    private var tickCount = 0
+    private val frequentTask: RepeatedTask =
+        RepeatedTask(loop, FREQUENT_INTERVAL, { gate.queued > 0 || quota.isPending }, ::serveWaiting)
     private val targetUse =
         OwnTargetUse(published, gate, targetMonitor::targetId, stateSync::asOf) {
             mesh.distinctPeers().mapNotNull { it.lastPing }
@@ -136,6 +138,7 @@
             published,
             metrics,
             { stop.isStopping },
+            { frequentTask.startIfNeeded() },
             mesh::distinctPeers,
         )
     private val allowance = RetryAllowance(clock, { settings.retries }) { published.targets.size }
@@ -227,7 +230,10 @@
     /** Drains and stops; [onStopped] is called when all requests have their response or the stop limit has passed. */
     fun stop(onStopped: () -> Unit) = loop.execute {
         val limit = settings.stopLimit
-        if (!stop.begin(limit)) return@execute
+        if (!stop.begin(limit)) {
+            log.info("stop_requested_again", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
+            return@execute
+        }
         val maxStopMs = (PlannedStop.maxStopDuration(limit) + CLOSE_TIME).inWholeMilliseconds
         loop.schedule(onStopped, maxStopMs, TimeUnit.MILLISECONDS)
         log.info("stop_begun", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
@@ -257,11 +263,16 @@
         mesh.close()
     }
 
-    /** One timer for all, since each wake-up of the event loop costs processor time. */
+    /** One timer for all that is due at any time, since each wake-up of the event loop costs processor time. */
     private fun tick() {
+        serveWaiting()
+        runOrLog(::tickAll)
+        frequentTask.startIfNeeded()
+    }
+
+    private fun serveWaiting() {
         runOrLog(gate::serve)
         runOrLog(quota::tick)
-        if (tickCount++ % TICKS_PER_FULL_TICK == 0) runOrLog(::tickAll)
     }
 
     private inline fun runOrLog(action: () -> Unit) {
@@ -458,8 +469,10 @@
         /** Share of the allowed slack that is used; the rest is for requests in transit. */
         const val COLD_SLACK_SHARE = 0.6
 
-        val TICK_INTERVAL = minOf(TargetGate.MAX_SERVE_INTERVAL, QuotaAccount.TICK_INTERVAL)
-        val TICKS_PER_FULL_TICK = (PeerMesh.MAX_TICK_INTERVAL / TICK_INTERVAL).toInt()
+        val TICK_INTERVAL = minOf(PeerMesh.MAX_TICK_INTERVAL, QuotaAccount.IDLE_TICK_INTERVAL)
+
+        /** Interval of what is due only while requests wait. */
+        val FREQUENT_INTERVAL = minOf(TargetGate.MAX_SERVE_INTERVAL, QuotaAccount.TICK_INTERVAL)
 
         val STOP_CHECK_INTERVAL = 50.milliseconds
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -41,6 +41,7 @@
  * Carries out the decisions of the gate: sends admitted requests to the target and validates its responses.
  *
  * @param responseBy returns by when a request must be answered whose caller waits until the given time
+ * @param onQueued called when a request waits at the gate, which must be served regularly from then on
  */
 class GateService(
     private val scope: CoroutineScope,
@@ -55,6 +56,7 @@
     private val running: RunningRequests,
     private val metrics: DaemonMetrics,
     private val responseBy: (Duration) -> Duration = { it },
+    private val onQueued: () -> Unit = {},
 ) {
     private val runningCalls = LinkedHashSet<GateCall>()
     private val interruptedCalls = ArrayDeque<Pair<Duration, Fingerprint>>()
@@ -64,6 +66,7 @@
         val gateCall = GateCall(call, onResult)
         if (currentTarget() in setOf(null, call.targetId)) told(call)
         gate.offer(gateCall.request)
+        if (gate.queued > 0) onQueued()
         return gateCall
     }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/QuotaService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/QuotaService.kt
@@ -27,7 +27,11 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Connects the quota account of this host to its peers and to the published state. Used on the event loop. */
+/**
+ * Connects the quota account of this host to its peers and to the published state. Used on the event loop.
+ *
+ * @param onPending called when [isPending] may have become true
+ */
 class QuotaService(
     self: HostId,
     own: QuotaPeer,
@@ -36,6 +40,7 @@
     private val published: PublishedState,
     private val metrics: DaemonMetrics,
     private val isStopping: () -> Boolean = { false },
+    private val onPending: () -> Unit = {},
     private val peers: () -> Collection<PeerSession>,
 ) : QuotaAdmission {
     private val tree = QuotaTree(clock, self, own)
@@ -49,6 +54,9 @@
         metrics.registerGauge("kingcuptide_quota_share") { account.share }
     }
 
+    /** Whether [tick] must be called every [QuotaAccount.TICK_INTERVAL]. */
+    val isPending: Boolean get() = account.isPending
+
     override suspend fun acquire(workspace: Workspace, maxWait: Duration): QuotaDecision {
         if (!workspace.hasLimit) return QuotaDecision.Allowed
         val decision = suspendCancellableCoroutine { continuation ->
@@ -60,6 +68,7 @@
                 }
             }
             continuation.invokeOnCancellation { ticket?.cancel() }
+            if (ticket != null) onPending()
         }
         val outcome = if (decision == QuotaDecision.Allowed) QuotaOutcome.ALLOWED else QuotaOutcome.REFUSED
         metrics.quota(workspace.name, outcome)
@@ -82,7 +91,7 @@
         if (account.isNeeded) countHosts()
     }
 
-    /** Sends what is due; called every [QuotaAccount.TICK_INTERVAL]. */
+    /** Sends what is due; called every [QuotaAccount.IDLE_TICK_INTERVAL], and more often while [isPending]. */
     fun tick() {
         if (account.isNeeded && clock.now() - peersCheckedAt >= PEERS_INTERVAL) updatePeers()
         account.tick()
@@ -92,6 +101,7 @@
         val host = session.peer?.host ?: return
         val decoded = message.toQuotaMessage() ?: return
         account.received(HostId(host), decoded)
+        onPending()
     }
 
     private fun updatePeers() {
