Wait for the response of a target that ends a request at its deadline

The gate now waits 100 ms longer than it tells the target; the entry still ends a request at the time of its caller.

GateDeadlineTest failed first by its own clock, then passed; without the added time its first case gets DEADLINE_PASSED_RUNNING.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/process/PlannedStop.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/process/PlannedStop.kt
@@ -60,8 +60,8 @@
         /** Time after the stop begins in which the target gets requests; most of these end before [READINESS_NOTICE]. */
         public val TARGET_USE_AFTER_STOP: Duration = 1_500.milliseconds
 
-        /** Time for the response of a target to reach the caller. */
-        private val RESPONSE_TRANSFER_TIME = 150.milliseconds
+        /** Time for the response of a target that ends a request at its deadline to reach the caller. */
+        private val RESPONSE_TRANSFER_TIME = 200.milliseconds
 
         /** Share of the limit kept in reserve; a target still working in the last sixth of the limit is excused. */
         private const val RESERVED_SHARE = 2.0 / 15
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -199,7 +199,7 @@
             val remaining = deadline - startedAt
             val httpCall = HttpCall(call.method, call.target, headersOf(remaining), call.body)
             val result =
-                withTimeoutOrNull(remaining.inWholeMilliseconds) {
+                withTimeoutOrNull((remaining + DEADLINE_RESPONSE_TIME).inWholeMilliseconds) {
                     client.call(httpCall, call.idempotent) { it.first(names.requestId) in setOf(null, call.requestId) }
                 }
             return when (result) {
@@ -281,6 +281,9 @@
         val CRASH_DETECTION_WINDOW = 1_000.milliseconds
         const val MAX_INTERRUPTED_CALLS = 64
 
+        /** Time for the response of a target that has ended a request at its deadline. */
+        val DEADLINE_RESPONSE_TIME = 100.milliseconds
+
         /** Share group of all requests without a workspace; with a single group a gate keeps strict priority. */
         const val NO_WORKSPACE = ""
         const val MISDIRECTED_REQUEST = 421
