Leave out run times and demand from each second ping to another region

Pings to hosts of other regions have 136 bytes, some 100 of them run times and demand, which hardly change between two pings three seconds apart; responses carry run times as well.

Each second ping to another region now has a brief load report, and its receiver keeps the run times that it knows.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetPicker.kt
@@ -171,6 +171,9 @@
         return speeds.runTimesOf(id)
     }
 
+    /** Returns the run times that the gate of [id] reported last, or null. */
+    public fun runTimesOf(id: TargetId): RunTimes? = speeds.runTimesOf(id)
+
     /** Returns the speed that is assumed for [id], as a multiple of the mean of its service. */
     public fun assumedSpeed(id: TargetId): Double = 1 / (speeds.lastRatioOf(id) ?: recordOf(id).runTimeRatio)
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
@@ -106,12 +106,17 @@
         accepted.keys.forEach { if (it.isOpen && concerned(it)) it.send(message) }
     }
 
-    /** Staggers pings to other regions, so that each region receives some in every interval and can pass on changes. */
+    /**
+     * Staggers pings to other regions, so that each region receives some in every interval and can pass on changes. Each
+     * message goes to all its peers before the other one, so that it is encoded once.
+     */
     private fun sendPings(message: PeerMessage.Ping) {
-        for ((session, offset) in accepted) {
-            val isDue = isSameRegion(session) || offset % PINGS_PER_REMOTE_PING == pingCount % PINGS_PER_REMOTE_PING
-            if (session.isOpen && isDue) session.send(message)
-        }
+        val (near, remote) = accepted.entries.filter { it.key.isOpen }.partition { isSameRegion(it.key) }
+        near.forEach { it.key.send(message) }
+        val isBrief = pingCount / PINGS_PER_REMOTE_PING % REMOTE_PINGS_PER_WHOLE_REPORT != 0
+        val remoteMessage = if (isBrief) message.copy(loadReport = message.loadReport.brief()) else message
+        val turn = pingCount % PINGS_PER_REMOTE_PING
+        remote.filter { it.value % PINGS_PER_REMOTE_PING == turn }.forEach { it.key.send(remoteMessage) }
     }
 
     /** Closes all connections for good; a connection that is being opened is closed once it is open. */
@@ -232,6 +237,9 @@
         /** Ping intervals per ping to a peer of another region: there are many of these, and their bytes cost most. */
         const val PINGS_PER_REMOTE_PING = 3
 
+        /** Pings to a peer of another region of which one has a whole load report; responses have one, too. */
+        private const val REMOTE_PINGS_PER_WHOLE_REPORT = 2
+
         /** Silence after which a connection counts as dead: 2.5 ping intervals. */
         val SILENCE_TIMEOUT: Duration = 2_500.milliseconds
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -91,7 +91,8 @@
      * The load of a gate. [waitMs] is the expected queue time of a new request, [ratePerSecond] the rate that the target
      * has named, if any, and [leavingTarget] the id of the target if it has said that it leaves, with its start.
      * [runTimes] has pairs of route key and run time in tenths of a millisecond, [demand] groups of key, mean, trend and
-     * variance in thousandths of a slot. A daemon that sends neither has told nothing of them.
+     * variance in thousandths of a slot. A daemon that sends neither has told nothing of them, unless [isBrief]: then what
+     * it told before still holds.
      */
     @Serializable
     data class LoadReport(
@@ -105,7 +106,11 @@
         @CborLabel(8) val leavingStartedAtUnixMs: Long = 0,
         @CborLabel(9) val runTimes: List<Int> = emptyList(),
         @CborLabel(11) val demand: List<Int> = emptyList(),
-    )
+        @CborLabel(12) val isBrief: Boolean = false,
+    ) {
+        /** Returns this report without what changes slowly and takes most of its bytes. */
+        fun brief(): LoadReport = copy(runTimes = emptyList(), demand = emptyList(), isBrief = true)
+    }
 
     /**
      * Sent at regular intervals in both directions.
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -449,8 +449,10 @@
             val host = session.peer?.host ?: return
             val ip = mesh.outboundIpOf(session)
             if (ip == null || host == settings.host.value) return
-            published.targets.filter { it.entry.ip == ip }
-                .forEach { entryDependencies.recordLoadReport(it.entry, ping.loadReport.toGateLoadReport()) }
+            for (target in published.targets.filter { it.entry.ip == ip }) {
+                val report = ping.loadReport.toGateLoadReport(picker.runTimesOf(target.entry.id))
+                entryDependencies.recordLoadReport(target.entry, report)
+            }
         }
     }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -4,6 +4,7 @@
 import kingcuptide.coordination.request.GateLoadReport
 import kingcuptide.coordination.request.LeavingTarget
 import kingcuptide.coordination.request.Outcome
+import kingcuptide.coordination.request.RunTimes
 import kingcuptide.coordination.version.KnownTarget
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.BufferedResponse
@@ -165,7 +166,8 @@
         flattenDemand(demand),
     )
 
-internal fun PeerMessage.LoadReport.toGateLoadReport() = GateLoadReport(
+/** Returns the load report of a gate whose run times were [knownRunTimes] before. */
+internal fun PeerMessage.LoadReport.toGateLoadReport(knownRunTimes: RunTimes? = null) = GateLoadReport(
     inFlight,
     queued,
     limit,
@@ -173,6 +175,6 @@
     cold,
     ratePerSecond,
     leavingTarget?.let { LeavingTarget(TargetId(it), leavingStartedAtUnixMs) },
-    toRunTimes(runTimes),
+    if (isBrief) knownRunTimes.orEmpty() else toRunTimes(runTimes),
     toDemand(demand),
 )
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/LoadReportPairsTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/LoadReportPairsTest.kt
@@ -52,6 +52,15 @@
         expectThat(received).isEqualTo(report)
     }
 
+    /** Guards against an entry that takes a brief report for that of a gate which has lost its run times. */
+    @Test
+    fun `Given a brief report, when it arrives, then the run times of the one before still hold`() {
+        val runTimes = mapOf(7 to 5.milliseconds)
+        val whole = report.copy(runTimes = runTimes, demand = mapOf(4 to DEMAND)).toMessage()
+        expectThat(whole.brief().toGateLoadReport(runTimes)).isEqualTo(report.copy(runTimes = runTimes))
+        expectThat(whole.toGateLoadReport(mapOf(8 to 5.milliseconds)).runTimes).isEqualTo(runTimes)
+    }
+
     @Test
     fun `Given an incomplete pair, when it is read, then the field is ignored`() {
         expectThat(toRunTimes(listOf(1, 2, 3))).isEmpty()
