--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
@@ -9,7 +9,10 @@
 import java.util.zip.Deflater
 import java.util.zip.Inflater
 
-/** Encodes frames of [PeerMessage]s: length, kind, head length, CBOR head, raw body. Large heads are deflated. */
+/**
+ * Encodes frames of [PeerMessage]s: length, kind, head length, CBOR head, raw body. Large heads are deflated. Frames of kinds
+ * that a later build may send are skipped.
+ */
 internal class PeerCodec(
     private val heads: EncodedHeads = EncodedHeads(),
     private val onSent: (kind: String, bytes: Int) -> Unit = { _, _ -> },
@@ -41,9 +44,11 @@
         if (headBytes < 0 || bodyBytes < 0) {
             throw SerializationException("head length of $headBytes bytes is out of range")
         }
-        val kind =
-            Kind.entries.getOrNull(kindByte and COMPRESSED_FLAG.inv())
-                ?: throw SerializationException("unknown message kind $kindByte")
+        val kind = Kind.entries.getOrNull(kindByte and COMPRESSED_FLAG.inv())
+        if (kind == null) {
+            input.skipBytes(headBytes + bodyBytes)
+            return
+        }
         val raw = ByteArray(headBytes).also { input.readBytes(it) }
         val head = if (kindByte and COMPRESSED_FLAG != 0) inflate(raw) else raw
         val body = if (bodyBytes == 0) NO_BYTES else ByteArray(bodyBytes).also { input.readBytes(it) }
