--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/RemotePingTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/RemotePingTest.kt
@@ -42,7 +42,8 @@
         TrafficCounts(clock),
     )
 
-    private fun <T> onLoop(block: () -> T): T = loop.submit(Callable { block() }).get(MAX_WAIT_SECONDS, TimeUnit.SECONDS)
+    private fun <T> onLoop(block: () -> T): T =
+        loop.submit(Callable { block() }).get(MAX_WAIT_SECONDS, TimeUnit.SECONDS)
 
     private fun pingsAfter(distance: Distance, rounds: Int): List<Boolean> {
         val sender = meshAt(SENDER, distance).also { it.listen() }
