--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetMonitor.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetMonitor.kt
@@ -154,8 +154,9 @@
         val id = response.headers.first(names.targetId)?.let(::TargetId)
         if (id != null && id != targetId) {
             log.info("target_identified", "target" to id, "before" to targetId)
-            targetId?.let(::replaced)
+            val before = targetId
             targetId = id
+            before?.let(::replaced)
         }
         notices.healthChecked(response.headers, sentAt)
         lastResponseAt = clock.now()
