--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerRetirementTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerRetirementTest.kt
@@ -22,10 +22,10 @@
 import kingcuptide.forwarder.request.ForwardCall
 import kingcuptide.forwarder.request.ForwardResult
 import kingcuptide.forwarder.request.GateService
+import kingcuptide.forwarder.request.NoTargetObserver
 import kingcuptide.forwarder.request.PeerGateTransport
 import kingcuptide.forwarder.request.RunningRequests
 import kingcuptide.forwarder.request.TargetNotices
-import kingcuptide.forwarder.request.TargetObserver
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import org.junit.jupiter.api.AfterEach
@@ -85,7 +85,7 @@
         { _, _, _ -> HttpResult.NotSent(ConnectFailure("unused")) },
         names,
         { null },
-        NoObserver,
+        NoTargetObserver,
         TargetNotices(clock, names, gate) { },
         CrashSuspects(HostId("own"), 1, clock),
         RunningRequests(clock),
@@ -93,14 +93,6 @@
     )
     private val transport: PeerGateTransport = PeerGateTransport(OWN_IP, gateService, { mesh }, { null }) { false }
 
-    private object NoObserver : TargetObserver {
-        override fun responded(startedAt: Duration) = Unit
-
-        override fun suspect(reason: String) = Unit
-
-        override fun unreachable(failure: ConnectFailure) = Unit
-    }
-
     @AfterEach
     fun stop() {
         server.close()
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateDeadlineTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateDeadlineTest.kt
@@ -8,7 +8,6 @@
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.VirtualTime
 import kingcuptide.forwarder.connection.BufferedResponse
-import kingcuptide.forwarder.connection.ConnectFailure
 import kingcuptide.forwarder.connection.HttpResult
 import kingcuptide.forwarder.connection.NO_BYTES
 import kingcuptide.forwarder.connection.first
@@ -43,7 +42,7 @@
         },
         NAMES,
         { ID },
-        NoObserver,
+        NoTargetObserver,
         TargetNotices(time, NAMES, gate) { },
         CrashSuspects(HostId("h"), 1, time),
         RunningRequests(time),
@@ -51,14 +50,6 @@
         responseBy = { minOf(it, exitsAt) },
     )
 
-    private object NoObserver : TargetObserver {
-        override fun responded(startedAt: Duration) = Unit
-
-        override fun suspect(reason: String) = Unit
-
-        override fun unreachable(failure: ConnectFailure) = Unit
-    }
-
     @Test
     fun `Given a gate that exits, when the target ends a request at its deadline, then its response arrives`() {
         timeToResponse = 20.milliseconds
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateErrorTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateErrorTest.kt
@@ -7,7 +7,6 @@
 import kingcuptide.coordination.request.TargetGate
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.VirtualTime
-import kingcuptide.forwarder.connection.ConnectFailure
 import kingcuptide.forwarder.connection.NO_BYTES
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
@@ -28,14 +27,6 @@
     private val gate = TargetGate(time)
     private val results = ArrayList<ForwardResult>()
 
-    private object NoObserver : TargetObserver {
-        override fun responded(startedAt: Duration) = Unit
-
-        override fun suspect(reason: String) = Unit
-
-        override fun unreachable(failure: ConnectFailure) = Unit
-    }
-
     private fun serviceWith(client: TargetCalls) = GateService(
         CoroutineScope(time + Job()),
         time,
@@ -43,7 +34,7 @@
         client,
         names,
         { ID },
-        NoObserver,
+        NoTargetObserver,
         TargetNotices(time, names, gate) { },
         CrashSuspects(HostId("h"), 1, time),
         RunningRequests(time),
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateShareWiringTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateShareWiringTest.kt
@@ -7,7 +7,6 @@
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.VirtualTime
 import kingcuptide.forwarder.connection.BufferedResponse
-import kingcuptide.forwarder.connection.ConnectFailure
 import kingcuptide.forwarder.connection.HttpResult
 import kingcuptide.forwarder.connection.NO_BYTES
 import kingcuptide.forwarder.connection.first
@@ -50,21 +49,13 @@
         client,
         names,
         { ID },
-        NoObserver,
+        NoTargetObserver,
         TargetNotices(time, names, gate) { },
         CrashSuspects(HostId("h"), 1, time),
         RunningRequests(time),
         DaemonMetrics(),
     )
 
-    private object NoObserver : TargetObserver {
-        override fun responded(startedAt: Duration) = Unit
-
-        override fun suspect(reason: String) = Unit
-
-        override fun unreachable(failure: ConnectFailure) = Unit
-    }
-
     private fun send(workspace: String, priority: Int) {
         requested.merge(workspace, 1, Int::plus)
         val id = "${++lastRequest}"
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SimulatedHost.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SimulatedHost.kt
@@ -15,7 +15,6 @@
 import kingcuptide.coordination.version.PublishedState
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.VirtualTime
-import kingcuptide.forwarder.connection.ConnectFailure
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.TrafficCounts
@@ -80,7 +79,7 @@
             target,
             names,
             { targetId },
-            NoObserver,
+            NoTargetObserver,
             TargetNotices(time, names, targetGate, ::targetLeaves),
             suspects,
             running,
@@ -115,14 +114,6 @@
         )
     }
 
-    private object NoObserver : TargetObserver {
-        override fun responded(startedAt: Duration) = Unit
-
-        override fun suspect(reason: String) = Unit
-
-        override fun unreachable(failure: ConnectFailure) = Unit
-    }
-
     companion object {
         const val SLOTS = 12
     }
