Share one connection between each pair of hosts

After a loss of power of all 70 hosts of the shifted deployment, those with 0.3 of a core served nothing for three seconds: each daemon set up 138 connections with their hellos and pings while its processor share was used up.

Of two hosts exactly one connects now, and both send requests, pings and published state on that connection. A daemon closes one only when neither side has calls on it and its peer has had a second to learn of another. The address in the hello tells builds that share connections from earlier ones, which get connections as before. Near hosts are connected first after a start. Ruled out: connections on demand, since readers, quotas and spill rest on pings of all hosts.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
@@ -17,11 +17,13 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * The connections to other daemons: an outbound one to each host that has a target, and those accepted from others.
+ * The connections to other daemons: one for each pair of hosts, which both use for requests, pings and published state.
  *
- * Requests are sent on outbound connections and received on accepted ones; published state goes both ways. A connection
- * that is silent for longer than [SILENCE_TIMEOUT], or some pings longer to another region, is replaced. One that is
- * replaced, or whose host has no target any more, stays open until its calls have ended. Used on the event loop.
+ * Of two hosts [dials] names the one that connects; the other one connects only if that does not happen, for instance
+ * since it is not known there yet. A peer of an earlier build sends requests on its own connection only, so each side of
+ * such a pair has one. A connection that is silent for longer than [SILENCE_TIMEOUT], or some pings longer to another
+ * region, is replaced. One that is replaced, or whose host has no target any more, stays open until its calls have ended
+ * and its peer has another one. Used on the event loop.
  */
 class PeerMesh(
     private val loop: EventLoop,
@@ -36,11 +38,14 @@
 ) {
     private val linksByIp = LinkedHashMap<String, Link>()
     private val accepted = LinkedHashMap<PeerSession, Int>()
+
+    /** The latest connection from each address whose daemon also receives requests on it. */
+    private val acceptedByIp = HashMap<String, PeerSession>()
     private val heads = EncodedHeads()
 
     /** Outbound connections that get no further request but still have calls, with the time since. */
     private val retired = LinkedHashMap<PeerSession, Duration>()
-    private var acceptedCount = 0
+    private var connectionCount = 0
     private var server: Channel? = null
     private var isClosed = false
     private var lastPingAt = clock.now()
@@ -49,18 +54,26 @@
     /** Returns one connection to each daemon that is connected, the outbound one where there are two. */
     fun distinctPeers(): Collection<PeerSession> {
         val byHost = LinkedHashMap<String, PeerSession>()
-        (outboundSessions() + accepted.keys).forEach { other -> other.peer?.let { byHost.putIfAbsent(it.host, other) } }
+        val outbound = linksByIp.values.mapNotNull { it.session?.takeIf(PeerSession::isOpen) }
+        (outbound + accepted.keys).forEach { other -> other.peer?.let { byHost.putIfAbsent(it.host, other) } }
         return byHost.values
     }
 
-    /** Returns the outbound connections that are open. */
-    fun outboundSessions(): List<PeerSession> = linksByIp.values.mapNotNull { it.session?.takeIf(PeerSession::isOpen) }
+    /** Returns the connections on which requests are sent, one for each host that has a target and is connected. */
+    fun sessionsInUse(): List<PeerSession> = linksByIp.keys.mapNotNull(::sessionTo)
+
+    /** Returns the connection on which requests to the daemon at [ip] are sent, or null if there is none. */
+    fun sessionTo(ip: String): PeerSession? {
+        val link = linksByIp[ip] ?: return null
+        return link.session?.takeIf { it.isOpen } ?: sharedFrom(ip)
+    }
 
-    /** Returns the outbound connection to the daemon at [ip] if it is open. */
-    fun outboundSession(ip: String): PeerSession? = linksByIp[ip]?.session?.takeIf { it.isOpen }
+    /** Returns the address to which requests are sent on [session], or null if they go elsewhere. */
+    fun ipOf(session: PeerSession): String? = (session.ip ?: session.peer?.ip)?.takeIf { sessionTo(it) === session }
 
-    /** Returns the address to which [session] is the outbound connection in use, or null if it is not. */
-    fun outboundIpOf(session: PeerSession): String? = session.ip?.takeIf { outboundSession(it) === session }
+    /** Returns the connection that the daemon at [ip] has opened, if requests may be sent on it and it is not silent. */
+    private fun sharedFrom(ip: String): PeerSession? =
+        acceptedByIp[ip]?.takeIf { it.isOpen && !isSilent(it, clock.now()) }
 
     /** Starts to accept connections from other daemons. */
     fun listen() {
@@ -77,11 +90,15 @@
                 .channel()
     }
 
-    /** Keeps an outbound connection to each of [ips], and closes those to others. */
+    /** Keeps a connection to each of [ips], the first of which are connected first, and closes those to others. */
     fun retain(ips: Set<String>) {
         if (isClosed) return
         for (ip in ips) {
-            if (ip != ownIp && ip !in linksByIp) linksByIp[ip] = Link(ip).also { connect(it) }
+            if (ip == ownIp || ip in linksByIp) continue
+            val link = Link(ip, connectionCount++)
+            linksByIp[ip] = link
+            if (!dials(ownIp, ip)) link.retryAt = clock.now() + PEER_DIAL_TIME
+            checkLink(link, clock.now())
         }
         for (ip in linksByIp.keys - ips) linksByIp.remove(ip)?.let(::retire)
     }
@@ -96,14 +113,25 @@
             sendPings(ping())
         }
         for (link in linksByIp.values) checkLink(link, now)
-        retired.filter { (session, since) -> !listener.isInUse(session) || now - since > MAX_RETIREMENT }
-            .keys.forEach { it.close() }
+        retired.filter { (session, since) -> hasEnded(session, now - since) }.keys.forEach { it.close() }
     }
 
-    /** Pings the accepted peers that are [concerned] now, without waiting for the next interval. */
+    /** Pings the peers that are [concerned] now, without waiting for the next interval. */
     fun pingNow(concerned: (PeerSession) -> Boolean = { true }) {
         val message = ping()
-        accepted.keys.forEach { if (it.isOpen && concerned(it)) it.send(message) }
+        pingedSessions().keys.forEach { if (concerned(it)) it.send(message) }
+    }
+
+    /**
+     * Returns the connections on which peers expect pings, each with a number that staggers them: those on which peers send
+     * their requests. These are the ones that they have opened, or else the one that this daemon has opened.
+     */
+    private fun pingedSessions(): Map<PeerSession, Int> {
+        val pinged = LinkedHashMap<PeerSession, Int>()
+        accepted.forEach { (session, number) -> if (session.isOpen) pinged[session] = number }
+        for (link in linksByIp.values) link.session?.takeIf(::isNeededByPeer)?.let { pinged[it] = link.number }
+        retired.keys.filter(::isNeededByPeer).forEach { pinged[it] = 0 }
+        return pinged
     }
 
     /**
@@ -111,7 +139,7 @@
      * message goes to all its peers before the other one, so that it is encoded once.
      */
     private fun sendPings(message: PeerMessage.Ping) {
-        val (near, remote) = accepted.entries.filter { it.key.isOpen }.partition { isSameRegion(it.key) }
+        val (near, remote) = pingedSessions().entries.partition { isSameRegion(it.key) }
         near.forEach { it.key.send(message) }
         val isBrief = pingCount / PINGS_PER_REMOTE_PING % REMOTE_PINGS_PER_WHOLE_REPORT != 0
         val remoteMessage = if (isBrief) message.copy(loadReport = message.loadReport.brief()) else message
@@ -131,21 +159,45 @@
     private fun checkLink(link: Link, now: Duration) {
         val session = link.session
         if (session != null) {
-            if (now - session.lastReceivedAt > silenceTimeout(session)) {
-                log.info(
-                    "peer_silent",
-                    "peer" to link.ip,
-                    "silent_ms" to (now - session.lastReceivedAt).inWholeMilliseconds,
-                )
-                link.retryAt = now + RECONNECT_INTERVAL
-                listener.silent(session)
-                retire(link)
-            }
+            if (!isSilent(session, now)) return
+            reportSilence(link, session, now)
+            link.retryAt = now + RECONNECT_INTERVAL
+            retire(link)
             return
         }
+        val shared = acceptedByIp[link.ip]?.takeIf { it.isOpen }
+        if (shared != null) {
+            if (!isSilent(shared, now)) return
+            if (link.silentSession !== shared) reportSilence(link, shared, now)
+        }
         if (now >= link.retryAt && !link.connecting) connect(link)
     }
 
+    private fun isSilent(session: PeerSession, now: Duration): Boolean =
+        now - session.lastReceivedAt > silenceTimeout(session)
+
+    private fun reportSilence(link: Link, session: PeerSession, now: Duration) {
+        val silentMs = (now - session.lastReceivedAt).inWholeMilliseconds
+        log.info("peer_silent", "peer" to link.ip, "silent_ms" to silentMs)
+        link.silentSession = session
+        listener.silent(session)
+    }
+
+    /** Whether a connection that has been retired for [age] can be closed without cutting off a call of either side. */
+    private fun hasEnded(session: PeerSession, age: Duration): Boolean {
+        if (isNeededByPeer(session)) return false
+        if (age <= RETIREMENT_GRACE && session.peer?.ip != null && session.isOpen) return false
+        return age > MAX_RETIREMENT || !listener.isInUse(session)
+    }
+
+    /** Whether the peer sends its requests on [session], which this daemon has opened: it has no other connection. */
+    private fun isNeededByPeer(session: PeerSession): Boolean {
+        val ip = session.ip
+        if (ip == null || session.peer?.ip == null || !session.isOpen || isSilent(session, clock.now())) return false
+        val latest = linksByIp[ip]?.session
+        return (latest === session || latest?.isOpen != true) && sharedFrom(ip) == null
+    }
+
     private fun isSameRegion(session: PeerSession): Boolean = distanceTo(session) != Distance.OTHER_REGION
 
     private fun silenceTimeout(session: PeerSession): Duration =
@@ -174,7 +226,7 @@
     /** Uses the connection of [link] for no further request; it is closed at once if no call waits on it. */
     private fun retire(link: Link) {
         val session = link.session ?: return
-        if (retired.size >= MAX_RETIRED || !listener.isInUse(session)) return disconnect(link)
+        if (retired.size >= MAX_RETIRED || hasEnded(session, Duration.ZERO)) return disconnect(link)
         link.session = null
         retired[session] = clock.now()
     }
@@ -200,17 +252,25 @@
     private val acceptedListener: PeerListener =
         object : PeerListener by listener {
             override fun opened(session: PeerSession) {
-                accepted[session] = acceptedCount++
+                accepted[session] = connectionCount++
+                session.peer?.ip?.let { acceptedByIp[it] = session }
                 session.send(ping())
                 listener.opened(session)
             }
 
             override fun closed(session: PeerSession, reason: String) {
                 accepted -= session
+                session.peer?.ip?.let { sharedClosed(it, session) }
                 listener.closed(session, reason)
             }
         }
 
+    private fun sharedClosed(ip: String, session: PeerSession) {
+        if (!acceptedByIp.remove(ip, session)) return
+        val link = linksByIp[ip] ?: return
+        link.retryAt = clock.now() + RECONNECT_INTERVAL + (if (dials(ownIp, ip)) Duration.ZERO else PEER_DIAL_TIME)
+    }
+
     private fun pipelineOf(session: () -> PeerSession) =
         PipelineInitializer { channel ->
             val created = session()
@@ -221,8 +281,12 @@
             channel.pipeline().addLast(codec, created)
         }
 
-    private class Link(val ip: String) {
+    private class Link(val ip: String, val number: Int) {
+        /** The connection that this daemon has opened. */
         var session: PeerSession? = null
+
+        /** The connection whose silence has been reported last. */
+        var silentSession: PeerSession? = null
         var connecting = false
         var retryAt: Duration = Duration.ZERO
     }
@@ -246,9 +310,21 @@
         /** Time after which a connection that is no longer used is closed although calls wait; most routes are faster. */
         val MAX_RETIREMENT: Duration = 30.seconds
         private val CONNECT_TIMEOUT = 1.seconds
+
+        /** Time for the peer that should connect; it tries again every [RECONNECT_INTERVAL]. */
+        private val PEER_DIAL_TIME = 400.milliseconds
+
+        /** Time for requests that a peer has sent before it knew that the connection has been replaced. */
+        private val RETIREMENT_GRACE = 1.seconds
         private const val MAX_RETIRED = 256
         private val RECONNECT_INTERVAL = 300.milliseconds
         private const val BACKLOG = 1_024
         private val log = eventLog("peers")
+
+        /** Returns whether of two hosts the one at [ip] connects to the one at [otherIp]; true for exactly one of them. */
+        internal fun dials(ip: String, otherIp: String): Boolean {
+            val isOddPair = (ip.hashCode() + otherIp.hashCode()) and 1 == 1
+            return (ip < otherIp) != isOddPair
+        }
     }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -13,6 +13,8 @@
      * The first message in each direction.
      *
      * @property cpuShare processor time that the sender may use, in thousandths of a core; a whole one if it does not say
+     * @property ip address of the sender if it receives requests on connections that it has opened, too; null in earlier
+     * builds
      */
     @Serializable
     data class Hello(
@@ -21,6 +23,7 @@
         @CborLabel(3) val failureDomain: String,
         @CborLabel(4) val incarnation: Long,
         @CborLabel(5) val cpuShare: Int = QuotaPeer.WHOLE_CORE,
+        @CborLabel(6) val ip: String? = null,
     ) : PeerMessage
 
     /**
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -356,7 +356,8 @@
     }
 
     private fun publishedStateChanged() {
-        mesh.retain(published.targets.mapTo(HashSet()) { it.entry.ip })
+        val nearestFirst = published.targets.sortedBy { location.distanceTo(it.entry.failureDomain) }
+        mesh.retain(nearestFirst.mapTo(LinkedHashSet()) { it.entry.ip })
         quota.stateChanged()
         picker.retain(published.targets.mapTo(HashSet()) { it.entry.id })
         updateGate()
@@ -387,6 +388,7 @@
             settings.failureDomain.value,
             incarnation,
             settings.cpuShare,
+            settings.ip,
         )
 
     private fun ownQuotaPeer() = QuotaPeer(settings.failureDomain, settings.cpuShare, incarnation)
@@ -442,12 +444,13 @@
 
         override fun silent(session: PeerSession) = gateTransport.silent(session)
 
-        override fun isInUse(session: PeerSession): Boolean = gateTransport.isInUse(session)
+        override fun isInUse(session: PeerSession): Boolean =
+            gateTransport.isInUse(session) || gateEndpoint.isInUse(session)
 
         private fun pinged(session: PeerSession, ping: PeerMessage.Ping) {
             stateSync.pinged(session, ping)
             val host = session.peer?.host ?: return
-            val ip = mesh.outboundIpOf(session)
+            val ip = mesh.ipOf(session)
             if (ip == null || host == settings.host.value) return
             for (target in published.targets.filter { it.entry.ip == ip }) {
                 val report = ping.loadReport.toGateLoadReport(picker.runTimesOf(target.entry.id))
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateEndpoint.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateEndpoint.kt
@@ -24,6 +24,9 @@
         }
     }
 
+    /** Returns whether calls that arrived on [session] have no reply yet. */
+    fun isInUse(session: PeerSession): Boolean = !callsBySession[session].isNullOrEmpty()
+
     /** The connection is closed: cancels all calls that arrived on it. */
     fun closed(session: PeerSession) {
         callsBySession.remove(session)?.values?.toList()?.forEach { it.cancel() }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -15,7 +15,7 @@
 import kingcuptide.forwarder.connection.PeerSession
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Sends requests to the gate on this host directly, and to other gates over outbound peer connections. */
+/** Sends requests to the gate on this host directly, and to other gates over the connections to their daemons. */
 class PeerGateTransport(
     private val ownIp: String,
     private val gate: GateService,
@@ -28,18 +28,18 @@
 
     override fun canSend(target: KnownTarget): Boolean {
         if (target.entry.ip == ownIp) return !isLeaving()
-        val session = mesh().outboundSession(target.entry.ip) ?: return false
+        val session = mesh().sessionTo(target.entry.ip) ?: return false
         return session.lastPing?.leaving != true
     }
 
     override fun isToldInUse(target: KnownTarget): Boolean {
         if (target.entry.ip == ownIp) return ownTargetInUse() == target.entry.id
-        return mesh().outboundSession(target.entry.ip)?.lastPing?.targetInUse == target.entry.id.value
+        return mesh().sessionTo(target.entry.ip)?.lastPing?.targetInUse == target.entry.id.value
     }
 
     override fun submit(target: KnownTarget, call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation {
         if (target.entry.ip == ownIp) return gate.submit(call, onResult)
-        val session = mesh().outboundSession(target.entry.ip)
+        val session = mesh().sessionTo(target.entry.ip)
         if (session == null) {
             onResult(
                 ForwardResult.Refused(
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/ReaderRoleMonitor.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/ReaderRoleMonitor.kt
@@ -42,7 +42,7 @@
 
     private fun decide() {
         val before = readerRole.readsSource
-        if (readerRole.decide(mesh.outboundSessions().mapNotNull(::reportOf), ownRank, published.age()) == before) {
+        if (readerRole.decide(mesh.sessionsInUse().mapNotNull(::reportOf), ownRank, published.age()) == before) {
             return
         }
         log.info("reader_duty", "reads" to readerRole.readsSource, "age_ms" to published.age().inWholeMilliseconds)
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerRetirementTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PeerRetirementTest.kt
@@ -114,7 +114,7 @@
         val socket = server.accept()
         socket.soTimeout = 5_000
         socket.send(PeerMessage.Hello(PeerCodec.PROTOCOL_VERSION, "peer", "a", 1))
-        while (onLoop { mesh.outboundSession(PEER_IP) } == null) Thread.onSpinWait()
+        while (onLoop { mesh.sessionTo(PEER_IP) } == null) Thread.onSpinWait()
         return socket
     }
 
