--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -24,6 +24,7 @@
         watchdog.setDaemon(true);
         watchdog.start();
         Case selected = switch (arguments[0]) {
+            case "poison" -> PoisonCase::run;
             case "stale-page" -> StalePageCase::run;
             case "poison-answer" -> PoisonAnswerCase::run;
             default -> throw new IllegalArgumentException(arguments[0]);
