Quarantine requests that crash targets during or after a response

Callers of other requests lost what ran at a target each time a request crashed it in the middle of its response.

Cause: the gate recorded a request as one that may have crashed its target, and had the target checked at once, only if nothing of a response had arrived. Otherwise it took the crash for a truncated response.

Change: CrashCandidates keeps requests without a valid response, and those with a whole one just before a connection ended. They are reported once their target is down or replaced, whatever it had sent. A target that leaves reports nothing, and all requests of one crash bear its number, so that one crash quarantines none. A connection lost during a response has the target checked and taken for cold.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/CrashSuspects.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/CrashSuspects.kt
@@ -4,6 +4,7 @@
 import kingcuptide.coordination.connection.TargetCrash
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.version.TargetId
 
 /**
  * Finds requests that crash targets, from the crash records that all daemons send each other.
@@ -17,6 +18,9 @@
 ) {
     private val table = SuspectTable(SuspectSettings(suspectMs = SUSPECT_MS, quarantineMs = QUARANTINE_MS))
     private var crashCount = 0L
+    private val crashByTarget = object : LinkedHashMap<TargetId, TargetCrash>() {
+        override fun removeEldestEntry(eldest: MutableMap.MutableEntry<TargetId, TargetCrash>) = size > MAX_CRASHES
+    }
 
     /** Whether there is no record of any suspect or quarantined request. */
     public var isEmpty: Boolean = true
@@ -26,9 +30,14 @@
     public fun verdict(fingerprint: Fingerprint): Verdict =
         if (isEmpty) Verdict.CLEAR else table.verdict(fingerprint)
 
-    /** Records that this daemon's target crashed with [inFlight]; returns the records to send to the other daemons. */
-    public fun targetCrashed(inFlight: Collection<Fingerprint>): List<SuspectRecord> {
-        val crash = TargetCrash(host, incarnation * CRASH_IDS_PER_INCARNATION + crashCount++)
+    /**
+     * Records that [target] beside this daemon crashed with [inFlight]; returns the records to send to the other daemons.
+     * Further calls for [target] name the same crash until [targetResponds].
+     */
+    public fun targetCrashed(target: TargetId, inFlight: Collection<Fingerprint>): List<SuspectRecord> {
+        val crash = crashByTarget.getOrPut(target) {
+            TargetCrash(host, incarnation * CRASH_IDS_PER_INCARNATION + crashCount++)
+        }
         val records = inFlight.toSet().take(MAX_SUSPECTS_PER_CRASH).map {
             table.add(it, crash, emptySet(), clock.now())
         }
@@ -36,6 +45,11 @@
         return records
     }
 
+    /** Records that [target] responds again, so that its next crash is another one. */
+    public fun targetResponds(target: TargetId) {
+        crashByTarget.remove(target)
+    }
+
     /** Merges the [records] of another daemon. */
     public fun merge(records: List<SuspectRecord>) {
         records.forEach { table.merge(it, clock.now()) }
@@ -58,6 +72,9 @@
         const val QUARANTINE_MS = 60_000L
         const val CRASH_IDS_PER_INCARNATION = 1_000L
 
+        /** Targets whose last crash is remembered. */
+        const val MAX_CRASHES = 16
+
         /** Requests in flight that become suspects at one crash. */
         const val MAX_SUSPECTS_PER_CRASH = 64
     }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/Fingerprint.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/Fingerprint.kt
@@ -13,6 +13,22 @@
     override fun toString(): String = java.lang.Long.toHexString(value)
 }
 
+/** What the fingerprint of one request covers, kept instead of the request. Not thread-safe. */
+public class FingerprintInput(
+    private val route: RouteId,
+    private val method: String,
+    private val pathAndQuery: String,
+    body: ByteArray,
+) {
+    private val bodyPrefix =
+        if (body.size > MAX_FINGERPRINT_BODY_BYTES) body.copyOf(MAX_FINGERPRINT_BODY_BYTES) else body
+
+    /** Computed when first needed, since a hash for each request costs processor time. */
+    public val fingerprint: Fingerprint by lazy(LazyThreadSafetyMode.NONE) {
+        fingerprintOf(route, method, pathAndQuery, bodyPrefix)
+    }
+}
+
 /** Maximum number of body bytes that a fingerprint covers. */
 public const val MAX_FINGERPRINT_BODY_BYTES: Int = 512
 
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/CrashSuspectsTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/CrashSuspectsTest.kt
@@ -1,6 +1,7 @@
 package kingcuptide.coordination.request
 
 import kingcuptide.coordination.process.HostId
+import kingcuptide.coordination.version.TargetId
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -13,7 +14,7 @@
     private val crashing = Fingerprint(1)
 
     private fun crash(at: Int, inFlight: List<Fingerprint>) {
-        val records = daemons[at].targetCrashed(inFlight)
+        val records = daemons[at].targetCrashed(TargetId("t$at"), inFlight)
         daemons.filterIndexed { index, _ -> index != at }.forEach { it.merge(records) }
     }
 
@@ -33,6 +34,17 @@
         expectThat(daemons[1].verdict(crashing)).isEqualTo(Verdict.CLEAR)
     }
 
+    /** Guards against a request that two connections of one crashed target quarantine. */
+    @Test
+    fun `Given one crash, when its requests are recorded in two parts, then each has one crash`() {
+        crash(0, listOf(crashing, Fingerprint(2)))
+        crash(0, listOf(crashing))
+        expectThat(daemons.map { it.verdict(crashing) }.toSet()).isEqualTo(setOf(Verdict.SUSPECT))
+        daemons[0].targetResponds(TargetId("t0"))
+        crash(0, listOf(crashing))
+        expectThat(daemons.map { it.verdict(crashing) }.toSet()).isEqualTo(setOf(Verdict.QUARANTINED))
+    }
+
     @Test
     fun `Given a quarantine, when it expires, then all daemons remove its record`() {
         crash(0, listOf(crashing))
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
@@ -51,6 +51,11 @@
     /** Seconds that the server keeps an idle connection open (`Keep-Alive: timeout`), or null if it sent none. */
     val idleLimitSeconds: Int? get() = receiver.idleLimitSeconds
 
+    /** Calls [action] once if the connection ends by itself while no call waits on it. */
+    fun onIdleEnd(action: () -> Unit) {
+        receiver.onIdleEnd = action
+    }
+
     /** Sends [call] and waits for a response that [accepts]; cancellation closes the connection. */
     suspend fun exchange(call: HttpCall, accepts: (Headers) -> Boolean = { true }): HttpResult {
         if (!isUsable) return HttpResult.NotSent(ConnectFailure("connection closed"))
@@ -84,6 +89,7 @@
     ) : ChannelInboundHandlerAdapter() {
         var isReusable = true
         var idleLimitSeconds: Int? = null
+        var onIdleEnd: () -> Unit = {}
         private var waitingCall: CancellableContinuation<HttpResult>? = null
         private var accepts: (Headers) -> Boolean = { true }
         private var head: HttpResponse? = null
@@ -136,18 +142,24 @@
             }
         }
 
-        override fun channelInactive(context: ChannelHandlerContext) = fail("connection closed")
+        override fun channelInactive(context: ChannelHandlerContext) = connectionLost("connection closed")
 
         @Suppress("OVERRIDE_DEPRECATION")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-            fail("connection failed: $cause")
+            connectionLost("connection failed: $cause")
             context.close()
         }
 
-        fun fail(reason: String, responseStarted: Boolean = head != null) {
+        private fun connectionLost(reason: String) {
+            val isIdle = isReusable && !isWaiting
+            fail(reason)
+            if (isIdle) onIdleEnd()
+        }
+
+        fun fail(reason: String, responseStarted: Boolean = head != null, isConnectionLost: Boolean = true) {
             abandon()
             head = null
-            resume(HttpResult.Broken(reason, responseStarted))
+            resume(HttpResult.Broken(reason, responseStarted, isConnectionLost))
         }
 
         private fun resume(result: HttpResult) {
@@ -156,9 +168,9 @@
             if (continuation.isActive) continuation.resume(result)
         }
 
-        /** Ends the connection for what the server has sent on it. */
+        /** Ends the connection for what the server has sent on it, unless that was cut off with the connection. */
         private fun breakOff(context: ChannelHandlerContext, reason: String) {
-            fail(reason, responseStarted = receivedBytes > 0)
+            fail(reason, responseStarted = receivedBytes > 0, isConnectionLost = !context.channel().isActive)
             context.close()
         }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
@@ -58,9 +58,10 @@
 
 /** Result of an HTTP call. */
 sealed interface HttpResult {
-    /** The complete response has arrived. */
+    /** The complete response has arrived; [endsConnection]: no other call can be sent on its connection. */
     data class Answered(
         val response: BufferedResponse,
+        val endsConnection: Boolean = false,
     ) : HttpResult
 
     /** No byte of the call left this process. */
@@ -68,10 +69,16 @@
         val failure: ConnectFailure,
     ) : HttpResult
 
-    /** The server may have received the call, but no complete response arrived. [responseStarted]: a part did. */
+    /**
+     * The server may have received the call, but no complete response arrived.
+     *
+     * @property responseStarted whether a part of a response did
+     * @property isConnectionLost whether the connection ended by itself, and not for what the server has sent on it
+     */
     data class Broken(
         val reason: String,
         val responseStarted: Boolean,
+        val isConnectionLost: Boolean,
     ) : HttpResult
 }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -87,8 +87,8 @@
     private val targetMonitor =
         TargetMonitor(loop, scope, clock, targetAddress, platform.names, gate, notices, ::ownTraits, ::targetChanged)
     private val running = RunningRequests(clock)
-    private val targetClient = TargetClient(loop, clock, targetAddress)
-    private val gateService =
+    private val targetClient = TargetClient(loop, clock, targetAddress) { gateService.idleConnectionEnded() }
+    private val gateService: GateService =
         GateService(
             scope,
             clock,
@@ -289,6 +289,7 @@
         counts.tick()
         roleMonitor.tick()
         updateGate()
+        reportCrashes()
         if (targetUse.hasBegun()) mesh.pingNow { it.lastPing.let { ping -> ping == null || ping.contactAgeMs < 0 } }
     }
 
@@ -313,11 +314,10 @@
         }
     }
 
-    private fun isTargetLeaving(target: KnownTarget?): Boolean {
-        if (target?.entry?.leaving == true) return true
-        val id = currentTarget() ?: return false
-        return leaving.isLeaving(id, target?.entry?.startedAtUnixMs)
-    }
+    private fun isTargetLeaving(target: KnownTarget?): Boolean = currentTarget()?.let { isLeaving(it, target) } ?: false
+
+    private fun isLeaving(id: TargetId, target: KnownTarget?): Boolean =
+        target?.entry?.leaving == true || leaving.isLeaving(id, target?.entry?.startedAtUnixMs)
 
     /** The target beside this daemon if it has said that it leaves and the start of its instance is known. */
     private fun leavingTarget(): LeavingTarget? {
@@ -343,15 +343,22 @@
 
     private fun targetChanged(failure: TargetFailure?) {
         updateGate()
-        if (targetMonitor.isDown) reportCrash(gateService.drainInterrupted())
+        reportCrashes()
         failure?.let(gateService::targetFailed)
+        if (!targetMonitor.isDown) targetMonitor.targetId?.let(suspects::targetResponds)
         gate.serve()
     }
 
-    private fun reportCrash(inFlight: List<Fingerprint>) {
-        if (inFlight.isEmpty()) return
-        log.info("target_died", "in_flight" to inFlight.size)
-        val message = PeerMessage.Suspects(suspects.targetCrashed(inFlight))
+    private fun reportCrashes() = gateService.drainCrashCandidates(::hasEnded).forEach(::reportCrash)
+
+    private fun hasEnded(target: TargetId): Boolean =
+        targetMonitor.isDown || targetMonitor.targetId.let { it != null && it != target }
+
+    /** A target that leaves may end its connections, which is no crash. */
+    private fun reportCrash(target: TargetId, inFlight: List<Fingerprint>) {
+        if (isLeaving(target, published.target(target))) return
+        log.info("target_died", "target" to target, "in_flight" to inFlight.size)
+        val message = PeerMessage.Suspects(suspects.targetCrashed(target, inFlight))
         mesh.distinctPeers().forEach { it.send(message) }
     }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
@@ -4,10 +4,10 @@
 import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.request.CallCounts
 import kingcuptide.coordination.request.Fingerprint
+import kingcuptide.coordination.request.FingerprintInput
 import kingcuptide.coordination.request.GateLoadReport
 import kingcuptide.coordination.request.Outcome
 import kingcuptide.coordination.request.RunTimes
-import kingcuptide.coordination.request.fingerprintOf
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.BufferedResponse
 import kingcuptide.forwarder.connection.Headers
@@ -37,8 +37,10 @@
     val ratePerSecond: Double? = null,
     val runTimes: RunTimes? = null,
 ) {
+    val fingerprintInput = FingerprintInput(route, method, target, body)
+
     /** Equal for requests with the same route, method, target and body. */
-    val fingerprint: Fingerprint by lazy(LazyThreadSafetyMode.NONE) { fingerprintOf(route, method, target, body) }
+    val fingerprint: Fingerprint get() = fingerprintInput.fingerprint
 }
 
 /** Result of a forwarded request. [loadReport] is the load of the gate, null if it sent none. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -2,11 +2,13 @@
 
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.request.CrashCandidates
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.Fingerprint
 import kingcuptide.coordination.request.GateRefusal
 import kingcuptide.coordination.request.GateRequest
 import kingcuptide.coordination.request.TargetGate
+import kingcuptide.coordination.request.TargetState
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.BufferedResponse
 import kingcuptide.forwarder.connection.ConnectFailure
@@ -59,7 +61,7 @@
     private val onQueued: () -> Unit = {},
 ) {
     private val runningCalls = LinkedHashSet<GateCall>()
-    private val interruptedCalls = ArrayDeque<Pair<Duration, Fingerprint>>()
+    private val crashCandidates = CrashCandidates(clock)
 
     /** Submits [call] to the gate; [onResult] is called once, possibly before this returns, unless cancelled. */
     fun submit(call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation {
@@ -75,18 +77,12 @@
         call.runTimes?.let(gate::runTimesTold)
     }
 
-    /** Returns and clears the requests whose connections broke within the last [CRASH_DETECTION_WINDOW]. */
-    fun drainInterrupted(): List<Fingerprint> {
-        val now = clock.now()
-        val recent = interruptedCalls.filter { now - it.first <= CRASH_DETECTION_WINDOW }.map { it.second }
-        interruptedCalls.clear()
-        return recent
-    }
+    /** Returns and removes the requests that may have crashed each target that [hasEnded]. */
+    fun drainCrashCandidates(hasEnded: (TargetId) -> Boolean): Map<TargetId, List<Fingerprint>> =
+        crashCandidates.drain(hasEnded)
 
-    private fun recordInterrupted(call: ForwardCall) {
-        if (interruptedCalls.size == MAX_INTERRUPTED_CALLS) interruptedCalls.removeFirst()
-        interruptedCalls.addLast(clock.now() to call.fingerprint)
-    }
+    /** The target has ended a connection on which no call waited. */
+    fun idleConnectionEnded() = crashCandidates.connectionEnded()
 
     /** Ends the idempotent requests that get no response after [failure], so that their entries can retry them. */
     fun targetFailed(failure: TargetFailure) =
@@ -209,18 +205,19 @@
                     refused(ResultCode.TARGET_DOWN, reachedTarget = false)
                 }
                 is HttpResult.Broken -> {
-                    if (!result.responseStarted) recordInterrupted(call)
-                    if (!result.responseStarted) targetObserver.suspect(result.reason)
+                    crashCandidates.interrupted(call.fingerprintInput, call.targetId)
+                    if (!result.responseStarted || result.isConnectionLost) targetObserver.suspect(result.reason)
                     outcomeUnknown(
                         if (result.responseStarted) ResultCode.ANSWER_TRUNCATED else ResultCode.ANSWER_LOST,
                         result.reason,
                     )
                 }
-                is HttpResult.Answered -> validated(result.response, startedAt)
+                is HttpResult.Answered -> validated(result, startedAt)
             }
         }
 
-        private fun validated(response: BufferedResponse, startedAt: Duration): ForwardResult {
+        private fun validated(result: HttpResult.Answered, startedAt: Duration): ForwardResult {
+            val response = result.response
             val runTime = clock.now() - startedAt
             targetObserver.responded(startedAt)
             metrics.recordTargetRunTime(runTime)
@@ -236,17 +233,25 @@
                 response.headers.first(names.requestId) == call.requestId &&
                     response.headers.first(CONTENT_ENCODING) == null &&
                     (response.status !in SUCCESS_STATUSES || response.headers.first(names.targetSignature) != null)
-            if (!valid) {
-                return outcomeUnknown(
-                    ResultCode.ANSWER_TRUNCATED,
-                    "status ${response.status}: invalid response",
-                )
-            }
+            if (!valid) return invalid(response)
             noticed(response, startedAt)
+            recordResponse(result)
             if (!suspects.isEmpty) suspects.answered(call.fingerprint)
             return ForwardResult.Answered(response, runTime, gate.loadReport(), running.callsOf(call.requestId))
         }
 
+        private fun invalid(response: BufferedResponse): ForwardResult {
+            crashCandidates.interrupted(call.fingerprintInput, call.targetId)
+            return outcomeUnknown(ResultCode.ANSWER_TRUNCATED, "status ${response.status}: invalid response")
+        }
+
+        /** A target that leaves ends its connections after its last responses, which is no crash. */
+        private fun recordResponse(result: HttpResult.Answered) {
+            if (gate.state == TargetState.LEAVING) return
+            crashCandidates.responded(call.fingerprintInput, call.targetId)
+            if (result.endsConnection) crashCandidates.connectionEnded()
+        }
+
         private fun noticed(response: BufferedResponse, startedAt: Duration) =
             notices.responded(call.targetId, response.headers, startedAt)
 
@@ -277,10 +282,6 @@
     }
 
     private companion object {
-        /** Longest time from the loss of the connections to the detection that the target is down. */
-        val CRASH_DETECTION_WINDOW = 1_000.milliseconds
-        const val MAX_INTERRUPTED_CALLS = 64
-
         /** Time for the response of a target that has ended a request at its deadline. */
         val DEADLINE_RESPONSE_TIME = 100.milliseconds
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
@@ -29,11 +29,14 @@
  *
  * Sends nothing twice: the entry decides on retries, since it has the retry allowance of the fleet. Used on the event
  * loop.
+ *
+ * @param onIdleConnectionEnd called when the target ends a connection on which no call waits
  */
 class TargetClient(
     private val loop: EventLoop,
     private val clock: Clock,
     private val address: InetSocketAddress,
+    private val onIdleConnectionEnd: () -> Unit = {},
 ) : TargetCalls {
     private val limits = HttpClientLimits(CONNECT_TIMEOUT, MAX_RESPONSE_BYTES, BufferLimit(MAX_BUFFERED_BYTES))
     private val pool = ArrayDeque<PooledConnection>()
@@ -55,6 +58,7 @@
         var failure = ConnectFailure("connect failed")
         val connection =
             HttpConnection.open(loop, address, limits) { failure = it } ?: return HttpResult.NotSent(failure)
+        connection.onIdleEnd(onIdleConnectionEnd)
         return exchange(connection, call, accepts)
     }
 
@@ -64,7 +68,8 @@
         accepts: (Headers) -> Boolean,
     ): HttpResult {
         try {
-            return connection.exchange(call, accepts)
+            val result = connection.exchange(call, accepts)
+            return if (result is HttpResult.Answered) result.copy(endsConnection = !connection.isUsable) else result
         } finally {
             if (connection.isUsable) pool.addLast(PooledConnection(connection, clock.now())) else connection.close()
         }
