Tell daemons of quarantined requests when they connect

Cause: crash records were sent once, to the daemons connected at that moment, and only the entry asked for them. A daemon that started later had none, and passed the request on to gates that knew of the quarantine.

Change: both sides of a connection between daemons send their records when it opens. The gate refuses a quarantined request, also one that waits there when the record arrives, and the entry then asks no other gate.

Evidence: CrashingRequestProcessTest restarts 6 of 8 daemons; on some answered 502 and their targets got the request, now all answer 503.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/CrashSuspects.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/CrashSuspects.kt
@@ -5,6 +5,8 @@
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.HostId
 import kingcuptide.coordination.version.TargetId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Finds requests that crash targets, from the crash records that all daemons send each other.
@@ -50,6 +52,9 @@
         crashByTarget.remove(target)
     }
 
+    /** Returns all records, for a daemon that may have missed some. */
+    public fun records(): List<SuspectRecord> = if (isEmpty) emptyList() else table.records(clock.now())
+
     /** Merges the [records] of another daemon. */
     public fun merge(records: List<SuspectRecord>) {
         records.forEach { table.merge(it, clock.now()) }
@@ -66,16 +71,19 @@
         isEmpty = table.counts().isEmpty()
     }
 
-    private companion object {
+    public companion object {
+        /** Retry-After of a quarantined request, which runs nowhere until its quarantine ends. */
+        public val RETRY_AFTER: Duration = 30.seconds
+
         /** Long enough for a caller to retry the same request. */
-        const val SUSPECT_MS = 30_000L
-        const val QUARANTINE_MS = 60_000L
-        const val CRASH_IDS_PER_INCARNATION = 1_000L
+        private const val SUSPECT_MS = 30_000L
+        private const val QUARANTINE_MS = 60_000L
+        private const val CRASH_IDS_PER_INCARNATION = 1_000L
 
         /** Targets whose last crash is remembered. */
-        const val MAX_CRASHES = 16
+        private const val MAX_CRASHES = 16
 
         /** Requests in flight that become suspects at one crash. */
-        const val MAX_SUSPECTS_PER_CRASH = 64
+        private const val MAX_SUSPECTS_PER_CRASH = 64
     }
 }
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/SuspectTable.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/SuspectTable.kt
@@ -64,9 +64,12 @@
 
     /** Returns the records that a daemon in [region] may receive, the last to expire first. */
     fun recordsFor(region: RegionId, now: Duration): List<SuspectRecord> =
-        entries
-            .filterValues { it.homeRegions.isEmpty() || region in it.homeRegions }
-            .entries.sortedByDescending { it.value.expiresAt }
+        records(now).filter { it.homeRegions.isEmpty() || region in it.homeRegions }
+
+    /** Returns all records, the last to expire first. */
+    fun records(now: Duration): List<SuspectRecord> =
+        entries.entries
+            .sortedByDescending { it.value.expiresAt }
             .map { (fingerprint, entry) -> record(fingerprint, entry, now) }
 
     fun counts(): Map<Verdict, Int> = entries.keys.groupingBy { verdict(it) }.eachCount()
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/CrashSuspectsTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/CrashSuspectsTest.kt
@@ -4,6 +4,7 @@
 import kingcuptide.coordination.version.TargetId
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
 import kotlin.time.Duration.Companion.seconds
@@ -45,6 +46,21 @@
         expectThat(daemons.map { it.verdict(crashing) }.toSet()).isEqualTo(setOf(Verdict.QUARANTINED))
     }
 
+    /** Guards against a daemon that starts after the crashes and knows of none. */
+    @Test
+    fun `Given a quarantine, when a daemon that started later gets the records, then all end together`() {
+        crash(0, listOf(crashing))
+        crash(1, listOf(crashing, Fingerprint(2)))
+        clock.advance(50.seconds)
+        val restarted = CrashSuspects(HostId("h2"), incarnation = 8, clock)
+        restarted.merge(daemons[2].records())
+        expectThat(restarted.verdict(crashing)).isEqualTo(Verdict.QUARANTINED)
+        clock.advance(11.seconds)
+        restarted.tick()
+        expectThat(restarted.isEmpty).isTrue()
+        expectThat(restarted.records()).isEmpty()
+    }
+
     @Test
     fun `Given a quarantine, when it expires, then all daemons remove its record`() {
         crash(0, listOf(crashing))
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -420,6 +420,7 @@
         override fun opened(session: PeerSession) {
             log.info("peer_opened", "peer" to session.peer?.host, "own" to session.isOutbound)
             if (session.isOutbound) session.send(ping())
+            sendSuspects(session)
         }
 
         override fun received(session: PeerSession, frame: PeerFrame) {
@@ -454,6 +455,12 @@
         override fun isInUse(session: PeerSession): Boolean =
             gateTransport.isInUse(session) || gateEndpoint.isInUse(session)
 
+        /** A peer that has just started, or was not connected when a target crashed, has missed the records. */
+        private fun sendSuspects(session: PeerSession) {
+            val records = suspects.records()
+            if (records.isNotEmpty()) session.send(PeerMessage.Suspects(records))
+        }
+
         private fun pinged(session: PeerSession, ping: PeerMessage.Ping) {
             stateSync.pinged(session, ping)
             val host = session.peer?.host ?: return
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -3,6 +3,7 @@
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.request.CallerWaits
+import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.Verdict
 import kingcuptide.coordination.request.WeightedRoundRobin
 import kingcuptide.coordination.request.fingerprintOf
@@ -15,7 +16,6 @@
 import kingcuptide.forwarder.process.TrafficCounts
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** Serves the requests of callers: matches the route, picks targets and retries where that is safe. */
 class EntryService(
@@ -72,7 +72,7 @@
         }
         val service = roundRobin.next(route)
         if (isQuarantined(route, request)) {
-            return refusals.refuse(request, ResultCode.QUARANTINED, QUARANTINE_RETRY_AFTER)
+            return refusals.refuse(request, ResultCode.QUARANTINED, CrashSuspects.RETRY_AFTER)
         }
         val timeout = minOf(requestedTimeout, route.timeout)
         val workspace = admission.workspace
@@ -98,7 +98,6 @@
     }
 
     private companion object {
-        val QUARANTINE_RETRY_AFTER = 30.seconds
         val STOP_RETRY_AFTER = 200.milliseconds
     }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -9,6 +9,7 @@
 import kingcuptide.coordination.request.GateRequest
 import kingcuptide.coordination.request.TargetGate
 import kingcuptide.coordination.request.TargetState
+import kingcuptide.coordination.request.Verdict
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.BufferedResponse
 import kingcuptide.forwarder.connection.ConnectFailure
@@ -66,6 +67,7 @@
     /** Submits [call] to the gate; [onResult] is called once, possibly before this returns, unless cancelled. */
     fun submit(call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation {
         val gateCall = GateCall(call, onResult)
+        if (isQuarantined(call)) return gateCall.apply { refusedByGate(QUARANTINE_REFUSAL) }
         if (currentTarget() in setOf(null, call.targetId)) told(call)
         gate.offer(gateCall.request)
         if (gate.queued > 0) onQueued()
@@ -77,6 +79,9 @@
         call.runTimes?.let(gate::runTimesTold)
     }
 
+    private fun isQuarantined(call: ForwardCall): Boolean =
+        !suspects.isEmpty && suspects.verdict(call.fingerprint) == Verdict.QUARANTINED
+
     /** Returns and removes the requests that may have crashed each target that [hasEnded]. */
     fun drainCrashCandidates(hasEnded: (TargetId) -> Boolean): Map<TargetId, List<Fingerprint>> =
         crashCandidates.drain(hasEnded)
@@ -134,7 +139,7 @@
             job?.cancel()
         }
 
-        private fun refusedByGate(refusal: GateRefusal) {
+        fun refusedByGate(refusal: GateRefusal) {
             val loadReport = gate.loadReport()
             val shareCounts = gate.shareCountsOf(request.shareGroup)
             metrics.refused(Side.GATE, refusal.code)
@@ -192,6 +197,7 @@
         private suspend fun run(startedAt: Duration): ForwardResult {
             val expected = currentTarget()
             if (expected != null && expected != call.targetId) return refused(ResultCode.VERSION_BEHIND, false)
+            if (isQuarantined(call)) return refused(QUARANTINE_REFUSAL.code, false, QUARANTINE_REFUSAL.retryAfter)
             val remaining = deadline - startedAt
             val httpCall = HttpCall(call.method, call.target, headersOf(remaining), call.body)
             val result =
@@ -260,8 +266,11 @@
                 (names.remainingMs to remaining.inWholeMilliseconds.coerceAtLeast(1).toString()) +
                 (names.expectedTarget to call.targetId.value)
 
-        private fun refused(code: ResultCode, reachedTarget: Boolean) =
-            ForwardResult.Refused(code, gate.retryAfterRejection(), reachedTarget, gate.loadReport())
+        private fun refused(
+            code: ResultCode,
+            reachedTarget: Boolean,
+            retryAfter: Duration = gate.retryAfterRejection(),
+        ) = ForwardResult.Refused(code, retryAfter, reachedTarget, gate.loadReport())
 
         private fun outcomeUnknown(code: ResultCode, reason: String): ForwardResult {
             log.info(
@@ -282,6 +291,8 @@
     }
 
     private companion object {
+        val QUARANTINE_REFUSAL = GateRefusal(ResultCode.QUARANTINED, CrashSuspects.RETRY_AFTER)
+
         /** Time for the response of a target that has ended a request at its deadline. */
         val DEADLINE_RESPONSE_TIME = 100.milliseconds
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
@@ -224,6 +224,9 @@
 
     private fun handleRefusal(target: KnownTarget, result: ForwardResult.Refused): BufferedResponse? {
         environment.counts.refused(dependencies.location.distanceTo(target.entry.failureDomain), request.body.size)
+        if (result.code == ResultCode.QUARANTINED) {
+            return giveUp(reportableCode(result.code), result.retryAfter, "quarantined at ${target.entry.id}")
+        }
         if (result.reachedTarget) {
             targetsReached++
             dependencies.picker.failed(target.entry.id)
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -413,6 +413,17 @@
             }
         }
 
+        /** Guards against a request that asks one gate after the other, though none will pass it on. */
+        @Test
+        fun `Given a gate that knows of a quarantine, when it refuses, then no other one is asked`() {
+            start()
+            results += ForwardResult.Refused(ResultCode.QUARANTINED, 30.seconds, reachedTarget = false, null)
+            val response = serve("/book/x")
+            expectThat(response.status).isEqualTo(503)
+            expectThat(response.headers.first("Retry-After")).isEqualTo("30.000")
+            expectThat(sent).hasSize(1)
+        }
+
         @Test
         fun `Given full gates, when all refuse, then the caller gets a retry delay`() {
             start()
