Take a refusal without the id of its request for no response

Cause: the gate looked at the header of a refusal before it compared the id of the response.

Change: the id is compared first. A response without it is invalid, and the outcome of its request unknown.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -227,6 +227,8 @@
             val runTime = clock.now() - startedAt
             targetObserver.responded(startedAt)
             metrics.recordTargetRunTime(runTime)
+            // Without this id it may belong to an earlier request, even a refusal.
+            if (response.headers.first(names.requestId) != call.requestId) return invalid(response)
             if (response.headers.first(names.notRun) != null) {
                 if (response.status != MISDIRECTED_REQUEST) noticed(response, startedAt)
                 return refused(ResultCode.TARGET_FULL, true)
@@ -235,11 +237,9 @@
                 targetObserver.suspect("another target responded")
                 return refused(ResultCode.TARGET_DOWN, true)
             }
-            val valid =
-                response.headers.first(names.requestId) == call.requestId &&
-                    response.headers.first(CONTENT_ENCODING) == null &&
-                    (response.status !in SUCCESS_STATUSES || response.headers.first(names.targetSignature) != null)
-            if (!valid) return invalid(response)
+            val isUnsigned =
+                response.status in SUCCESS_STATUSES && response.headers.first(names.targetSignature) == null
+            if (isUnsigned || response.headers.first(CONTENT_ENCODING) != null) return invalid(response)
             noticed(response, startedAt)
             recordResponse(result)
             if (!suspects.isEmpty) suspects.answered(call.fingerprint)
