Show that a response cut off in its head is never complete

Other operators' clients got a 200 with an empty or short body when a server stopped in the middle of its head. Here that does not happen: the test cuts four heads at each byte, with the connection closed and reset, and each response is reported as broken.

--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/HttpConnectionTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/HttpConnectionTest.kt
@@ -103,6 +103,33 @@
         }
     }
 
+    /** Guards against a response whose server stopped in its head, and which passes for a whole one with a short body. */
+    @Nested
+    inner class `Responses that end in their head` {
+        private val heads = listOf(
+            "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 12\r\nProof: p\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\nProof: p\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nProof: p\r\n\r\n",
+            "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+        )
+
+        @Test
+        fun `Given a server that stops at any byte of a head, when it closes or resets, then none is complete`() {
+            for (head in heads) {
+                for (length in 0 until head.length) {
+                    script(head.take(length), resets = length % 2 == 0)
+                    withConnection { connection ->
+                        expectThat(connection.get()).describedAs(head.take(length)).isA<HttpResult.Broken>()
+                    }
+                    script(head.take(length), resets = length % 2 == 1)
+                    withConnection { connection ->
+                        expectThat(connection.get()).describedAs(head.take(length)).isA<HttpResult.Broken>()
+                    }
+                }
+            }
+        }
+    }
+
     @Nested
     inner class `Complete responses` {
         @Test
