Let daemons of different failure domains read the store

Cause: the two daemons that read the store were chosen by connect time and name, so both stood in the domain nearest the store. Others start to read only when a watch has timed out.

Change: the best daemon of each domain goes before all others, both for those that keep the role and for those that start.

Evidence: two cases of ReaderRoleTest failed with domains left out.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/ReaderReport.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/ReaderReport.kt
@@ -1,5 +1,6 @@
 package kingcuptide.coordination.version
 
+import kingcuptide.coordination.process.FailureDomainId
 import kotlin.time.Duration
 
 /**
@@ -7,12 +8,14 @@
  *
  * @property rank distance from the source; lower is nearer
  * @property contactAge time since its state was last confirmed as current
+ * @property failureDomain null if unknown, which counts as a domain of its own
  */
 public data class ReaderReport(
     val host: String,
     val rank: Int,
     val state: ReaderState,
     val contactAge: Duration,
+    val failureDomain: FailureDomainId? = null,
 )
 
 /** Whether a daemon reads the source. */
--- a/coordination/src/test/kotlin/kingcuptide/coordination/version/ReaderRoleTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/version/ReaderRoleTest.kt
@@ -1,5 +1,7 @@
 package kingcuptide.coordination.version
 
+import kingcuptide.coordination.process.FailureDomainId
+import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -88,6 +90,76 @@
         expectThat(started.last()).isEqualTo(roles.size)
     }
 
+    /** Guards against readers that lose the source together, so that all other domains wait until others start to read. */
+    @Nested
+    inner class `Failure domains` {
+        private fun domainOf(host: String) = FailureDomainId(host.take(1))
+
+        private fun report(host: String, state: ReaderState, contactAge: Duration = freshAge) =
+            ReaderReport(host, 0, state, contactAge, domainOf(host))
+
+        /** Lets each daemon decide from the reports of all others, again and again; returns the readers. */
+        private fun readersAmong(
+            hosts: List<String>,
+            initialReaders: Set<String>,
+            cutOff: Set<String> = emptySet(),
+        ): Set<String> {
+            val roles = hosts.associateWith { ReaderRole(it, domainOf(it)) }
+            val states = hosts.associateWithTo(HashMap()) {
+                if (it in initialReaders) ReaderState.READING else ReaderState.IDLE
+            }
+            for ((host, role) in roles) {
+                if (host !in
+                    initialReaders
+                ) {
+                    role.decide(List(2) { report("$it-any", ReaderState.READING) }, 9, freshAge)
+                }
+            }
+            repeat(ROUNDS) {
+                for ((host, role) in roles) {
+                    role.decide((hosts - host).map { report(it, states.getValue(it)) }, 0, freshAge)
+                    states[host] = when {
+                        !role.readsSource -> ReaderState.IDLE
+                        host in cutOff -> ReaderState.TRYING
+                        else -> ReaderState.READING
+                    }
+                }
+            }
+            return states.filterValues { it == ReaderState.READING }.keys
+        }
+
+        private val hosts = listOf("a", "b", "c").flatMap { domain -> List(3) { "$domain$it" } }
+
+        @Test
+        fun `Given any readers at first, when all decide, then one in each of the two best domains reads`() {
+            val starts = listOf(hosts.toSet(), emptySet(), setOf("a0", "a1"), setOf("c1", "c2"), setOf("b2", "c0"))
+            for (initial in starts) {
+                val readers = readersAmong(hosts, initial)
+                expectThat(readers.size).describedAs("$initial to $readers").isEqualTo(ReaderRole.READERS)
+                expectThat(readers.map(::domainOf).toSet().size).describedAs("$readers").isEqualTo(ReaderRole.READERS)
+            }
+        }
+
+        @Test
+        fun `Given any domain without path to the source, when it is cut off, then a reader of another one goes on`() {
+            val readers = readersAmong(hosts, hosts.toSet())
+            for (domain in listOf("a", "b", "c")) expectThat(readers.any { !it.startsWith(domain) }).isTrue()
+            val cutOff = hosts.filterTo(HashSet()) { it.startsWith("a") }
+            expectThat(readersAmong(hosts, readers, cutOff).map(::domainOf).toSet())
+                .isEqualTo(setOf("b", "c").mapTo(HashSet(), ::FailureDomainId))
+        }
+
+        @Test
+        fun `Given a single domain, when all decide, then two of its daemons read`() {
+            expectThat(readersAmong(listOf("a0", "a1", "a2"), emptySet())).isEqualTo(setOf("a0", "a1"))
+        }
+    }
+
     /** Returns 0 for the daemons near the source, a third of them from h034 to h066; else 2. */
     private fun rankOf(host: String): Int = if (host in "h034".."h066") 0 else 2
+
+    private companion object {
+        /** More than daemons need to agree. */
+        const val ROUNDS = 20
+    }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -76,7 +76,7 @@
     private var lastPeerMessageAt = clock.now()
     private val scope = CoroutineScope(SupervisorJob() + LoopDispatcher(loop) + faultHandler)
     private val published = PublishedState(clock, platform.decoder, PublishedStateLog())
-    private val readerRole = ReaderRole(settings.host.value)
+    private val readerRole = ReaderRole(settings.host.value, settings.failureDomain)
     private val gate = TargetGate(clock)
     private val metrics = DaemonMetrics()
     private val counts = TrafficCounts(clock)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/version/ReaderRoleMonitor.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/version/ReaderRoleMonitor.kt
@@ -56,7 +56,8 @@
             if (isSameRegion(session)) MAX_PING_AGE_MS else MAX_PING_AGE_MS * PeerMesh.PINGS_PER_REMOTE_PING
         val ageMs = (if (ping.contactAgeMs < 0) NEVER_AGE_MS else ping.contactAgeMs) + pingAgeMs - maxPingAgeMs
         val state = ReaderState.entries.getOrNull(ping.readerState) ?: return null
-        return ReaderReport(session.peer?.host.orEmpty(), ping.readerRank, state, ageMs.milliseconds)
+        val host = session.peer?.host.orEmpty()
+        return ReaderReport(host, ping.readerRank, state, ageMs.milliseconds, session.failureDomain)
     }
 
     private companion object {
