Keep crash candidates for as long as a health check may take

Checks are 1.5 s apart, and one that hangs takes 1 s before the next follows 0.2 s later, so that a crash may be found 2.7 s after its connections ended. Candidates were dropped after 2 s. Found by reading; no run has shown it.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/CrashCandidates.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/CrashCandidates.kt
@@ -61,8 +61,8 @@
     )
 
     internal companion object {
-        /** Longest time from the end of a connection to a health check that finds the target ended. */
-        val DETECTION_WINDOW = 2.seconds
+        /** Longest time from the end of a connection to a health check that finds the target ended, also after one that hangs. */
+        val DETECTION_WINDOW = 3.seconds
 
         /** Longest time from a response to the end of the connections if the request has crashed the target. */
         val RESPONSE_WINDOW = 250.milliseconds
