--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/CrashingServer.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/CrashingServer.kt
@@ -1,14 +1,8 @@
 package kingcuptide.forwarder.request
 
-import java.io.BufferedReader
-import java.io.IOException
-import java.net.InetAddress
 import java.net.InetSocketAddress
-import java.net.ServerSocket
 import java.net.Socket
-import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.TimeUnit
-import kotlin.concurrent.thread
 
 /** What a target has sent of its response to the request "1" when it crashes. */
 internal enum class CrashPoint(val sent: String) {
@@ -32,66 +26,35 @@
 private const val OK_HEAD = "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\n"
 
 /**
- * A target that responds to health checks, and to any other request with [response] before it ends the connection, with a
- * reset if [resets]. It then ends with all its connections if [crashes].
+ * A target that responds to health checks, and sends [response] to any other request. It then [crashes], which ends all its
+ * connections, with resets if [resets], or else closes that connection.
  */
 internal class CrashingServer(
     private val response: String,
     private val resets: Boolean,
     private val crashes: Boolean = true,
 ) : AutoCloseable {
-    private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
-    private val sockets = ConcurrentLinkedQueue<Socket>()
+    private val server = SocketServer(::serve)
 
-    val address: InetSocketAddress = listener.localSocketAddress as InetSocketAddress
+    val address: InetSocketAddress get() = server.address
 
-    init {
-        startThread {
-            while (true) {
-                val socket = listener.accept()
-                sockets += socket
-                startThread { serve(socket) }
-            }
-        }
-    }
-
-    override fun close() {
-        listener.close()
-        sockets.forEach { it.close() }
-    }
+    override fun close() = server.close()
 
     private fun serve(socket: Socket) {
-        val reader = socket.getInputStream().bufferedReader(Charsets.ISO_8859_1)
+        val reader = socket.reader()
         while (true) {
             val head = readHead(reader) ?: return
             if (head.none { it.startsWith("Id: ") }) {
-                socket.getOutputStream().write(HEALTHY.toByteArray(Charsets.ISO_8859_1))
+                socket.send(HEALTHY)
                 continue
             }
-            socket.getOutputStream().write(response.toByteArray(Charsets.ISO_8859_1))
+            socket.send(response)
             TimeUnit.MILLISECONDS.sleep(CRASH_DELAY_MS)
-            if (resets) sockets.forEach { it.setSoLinger(true, 0) }
-            return if (crashes) close() else socket.close()
-        }
-    }
-
-    private fun readHead(reader: BufferedReader): List<String>? {
-        val lines = reader.lineSequence().takeWhile { it.isNotEmpty() }.toList()
-        return lines.ifEmpty { null }
-    }
-
-    private fun startThread(action: () -> Unit) {
-        thread(isDaemon = true) {
-            try {
-                action()
-            } catch (_: IOException) {
-                // The server or its peer has closed the socket.
-            }
+            return if (crashes) server.close(resets) else socket.close()
         }
     }
 
     private companion object {
-        const val BACKLOG = 16
         const val HEALTHY = "HTTP/1.1 200 OK\r\nTarget: t\r\nContent-Length: 0\r\n\r\n"
 
         /** Time for the response to arrive before a reset of the connection discards it. */
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/LeavingServer.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/LeavingServer.kt
@@ -1,16 +1,10 @@
 package kingcuptide.forwarder.request
 
-import java.io.BufferedReader
-import java.io.IOException
-import java.net.InetAddress
 import java.net.InetSocketAddress
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
-import kotlin.concurrent.thread
 import kotlin.time.Duration
 
 /**
@@ -21,36 +15,23 @@
     requests: Int,
     private val runTime: Duration,
 ) : AutoCloseable {
-    private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
-    private val sockets = ConcurrentLinkedQueue<Socket>()
     private val unarrived = CountDownLatch(requests)
     private val runsById = ConcurrentHashMap<String, Int>()
 
-    val address: InetSocketAddress = listener.localSocketAddress as InetSocketAddress
-
     /** How often each request has arrived, by its id. */
     val runs: Map<String, Int> get() = runsById
 
-    init {
-        startThread {
-            while (true) {
-                val socket = listener.accept()
-                sockets += socket
-                startThread { serve(socket) }
-            }
-        }
-    }
+    private val server = SocketServer(::serve)
+
+    val address: InetSocketAddress get() = server.address
 
     fun awaitClosedListener(): Boolean =
-        unarrived.await(MAX_WAIT_SECONDS, TimeUnit.SECONDS).also { listener.close() }
+        unarrived.await(MAX_WAIT_SECONDS, TimeUnit.SECONDS).also { server.stopListening() }
 
-    override fun close() {
-        listener.close()
-        sockets.forEach { it.close() }
-    }
+    override fun close() = server.close()
 
     private fun serve(socket: Socket) {
-        val reader = socket.getInputStream().bufferedReader(Charsets.ISO_8859_1)
+        val reader = socket.reader()
         while (true) {
             val head = readHead(reader) ?: return
             val id = head.firstOrNull { it.startsWith(ID_PREFIX) }?.removePrefix(ID_PREFIX)
@@ -62,26 +43,10 @@
         }
     }
 
-    private fun readHead(reader: BufferedReader): List<String>? {
-        val lines = reader.lineSequence().takeWhile { it.isNotEmpty() }.toList()
-        return lines.ifEmpty { null }
-    }
-
     private fun respond(socket: Socket, headers: String) =
-        socket.getOutputStream().write("HTTP/1.1 200 OK\r\n${headers}Content-Length: 2\r\n\r\nok".toByteArray())
-
-    private fun startThread(action: () -> Unit) {
-        thread(isDaemon = true) {
-            try {
-                action()
-            } catch (_: IOException) {
-                // The server or its peer has closed the socket.
-            }
-        }
-    }
+        socket.send("HTTP/1.1 200 OK\r\n${headers}Content-Length: 2\r\n\r\nok")
 
     private companion object {
-        const val BACKLOG = 16
         const val ID_PREFIX = "Id: "
         const val MAX_WAIT_SECONDS = 5L
     }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/RepeatedRefusalTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/RepeatedRefusalTest.kt
@@ -18,20 +18,13 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
 import org.junit.jupiter.api.AfterEach
-import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
-import java.io.IOException
-import java.net.InetAddress
-import java.net.InetSocketAddress
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicInteger
-import kotlin.concurrent.thread
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -43,8 +36,7 @@
     private val loop = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next() as EventLoop
     private val scope = CoroutineScope(loop.asCoroutineDispatcher() + Job())
     private val clock = systemClock()
-    private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
-    private val address = InetSocketAddress(listener.inetAddress, listener.localPort)
+    private val server = SocketServer(::respond)
     private val gate = TargetGate(clock).apply {
         slots = 1
         coldFor(Duration.ZERO)
@@ -53,7 +45,7 @@
         scope,
         clock,
         gate,
-        TargetClient(loop, clock, address),
+        TargetClient(loop, clock, server.address),
         NAMES,
         { ID },
         NoTargetObserver,
@@ -65,7 +57,7 @@
 
     @AfterEach
     fun stop() {
-        listener.close()
+        server.close()
         scope.cancel()
         loop.shutdownGracefully(0, 0, TimeUnit.SECONDS).sync()
     }
@@ -73,31 +65,15 @@
     /** What the target sends on each connection, one element for each request. */
     @Volatile
     private var script = emptyList<String>()
-    private val connections = AtomicInteger()
 
-    @BeforeEach
-    fun start() {
-        thread(isDaemon = true) {
-            try {
-                while (true) listener.accept().let { thread(isDaemon = true) { respond(it, script) } }
-            } catch (_: IOException) {
-                // The test has ended.
-            }
-        }
-    }
-
-    private fun respond(socket: Socket, responses: List<String>) {
-        connections.incrementAndGet()
-        try {
-            val reader = socket.getInputStream().bufferedReader(Charsets.ISO_8859_1)
-            for (response in responses) {
-                if (reader.lineSequence().takeWhile { it.isNotEmpty() }.toList().isEmpty()) return
-                socket.getOutputStream().write(response.toByteArray(Charsets.ISO_8859_1))
-            }
-            reader.read()
-        } catch (_: IOException) {
-            // The gate has closed the connection.
+    private fun respond(socket: Socket) {
+        val responses = script
+        val reader = socket.reader()
+        for (response in responses) {
+            readHead(reader) ?: return
+            socket.send(response)
         }
+        reader.read()
     }
 
     private fun submit(id: String): ForwardResult {
@@ -133,11 +109,10 @@
         TimeUnit.MILLISECONDS.sleep(ARRIVAL_MS)
         script = listOf(response("2"))
         expectThat(submit("2")).isA<ForwardResult.Answered>()
-        expectThat(connections.get()).isEqualTo(2)
+        expectThat(server.connections).isEqualTo(2)
     }
 
     private companion object {
-        const val BACKLOG = 16
         const val MAX_WAIT_SECONDS = 5L
 
         /** Time for bytes on loopback to arrive. */
