Count the times of a planned stop from the signal

What callers see: requests that come late in a stop are passed on and cut without a response, as the daemon is killed before its own exit. It needs a process that is held up, by a suspension or for want of processor time, when the signal comes. On any process, a request sent 3 s after the signal could also be taken, as long as the signal takes to be seen.

Cause: all times counted from the turn of the event loop that begins the stop. Class of fault: an event is dated by when it is noticed.

The signal is now dated in its handler, or by the last tick before a hold-up that ended less than 250 ms before. The exit begins 0.3 s before the kill or sooner, also where the limit is short. What can't be answered by then, or is read once the stop is over, is refused at once as not run.

Evidence: the first case of PlannedStopProcessTest fails before, as a request that is sent 3.3 s after the signal to a daemon suspended for 1.2 s has no response at the kill; it gets 503 now and reaches no target.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop
 import kingcuptide.coordination.process.Clock
+import kingcuptide.coordination.process.HoldUpDetector
 import kingcuptide.coordination.process.PlannedStop
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.request.CrashSuspects
@@ -58,6 +59,7 @@
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -119,6 +121,7 @@
         SourceFollower(scope, clock, platform.source, stateSync, random, settings.isFirstStart, readerRole)
     private val roleMonitor = ReaderRoleMonitor(clock, readerRole, published, follower, mesh, ::isSameRegion)
     private val stop = PlannedStop(clock)
+    private val holdUps = HoldUpDetector(clock, TICK_INTERVAL * 2)
     private val frequentTask: RepeatedTask =
         RepeatedTask(loop, FREQUENT_INTERVAL, { gate.queued > 0 || quota.isPending }, ::serveWaiting)
     private val targetUse =
@@ -228,15 +231,26 @@
     }
 
     /** Drains and stops; [onStopped] is called when all requests have their response or the stop limit has passed. */
-    fun stop(onStopped: () -> Unit) = loop.execute {
-        val limit = settings.stopLimit
-        if (!stop.begin(limit)) {
+    fun stop(onStopped: () -> Unit) {
+        val noticedAt = clock.now()
+        loop.execute { beginStop(noticedAt, onStopped) }
+    }
+
+    private fun beginStop(noticedAt: Duration, onStopped: () -> Unit) {
+        val earliestRequestAt = holdUps.earliestTimeOf(noticedAt)
+        if (!stop.begin(settings.stopLimit, noticedAt, earliestRequestAt)) {
             log.info("stop_requested_again", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
-            return@execute
+            return
         }
-        val maxStopMs = (PlannedStop.maxStopDuration(limit) + CLOSE_TIME).inWholeMilliseconds
+        val maxStopMs = (stop.timeLeft + STOP_CHECK_INTERVAL + CLOSE_TIME).inWholeMilliseconds
         loop.schedule(onStopped, maxStopMs, TimeUnit.MILLISECONDS)
-        log.info("stop_begun", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
+        log.info(
+            "stop_begun",
+            "in_flight" to callers.inFlight,
+            "at_target" to gate.inFlight,
+            "seen_after_ms" to (clock.now() - earliestRequestAt).inWholeMilliseconds,
+            "time_left_ms" to stop.timeLeft.inWholeMilliseconds,
+        )
         callers.closeAfterResponses()
         updateGate()
         readerRole.resign()
@@ -265,6 +279,7 @@
 
     /** One timer for all that is due at any time, since each wake-up of the event loop costs processor time. */
     private fun tick() {
+        holdUps.tick()
         serveWaiting()
         runOrLog(::tickAll)
         frequentTask.startIfNeeded()
