Refuse what waits behind a running request at the end of a stop

What callers see: requests that were read and wait behind a running one of their connection get no response when the time of the stop is over.

Cause: the last running request closed the connection, by design, as what is behind a closing response has not run. But the daemon has read these requests up to seconds before, and their callers can't tell. Class of fault: a promise that is only implied by the order of the responses.

The case of PipelinedCallerTest that expected no response to them is replaced by one that expects their refusals, that they never start and that the last one closes; the model of CallerPipelineModelTest now also checks the connection after the end of a stop, which it left out: no request waits for ever, only one that ran is lost, and only one that did not is refused. CallerServerTest gets the refusal it checks from its new source.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/CallerPipeline.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/CallerPipeline.kt
@@ -116,10 +116,15 @@
         isStopping = true
     }
 
-    /** The time of the stop is over: requests that run get [lost], and no other starts. Returns the ids of the former. */
-    public fun end(lost: SizedResponse<R>): List<Long> {
-        closeAfterStarted()
-        return runningIds().onEach { finished(it, lost) }
+    /**
+     * The time of the stop is over: requests that run get [lost], and those that wait get the response of [refuse] and
+     * never start. Returns the ids of both.
+     */
+    public fun end(lost: SizedResponse<R>, refuse: (Long) -> SizedResponse<R>): List<Long> {
+        stop()
+        val waiting = entries.drop(startedCount).filter { it.response == null }
+        waiting.forEach { it.response = refuse(it.id) }
+        return runningIds().onEach { finished(it, lost) } + waiting.map { it.id }
     }
 
     /** The connection is closed: returns the ids of the requests that run. No request starts any more. */
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/PipelineHistory.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/PipelineHistory.kt
@@ -21,7 +21,7 @@
         val number: Int,
         val idempotent: Boolean,
         val asksClose: Boolean,
-        val refused: Boolean,
+        var refused: Boolean,
         val bytes: Long,
     ) {
         var id: Long? = null
@@ -114,7 +114,10 @@
         if (isEnded) return
         isEnded = true
         if (pipeline.isEmpty) return disconnect()
-        pipeline.end(SizedResponse("lost", 0)).forEach { running -= byId.getValue(it) }
+        pipeline.end(SizedResponse("lost", 0)) { SizedResponse("refused", 0) }.forEach { id ->
+            val request = byId.getValue(id)
+            if (request.started) running -= request else request.refused = true
+        }
     }
 
     private fun disconnect() {
@@ -138,7 +141,11 @@
         if (!pipeline.mayRead(request.bytes)) return false
         unread.removeFirst()
         val asksClose = request.asksClose && fault != PipelineFault.CLOSE_OF_REQUEST_OVERLOOKED
-        val refusal = if (request.refused) SizedResponse("response ${request.number}", 100) else null
+        val refusal = when {
+            request.refused -> SizedResponse("response ${request.number}", 100)
+            isEnded -> SizedResponse("refused", 0).also { request.refused = true }
+            else -> null
+        }
         request.id = pipeline.arrived(request.bytes, asksClose, refusal).also { byId[it] = request }
         val waiting = byId.values.filter { it.response == null }
         val bytes = waiting.filter { it in running || !it.started && !it.refused }.sumOf { it.bytes }
@@ -176,7 +183,8 @@
         val write = pipeline.writeNext(unread.isNotEmpty()) ?: return false
         val request = byId.getValue(write.id)
         if (request.number != writtenCount++) violations += "response ${request.number} out of order"
-        if (write.response != "response ${request.number}" && write.response != "lost") {
+        val expected = if (request.started) "lost" else "refused"
+        if (write.response != "response ${request.number}" && (write.response != expected || !isEnded)) {
             violations += "request ${request.number} gets ${write.response}"
         }
         if (isDisconnected || closedBy != null) violations += "a response after the end"
@@ -187,7 +195,7 @@
         if (!write.closes && !isOverlooked && !isInTheMiddle) return true
         closedBy = request
         val isLeftOut = byId.size > writtenCount || unread.isNotEmpty()
-        if (isLeftOut && !isEnded && !isCloseAsked && !request.asksClose) violations += "closes before others in a stop"
+        if (isLeftOut && !isCloseAsked && !request.asksClose) violations += "closes before others in a stop"
         if (sent.drop(writtenCount).any { it.started }) violations += "a request behind the close has started"
         return true
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
@@ -25,6 +25,7 @@
  * One connection of a caller: reads its requests, serves them as [CallerPipeline] decides, and cancels them when it closes.
  *
  * @param isIdempotent whether a request may start before those before it have their responses
+ * @param refuseAtStop returns the refusal of a request that has not started when the time of a stop is over
  */
 internal class CallerConnection(
     private val scope: CoroutineScope,
@@ -34,6 +35,7 @@
     private val serve: suspend (CallerRequest) -> BufferedResponse,
     refuseByHead: (CallerRequest) -> BufferedResponse? = { null },
     private val isIdempotent: (CallerRequest) -> Boolean = { false },
+    private val refuseAtStop: (CallerRequest) -> BufferedResponse = { REFUSED_AT_STOP },
     private val counts: PipelineCounts = PipelineCounts(),
     private val onClosed: (CallerConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
@@ -53,6 +55,9 @@
     private var droppedBytes = 0L
     private var lastProgressAt = clock.now()
 
+    /** Whether all requests that are read from now on are refused, since the time of the stop is over. */
+    var refusesAll = false
+
     /** Whether the connection closes after the responses to the requests that have arrived. */
     var closesAfterResponse = false
         set(value) {
@@ -95,30 +100,26 @@
 
     /**
      * Ends the requests that run at once with [ResultCode.ANSWER_LOST], as their outcome is unknown. Those that have not
-     * started get no response: they are behind the last one.
+     * started are refused, also the ones that are read from now on.
      */
-    fun abortRequest() {
-        if (!isServing) return
-        pipeline.end(sized(LOST)).forEach { release(it)?.cancel() }
+    fun endRequests() {
+        if (writer.isClosing) return
+        refusesAll = true
+        pipeline.end(sized(LOST)) {
+            sized(refuseAtStop(requests.getValue(it).request))
+        }.forEach { release(it)?.cancel() }
         pump(ignoresWritability = true)
     }
 
     /** Refuses a request that has begun to arrive, since the daemon stops, or closes the connection if there is none. */
     fun endAtStop() {
-        if (isServing || writer.isClosing) return
-        if (!pipeline.isEmpty) return abandonUnread()
+        pump(ignoresWritability = true)
+        if (writer.isClosing) return
         if (!assembler.isReceiving && headStartedAt == null) return writer.closeAfterWrites()
         refuse(ResultCode.DRAINING.httpStatus, "request incomplete at the end of a stop")
         pump(ignoresWritability = true)
     }
 
-    /** Writes the responses that are ready although the caller reads slowly, the last of which closes. */
-    private fun abandonUnread() {
-        pipeline.end(sized(LOST))
-        pump(ignoresWritability = true)
-        if (!writer.isClosing) writer.closeAfterWrites()
-    }
-
     /** Ends the connection if its caller exceeds one of [limits]. */
     fun checkTimeouts(limits: CallerLimits) {
         val now = clock.now()
@@ -247,8 +248,13 @@
 
     private fun requestArrived(complete: Assembled.Complete) {
         requestBytes = 0
-        val id = pipeline.arrived(complete.bytes, !complete.keepAlive, complete.refusal?.let(::sized))
-        if (complete.refusal == null) requests[id] = ArrivedRequest(complete.request, complete.reservedBytes)
+        val refusal = complete.refusal ?: if (refusesAll) refuseAtStop(complete.request) else null
+        val id = pipeline.arrived(complete.bytes, !complete.keepAlive, refusal?.let(::sized))
+        if (refusal == null) {
+            requests[id] = ArrivedRequest(complete.request, complete.reservedBytes)
+        } else {
+            buffers.release(complete.reservedBytes)
+        }
         if (!complete.keepAlive) releaseUnread()
     }
 
@@ -340,18 +346,20 @@
         val arrivedAt: Duration,
     )
 
-    private companion object {
-        const val REQUEST_TIMEOUT = 408
-        val LOST = BufferedResponse(ResultCode.ANSWER_LOST.httpStatus, emptyList(), NO_BYTES)
+    companion object {
+        /** Refusal at the end of a stop by a server that has no other one. */
+        val REFUSED_AT_STOP = BufferedResponse(ResultCode.DRAINING.httpStatus, emptyList(), NO_BYTES)
+        private const val REQUEST_TIMEOUT = 408
+        private val LOST = BufferedResponse(ResultCode.ANSWER_LOST.httpStatus, emptyList(), NO_BYTES)
 
         /** Heads' worth of bytes in a request: of its first line, its head, its trailers, and empty lines before it. */
-        const val HEADS_PER_REQUEST = 4L
+        private const val HEADS_PER_REQUEST = 4L
 
         /** Bytes on the wire for each byte of the longest body: small chunks need as much again for their framing. */
-        const val FRAMING_FACTOR = 2L
+        private const val FRAMING_FACTOR = 2L
 
         /** Bytes behind a request that asks for close after which reading stops until its response is written. */
-        const val MAX_DROPPED_BYTES = 256L * 1024
-        val log = eventLog("caller")
+        private const val MAX_DROPPED_BYTES = 256L * 1024
+        private val log = eventLog("caller")
     }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
@@ -21,6 +21,7 @@
  *
  * @param refuseByHead returns the refusal of a request of which only the head has arrived, or null
  * @param isIdempotent whether a request may start before the responses of those before it on its connection are written
+ * @param refuseAtStop returns the refusal of a request that has not started when the server closes
  */
 class CallerServer(
     private val loop: EventLoop,
@@ -30,6 +31,7 @@
     private val limits: () -> CallerLimits,
     private val refuseByHead: (CallerRequest) -> BufferedResponse? = { null },
     private val isIdempotent: (CallerRequest) -> Boolean = { false },
+    private val refuseAtStop: (CallerRequest) -> BufferedResponse = { CallerConnection.REFUSED_AT_STOP },
     private val serve: suspend (CallerRequest) -> BufferedResponse,
 ) {
     private val connections = LinkedHashSet<CallerConnection>()
@@ -78,13 +80,15 @@
     }
 
     /**
-     * Ends running requests with an unknown outcome, stops accepting and, after [CLOSE_TIME], has closed all connections.
+     * Ends running requests with an unknown outcome, refuses all others, stops accepting and, after [CLOSE_TIME], has closed
+     * all connections.
      *
-     * Until then it reads the requests that have arrived: the system has accepted their connections, or their bytes.
+     * Until then it refuses the requests that have arrived: the system has accepted their connections, or their bytes.
      */
     fun close() {
         closeAfterResponses()
-        connections.toList().forEach { it.abortRequest() }
+        refusesAll = true
+        connections.toList().forEach { it.endRequests() }
         loop.schedule(::endAccepting, ACCEPT_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
@@ -99,12 +103,11 @@
     }
 
     private fun endConnections() {
-        val open = connections.toList()
-        open.forEach { it.abortRequest() }
-        open.forEach { it.endAtStop() }
+        connections.toList().forEach { it.endAtStop() }
     }
 
     private var closing = false
+    private var refusesAll = false
 
     private fun accept(channel: Channel) {
         val connection =
@@ -116,10 +119,12 @@
                 serve,
                 refuseByHead,
                 isIdempotent,
+                refuseAtStop,
                 counts,
                 onClosed = { connections -= it },
             )
         connection.closesAfterResponse = closing
+        connection.refusesAll = refusesAll
         connections += connection
         channel.pipeline().addLast(
             connection.activityHandler,
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -171,6 +171,7 @@
             ::callerLimits,
             ::refuseByKey,
             entry::isIdempotent,
+            entry::refuseAtStop,
             ::serveCaller,
         )
     private val readiness =
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
@@ -200,7 +200,7 @@
         fun `Given a running request, when the stop limit has passed, then it gets 502 and the connection closes`() {
             pendingResponse = CompletableDeferred()
             send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-            connection.abortRequest()
+            connection.endRequests()
             expectThat(received()).startsWith("HTTP/1.1 502 ").contains("connection: close")
             expectThat(cancelled).isTrue()
             expectThat(channel.isOpen).isFalse()
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerServerTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerServerTest.kt
@@ -29,10 +29,13 @@
     private val address =
         InetSocketAddress(InetAddress.getLoopbackAddress(), ServerSocket(0).use { it.localPort })
     private val limits = CallerLimits(1_000, 10_000_000, 3.seconds, 15.seconds)
-    private val server = CallerServer(loop, scope, systemClock(), address, { limits }) {
-        BufferedResponse(503, listOf("X" to it.path), if (it.path == "/large") ByteArray(LARGE_BYTES) else NO_BYTES)
+    private val server = CallerServer(loop, scope, systemClock(), address, { limits }, refuseAtStop = ::respond) {
+        respond(it)
     }
 
+    private fun respond(request: CallerRequest) =
+        BufferedResponse(503, listOf("X" to request.path), ByteArray(if (request.path == "/large") LARGE_BYTES else 0))
+
     init {
         server.listen()
     }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PipelinedCallerTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PipelinedCallerTest.kt
@@ -41,6 +41,7 @@
             buffers,
             ::serve,
             isIdempotent = { it.path.startsWith("/safe") },
+            refuseAtStop = { BufferedResponse(503, listOf("X" to "${it.path}-refused"), NO_BYTES) },
             counts = counts,
         ) { }
     private val channel =
@@ -142,15 +143,30 @@
         expectThat(counts.early).isEqualTo(1)
     }
 
+    /** Guards against requests that were read and whose connection ends without a response to them. */
     @Test
-    fun `Given a stop whose time is over, when requests run, then they get 502 and those behind no response`() {
-        send("/safe1", "/safe2", "/safe3", "/unsafe4")
+    fun `Given a stop whose time is over, when requests run, then they get 502 and those behind are refused`() {
+        send("/safe1", "/safe2", "/safe3", "/unsafe4", "/unsafe5")
         connection.closesAfterResponse = true
         finish("/safe2")
-        connection.abortRequest()
-        expectThat(responses()).containsExactly("502", "/safe2", "502 closes")
+        connection.endRequests()
+        expectThat(responses())
+            .containsExactly("502", "/safe2", "502", "/unsafe4-refused", "/unsafe5-refused closes")
         expectThat(cancelled).containsExactlyInAnyOrder("/safe1", "/safe3")
         expectThat(served).hasSize(3)
+        expectThat(channel.isOpen).isFalse()
+    }
+
+    /** Guards against requests that start although nothing can wait for their responses any more. */
+    @Test
+    fun `Given a stop whose time is over, when requests are read after that, then they are refused and free memory`() {
+        sendText("GET /safe1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nxx")
+        connection.closesAfterResponse = true
+        connection.endRequests()
+        sendText("xx")
+        expectThat(responses()).containsExactly("/safe1-refused closes")
+        expectThat(served).isEmpty()
+        expectThat(buffers.hasRoomFor(1_000_000)).isTrue()
     }
 
     @Test
