Exit only when no byte of a response is left in the process

What callers see: the rest of a long response is missing after a planned stop, at a caller that reads slowly, or 502 for a request that has run and been answered, where the response was on its way to the daemon of another host.

Cause: an exit waited for requests without a response, and a response counted as given once it was written to the channel. Bytes that the system has not taken yet are lost with the process. Class of fault: sent is taken for delivered.

A daemon is idle now when each request that was read has its response, and neither a caller's nor a peer's channel holds bytes. It still exits at the latest time of its stop.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
@@ -71,6 +71,9 @@
     /** Number of requests that run. */
     val runningCount: Int get() = pipeline.runningCount
 
+    /** Whether each request that was read has its response, and no byte of one is left in this process. */
+    val isIdle: Boolean get() = pipeline.isEmpty && writer.isFlushed
+
     /** Bytes of responses that wait for their turn. */
     val heldBytes: Long get() = pipeline.heldBytes
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
@@ -42,6 +42,9 @@
     /** Number of requests that wait for their response. */
     val inFlight: Int get() = connections.sumOf { it.runningCount }
 
+    /** Whether each request that was read has its response, and no byte of one is left in this process. */
+    val isIdle: Boolean get() = connections.all { it.isIdle }
+
     fun listen() {
         server =
             ServerBootstrap()
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerWriter.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerWriter.kt
@@ -27,6 +27,9 @@
     val isClosing: Boolean get() = closingSince != null
     val isWritable: Boolean get() = context.channel().isWritable
 
+    /** Whether the system has taken all bytes of the responses; what it has taken arrives after the end of the process. */
+    val isFlushed: Boolean get() = context.channel().pendingBytes == 0L
+
     /** Returns how long ago the last response was written, or zero if it is not. */
     fun closingFor(): Duration = closingSince?.let { clock.now() - it } ?: Duration.ZERO
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
@@ -51,6 +51,11 @@
     private var lastPingAt = clock.now()
     private var pingCount = 0
 
+    /** Bytes that were sent to other daemons and that are still in this process; they are lost by [close]. */
+    val pendingBytes: Long
+        get() = accepted.keys.sumOf { it.pendingBytes } + retired.keys.sumOf { it.pendingBytes } +
+            linksByIp.values.sumOf { it.session?.pendingBytes ?: 0L }
+
     /** Returns one connection to each daemon that is connected, the outbound one where there are two. */
     fun distinctPeers(): Collection<PeerSession> {
         val byHost = LinkedHashMap<String, PeerSession>()
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
@@ -42,6 +42,9 @@
 
     override val isOpen: Boolean get() = peer != null && channel?.isActive == true
 
+    /** Bytes that were sent and that are still in this process. */
+    internal val pendingBytes: Long get() = channel?.pendingBytes ?: 0L
+
     override fun send(message: PeerMessage) = send(message, NO_BYTES)
 
     fun send(message: PeerMessage, body: ByteArray) {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -269,7 +269,7 @@
     }
 
     private suspend fun awaitIdle(onStopped: () -> Unit) {
-        while (!stop.isOver(isIdle = callers.inFlight == 0 && gate.inFlight + gate.queued == 0)) {
+        while (!stop.isOver(isIdle())) {
             delay(STOP_CHECK_INTERVAL.inWholeMilliseconds)
         }
         log.info("stop_ended", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
@@ -278,6 +278,8 @@
         mesh.close()
     }
 
+    private fun isIdle(): Boolean = callers.isIdle && gate.inFlight + gate.queued == 0 && mesh.pendingBytes == 0L
+
     /** One timer for all that is due at any time, since each wake-up of the event loop costs processor time. */
     private fun tick() {
         holdUps.tick()
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PipelinedCallerTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PipelinedCallerTest.kt
@@ -169,6 +169,16 @@
         expectThat(buffers.hasRoomFor(1_000_000)).isTrue()
     }
 
+    /** Guards against an exit while responses are still in the process. */
+    @Test
+    fun `Given a caller that does not read, when its response is ready, then the connection is not idle`() {
+        channel.unsafe().outboundBuffer().setUserDefinedWritability(1, false)
+        send("/safe1")
+        finish("/safe1")
+        expectThat(connection.isServing).isFalse()
+        expectThat(connection.isIdle).isFalse()
+    }
+
     @Test
     fun `Given running requests, when their caller disconnects, then all are cancelled and their memory is free`() {
         send("/safe1", "/safe2", "/unsafe3", body = "x".repeat(1_000))
