Refuse in a stop what can't be expected to end before the exit

What callers see: 502 or 504 for a request that was passed on late in a stop although its target usually takes longer than the time that was left; one that is not idempotent can't be tried again.

Cause: the entry did not compare the expected run time with the time that is left, and a gate refused only what has less than half of it, which is meant for deadlines of callers. Class of fault: a limit of this daemon is treated as one of the request.

An entry refuses such a request at once as not run, 503 with Retry-After, so that its caller tries another daemon; targets are picked by the time that is left, and no retry begins after it. A gate that stops refuses what it would cut short, so that the entry asks another one.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
@@ -15,6 +15,7 @@
  * @property deadline when its caller gives up, on this daemon's clock
  * @property objectiveAt when its response loses most of its value, on this daemon's clock
  * @property objective latency objective of its route
+ * @property isCutShort whether [deadline] comes before the one of its caller, since this daemon stops
  * @property shareGroup group whose share of a full target it counts towards; the forwarder groups by workspace
  */
 public class GateRequest(
@@ -26,6 +27,7 @@
     internal val onStart: () -> Unit,
     internal val onRefused: (GateRefusal) -> Unit,
     public val shareGroup: String = route.value,
+    public val isCutShort: Boolean = false,
 ) {
     internal var floorRounding: Double = 0.0
     internal var isExcessRepeat: Boolean = false
@@ -193,8 +195,7 @@
     private fun futileRefusalOf(request: GateRequest, now: Duration): GateRefusal? {
         val code = codeIfClosed()
         if (code != null) return GateRefusal(code, CLOSED_RETRY_AFTER)
-        val runTime = expectedRunTime(request)
-        if (now + runTime * MIN_RUN_TIME_SHARE > request.deadline) {
+        if (now + minRunTime(request) > request.deadline) {
             return GateRefusal(ResultCode.DEADLINE_PASSED, Duration.ZERO)
         }
         return null
@@ -288,8 +289,9 @@
     private fun expectedRunTime(request: GateRequest): Duration =
         averages.expectedRunTime(request.route, request.objective)
 
+    /** A request that is cut short could run to its end at another target. */
     private fun minRunTime(request: GateRequest): Duration =
-        expectedRunTime(request) * MIN_RUN_TIME_SHARE
+        expectedRunTime(request) * if (request.isCutShort) 1.0 else MIN_RUN_TIME_SHARE
 
     private fun startWaiting() {
         while (waiting.isNotEmpty() && canStart(clock.now())) {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryRefusals.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryRefusals.kt
@@ -13,6 +13,7 @@
 import kingcuptide.forwarder.process.eventLog
 import java.util.Locale
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 
 /** Builds, counts and logs the refusals of an entry. */
@@ -66,14 +67,16 @@
     /** Time since the published state was last known to be current, or -1 if it never was. */
     fun knowledgeAgeMs(): Long = dependencies.knowledgeAgeMs()
 
-    private companion object {
-        const val RETRY_AFTER_HEADER = "Retry-After"
-        const val RESULT_CODE_HEADER = "Kingcuptide-Code"
-        const val CHALLENGE_HEADER = "WWW-Authenticate"
-        const val UNAUTHORIZED = 401
-        const val SERVICE_UNAVAILABLE = 503
-        val STATUSES_WITH_RETRY_AFTER = setOf(429, SERVICE_UNAVAILABLE)
-        const val FIRST_SERVER_ERROR = 500
-        val log = eventLog("entry")
+    companion object {
+        /** Retry delay of a request that this daemon refuses since it stops. */
+        val STOP_RETRY_AFTER: Duration = 200.milliseconds
+        private const val RETRY_AFTER_HEADER = "Retry-After"
+        private const val RESULT_CODE_HEADER = "Kingcuptide-Code"
+        private const val CHALLENGE_HEADER = "WWW-Authenticate"
+        private const val UNAUTHORIZED = 401
+        private const val SERVICE_UNAVAILABLE = 503
+        private val STATUSES_WITH_RETRY_AFTER = setOf(429, SERVICE_UNAVAILABLE)
+        private const val FIRST_SERVER_ERROR = 500
+        private val log = eventLog("entry")
     }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -57,7 +57,7 @@
 
     /** Refuses [request] because this daemon stops before it could respond. */
     fun refuseAtStop(request: CallerRequest): BufferedResponse =
-        refusals.refuse(request, ResultCode.DRAINING, STOP_RETRY_AFTER)
+        refusals.refuse(request, ResultCode.DRAINING, EntryRefusals.STOP_RETRY_AFTER)
 
     private suspend fun responseTo(request: CallerRequest): BufferedResponse {
         val admission = when (val admission = access.admit(request)) {
@@ -96,8 +96,4 @@
         val fingerprint = fingerprintOf(route.id, request.method, request.target, request.body)
         return dependencies.suspects.verdict(fingerprint) == Verdict.QUARANTINED
     }
-
-    private companion object {
-        val STOP_RETRY_AFTER = 200.milliseconds
-    }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -98,7 +98,8 @@
         private val onResult: (ForwardResult) -> Unit,
     ) : Cancellation {
         private val arrivedAt = clock.now()
-        private val deadline = responseBy(arrivedAt + call.remaining)
+        private val callerDeadline = arrivedAt + call.remaining
+        private val deadline = responseBy(callerDeadline)
         private var job: Job? = null
         private var sentAt: Duration? = null
         private var isCompleted = false
@@ -112,6 +113,7 @@
                 onStart = ::start,
                 onRefused = ::refusedByGate,
                 shareGroup = call.workspace ?: NO_WORKSPACE,
+                isCutShort = deadline < callerDeadline,
             )
 
         val idempotent: Boolean get() = call.idempotent
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
@@ -100,6 +100,9 @@
     private suspend fun attempts(): BufferedResponse {
         while (true) {
             val (target, reason) = pick() ?: awaitTargetInUse() ?: return noCandidateLeft()
+            if (exitsBeforeResponse(target)) {
+                return giveUp(reportableCode(ResultCode.DRAINING), EntryRefusals.STOP_RETRY_AFTER, "this daemon exits")
+            }
             triedTargets += target.entry.id
             val result = attempt(target)
             result.loadReport?.let { dependencies.recordLoadReport(target.entry, it) }
@@ -140,7 +143,7 @@
             route.id,
             route.objective,
             objectiveAt - now,
-            deadline - now,
+            dependencies.responseBy(deadline) - now,
             request.body.size,
             triedTargets,
             admission.homeRegions,
@@ -149,6 +152,15 @@
         return dependencies.picker.pick(candidates.of(service, admission.homeRegions), criteria)
     }
 
+    /** Whether this daemon stops and exits before a response of [target] is expected; another one can wait for it. */
+    private fun exitsBeforeResponse(target: KnownTarget): Boolean {
+        val responseBy = dependencies.responseBy(deadline)
+        return responseBy < deadline && clock.now() + expectedTimeToFinish(target) > responseBy
+    }
+
+    private fun expectedTimeToFinish(target: KnownTarget): Duration =
+        dependencies.picker.expectedTimeToFinish(target, route.id, route.objective)
+
     private suspend fun attempt(target: KnownTarget): ForwardResult {
         val now = clock.now()
         val call =
@@ -169,7 +181,7 @@
                 dependencies.picker.lastRate(target.entry.id),
                 dependencies.picker.lostRunTimes(target.entry.id),
             )
-        val expected = dependencies.picker.expectedTimeToFinish(target, route.id, route.objective)
+        val expected = expectedTimeToFinish(target)
         dependencies.picker.sent(target.entry.id)
         inFlightTarget = target
         val result = suspendCancellableCoroutine { continuation ->
@@ -257,7 +269,7 @@
 
     private fun acquireRetry(): Boolean =
         targetsReached < route.maxTargets &&
-            deadline - clock.now() > MIN_RETRY_TIME &&
+            dependencies.responseBy(deadline) - clock.now() > MIN_RETRY_TIME &&
             dependencies.allowance.tryAcquire(service, environment.callCosts.of(route.id))
 
     private fun recordCalls(calls: CallCounts) {
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -228,6 +228,19 @@
             expectThat(sent.single().second.remaining).isEqualTo(700.milliseconds)
         }
 
+        /** Guards against requests that are passed on in a stop although they can only be cut at the exit (LOST). */
+        @Test
+        fun `Given a daemon that exits before a response is expected, when a request comes, then it has not run`() {
+            start()
+            repeat(5) { results += ForwardResult.Answered(answered(200).response, 900.milliseconds, null) }
+            repeat(5) { serve("/book/x") }
+            exitsAt = clock.now() + 700.milliseconds
+            val response = serve("/book/x")
+            expectThat(response.status).isEqualTo(503)
+            expectThat(response.headers.first("Retry-After")).isNotNull()
+            expectThat(sent).hasSize(5)
+        }
+
         @Test
         fun `Given home regions, when their only target refuses, then no other region is tried`() {
             start(setOf(RegionId("south")))
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateDeadlineTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateDeadlineTest.kt
@@ -67,21 +67,30 @@
             .isEqualTo(ResultCode.DEADLINE_PASSED_RUNNING)
     }
 
+    /** Guards against requests that end unfinished with the gate's daemon although another target has time for them. */
+    @Test
+    fun `Given a gate that exits before a request is expected to end, when it comes, then it is refused as not run`() {
+        service.submit(callOf(objective = 3.seconds)) { results += it }
+        expectThat(results).single().isA<ForwardResult.Refused>().get { code }.isEqualTo(ResultCode.DEADLINE_PASSED)
+    }
+
     private companion object {
         const val GATEWAY_TIMEOUT = 504
         val TIME_LEFT = 700.milliseconds
         val ID = TargetId("t")
         val NAMES =
             HeaderNames("Id", "Left", "Caller", "Expected", "Not-Run", "Proof", "Target", "Cold", "Rate", "Leaving")
-        val CALL = ForwardCall(
+        val CALL = callOf(objective = 1.seconds)
+
+        fun callOf(objective: Duration) = ForwardCall(
             "1",
             "GET",
             "/",
             emptyList(),
             NO_BYTES,
             3.seconds,
-            1.seconds,
-            1.seconds,
+            objective,
+            objective,
             RouteId("r"),
             1,
             false,
