Send no request on a connection whose last read has more than the response

What callers saw: a request got 502 (codes 300 and 301, "malformed response") though its target ran it, because the target had sent bytes behind the response to the request before it. A non-idempotent request can't be sent again then.

Cause: the continuation of a call ran as soon as the last byte of its response was decoded, within the read. The next call was sent on the connection before the rest of that read was decoded, and bytes that no call waited for counted as those of the next. Half a head was not noticed at all while the connection was idle.

The result of a call is now passed on at the end of the read that completed it. Bytes behind the response, decoded or not, and any bytes on an idle connection end the connection. This needs to know whether the decoder has bytes left, so HttpClientCodec becomes the encoder and a decoder of our own.

Evidence: BytesBehindResponseTest failed before (OutcomeUnknown, code 300, of the second request), and passes now with four kinds of bytes. One test of HttpConnectionTest expected that a connection with half a duplicate on it is used for the next call, which then gets its own response; it is replaced by one in which the half arrives after the call is sent (same bytes, same expectation), and one which expects that no call is sent when it arrives before.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
@@ -12,12 +12,12 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
@@ -38,8 +38,9 @@
  * One connection to an HTTP server, for one call at a time. It never resends a call.
  *
  * A response that the `accepts` of [exchange] rejects belongs to an earlier call and is skipped, and the connection is
- * not used for another call. Bytes that no call waits for end the connection, and so does a response that is too long or
- * whose head takes too long; other limits of time are those of the caller, who cancels. Used on its event loop.
+ * not used for another call. Bytes that no call waits for end the connection, also those that arrive together with a
+ * response, and so does a response that is too long or whose head takes too long; other limits of time are those of the
+ * caller, who cancels. Used on its event loop.
  */
 class HttpConnection private constructor(
     private val channel: Channel,
@@ -61,7 +62,7 @@
         if (!isUsable) return HttpResult.NotSent(ConnectFailure("connection closed"))
         val request = requestOf(call)
         return suspendCancellableCoroutine { continuation ->
-            receiver.awaitResponse(continuation, accepts)
+            receiver.awaitResponse(continuation, call, accepts)
             continuation.invokeOnCancellation { close() }
             channel.writeAndFlush(request).addListener { sent ->
                 if (!sent.isSuccess) receiver.fail("write failed: ${sent.cause()}")
@@ -100,6 +101,10 @@
         private var receivedBytes = 0L
         private var headTimer: Future<*>? = null
         private var body = ByteArrayOutputStream(INITIAL_BODY_BYTES)
+
+        /** The result of [waitingCall], until all that was read with its last byte is decoded. */
+        private var completed: HttpResult.Answered? = null
+        val decoder = ResponseDecoder(decoderLimits())
         private val maxReceivedBytes = limits.maxResponseBytes * FRAMING_FACTOR + MAX_HEADS_BYTES
 
         val isWaiting: Boolean get() = waitingCall != null
@@ -118,8 +123,13 @@
                 }
             }
 
-        fun awaitResponse(continuation: CancellableContinuation<HttpResult>, accepts: (Headers) -> Boolean) {
+        fun awaitResponse(
+            continuation: CancellableContinuation<HttpResult>,
+            call: HttpCall,
+            accepts: (Headers) -> Boolean,
+        ) {
             waitingCall = continuation
+            decoder.isHeadCall = call.method == HttpMethod.HEAD.name()
             this.accepts = accepts
             receivedBytes = 0
             skippedResponses = 0
@@ -142,6 +152,18 @@
             }
         }
 
+        /** A call that was sent before would take the bytes behind the response for those of its own. */
+        override fun channelReadComplete(context: ChannelHandlerContext) {
+            val result = completed
+            if (result != null) {
+                if (decoder.hasUnreadBytes) isReusable = false
+                val closes = !isReusable
+                resume(result)
+                if (closes) context.close()
+            }
+            context.fireChannelReadComplete()
+        }
+
         override fun channelInactive(context: ChannelHandlerContext) = connectionLost("connection closed")
 
         @Suppress("OVERRIDE_DEPRECATION")
@@ -159,12 +181,13 @@
         fun fail(reason: String, responseStarted: Boolean = head != null, isConnectionLost: Boolean = true) {
             abandon()
             head = null
-            resume(HttpResult.Broken(reason, responseStarted, isConnectionLost))
+            resume(completed ?: HttpResult.Broken(reason, responseStarted, isConnectionLost))
         }
 
         private fun resume(result: HttpResult) {
             val continuation = waitingCall ?: return
             waitingCall = null
+            completed = null
             if (continuation.isActive) continuation.resume(result)
         }
 
@@ -176,6 +199,10 @@
 
         private fun canReceive(context: ChannelHandlerContext, bytes: Int): Boolean {
             if (!isReusable) return false
+            if (waitingCall == null || completed != null) {
+                endUnexpected(context)
+                return false
+            }
             receivedBytes += bytes
             if (receivedBytes > maxReceivedBytes) {
                 breakOff(context, "no end of a response after $receivedBytes bytes")
@@ -185,6 +212,12 @@
             return true
         }
 
+        /** No call waits for what arrives: the connection is not used again, but a response that is complete holds. */
+        private fun endUnexpected(context: ChannelHandlerContext) {
+            isReusable = false
+            if (completed == null) breakOff(context, "unexpected bytes")
+        }
+
         /** A server sends a head at once when it has it, so one that arrives slowly has no end. */
         private fun startHeadTimer(context: ChannelHandlerContext) {
             val timeOut = { breakOff(context, "no complete head in $HEAD_TIMEOUT") }
@@ -198,9 +231,8 @@
 
         private fun receive(context: ChannelHandlerContext, message: HttpObject) {
             if (!isReusable) return
-            if (message.decoderResult().isFailure || waitingCall == null) {
-                return breakOff(context, if (waitingCall == null) "unexpected bytes" else "malformed response")
-            }
+            if (waitingCall == null || completed != null) return endUnexpected(context)
+            if (message.decoderResult().isFailure) return breakOff(context, "malformed response")
             if (message is HttpResponse) begin(context, message)
             if (message is HttpContent) append(context, message)
             if (message is LastHttpContent) end(context)
@@ -242,11 +274,8 @@
             }
             if (hasOtherResponses) isReusable = false
             recordIdleLimit(response)
-            val buffered = BufferedResponse(response.status().code(), headers, body.toByteArray())
+            completed = HttpResult.Answered(BufferedResponse(response.status().code(), headers, body.toByteArray()))
             releaseBody()
-            val closes = !isReusable
-            resume(HttpResult.Answered(buffered))
-            if (closes) context.close()
         }
 
         /** A new buffer each time, since one that has grown would be kept as long as its connection. */
@@ -318,7 +347,8 @@
                     PipelineInitializer { channel ->
                         channel.pipeline().addLast(
                             receiver.byteHandler,
-                            HttpClientCodec(decoderLimits(), false, false),
+                            receiver.decoder,
+                            HttpRequestEncoder(),
                             receiver,
                         )
                     },
