Keep the responses of a connection in step around HEAD requests

What callers could see: a response whose status, headers and body a target had sent as the body of its response to another request. No caller was seen to get one.

Cause: whether a response has a body follows from the method of its request. A late copy of a response in front of one to a HEAD request was decoded as having no body, so that its body was read as the response; a late copy of a response to HEAD took as many bytes of the next response as its own length says.

A response to another call in front of one to HEAD now breaks the call off, with an unknown outcome, and a connection that has carried a HEAD is not used again.

Evidence: both cases of HeadAfterLateResponseTest failed before (Answered with the bytes of the body; OutcomeUnknown where the request could have had a connection of its own), and pass now.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
@@ -248,6 +248,8 @@
             when {
                 response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS ->
                     breakOff(context, "switches to another protocol")
+                isOther && decoder.isHeadCall ->
+                    breakOff(context, "response to another call, which may have a body, before one without")
                 skipping && ++skippedResponses > MAX_SKIPPED_RESPONSES ->
                     breakOff(context, "no response after $skippedResponses that are interim or of other calls")
                 !skipping -> stopHeadTimer()
@@ -272,7 +274,8 @@
                 if (!isReusable) breakOff(context, "connection closed after a response to another call")
                 return
             }
-            if (hasOtherResponses) isReusable = false
+            // A copy of a response to a HEAD call would take the next response for its body.
+            if (hasOtherResponses || decoder.isHeadCall) isReusable = false
             recordIdleLimit(response)
             completed = HttpResult.Answered(BufferedResponse(response.status().code(), headers, body.toByteArray()))
             releaseBody()
