Send each request id once on a connection to a target

What callers could see: a success of an earlier run where the target answered their request with a failure, or the other way round, with the right id and a signature that fits it.

Cause: the id is all that tells a late copy of a response from the response to the next request. It does not if both have the same id: a request, or a call of a request, that runs again at the same target.

Evidence: LateResponseTest failed before ("200 first" where the target answered "500 second") and passes now.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
@@ -52,6 +52,14 @@
     /** Seconds that the server keeps an idle connection open (`Keep-Alive: timeout`), or null if it sent none. */
     val idleLimitSeconds: Int? get() = receiver.idleLimitSeconds
 
+    private val sentIds = RecentIds()
+
+    /**
+     * Whether another call with the id of [call] was sent recently, whose response can't be told from that to [call]. May be
+     * true without one.
+     */
+    fun mayHaveSentIdOf(call: HttpCall): Boolean = call.id != null && call.id in sentIds
+
     /** Calls [action] once if the connection ends by itself while no call waits on it. */
     fun onIdleEnd(action: () -> Unit) {
         receiver.onIdleEnd = action
@@ -61,6 +69,7 @@
     suspend fun exchange(call: HttpCall, accepts: (Headers) -> Boolean = { true }): HttpResult {
         if (!isUsable) return HttpResult.NotSent(ConnectFailure("connection closed"))
         val request = requestOf(call)
+        call.id?.let(sentIds::add)
         return suspendCancellableCoroutine { continuation ->
             receiver.awaitResponse(continuation, call, accepts)
             continuation.invokeOnCancellation { close() }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
@@ -35,12 +35,17 @@
         "expect",
     )
 
-/** A request to send. [headers] have no body framing, such as Content-Length: that is added on writing. */
+/**
+ * A request to send. [headers] have no body framing, such as Content-Length: that is added on writing.
+ *
+ * @property id what tells its response from those to other calls, or null if the server does not send it back
+ */
 class HttpCall(
     val method: String,
     val target: String,
     val headers: Headers,
     val body: ByteArray = NO_BYTES,
+    val id: String? = null,
 )
 
 /** A complete response, buffered in memory. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -199,7 +199,7 @@
             if (expected != null && expected != call.targetId) return refused(ResultCode.VERSION_BEHIND, false)
             if (isQuarantined(call)) return refused(QUARANTINE_REFUSAL.code, false, QUARANTINE_REFUSAL.retryAfter)
             val remaining = deadline - startedAt
-            val httpCall = HttpCall(call.method, call.target, headersOf(remaining), call.body)
+            val httpCall = HttpCall(call.method, call.target, headersOf(remaining), call.body, call.requestId)
             val result =
                 withTimeoutOrNull((remaining + DEADLINE_RESPONSE_TIME).inWholeMilliseconds) {
                     client.call(httpCall, call.idempotent) { it.first(names.requestId) in setOf(null, call.requestId) }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
@@ -43,7 +43,7 @@
     private val idleLimit = IdleLimit(clock)
 
     override suspend fun call(call: HttpCall, idempotent: Boolean, accepts: (Headers) -> Boolean): HttpResult {
-        val pooled = acquirePooled(idempotent) ?: return callOnNewConnection(call, accepts)
+        val pooled = acquirePooled(call, idempotent) ?: return callOnNewConnection(call, accepts)
         val sentAt = clock.now()
         val result = exchange(pooled.connection, call, accepts)
         if (result is HttpResult.Broken &&
@@ -75,16 +75,20 @@
         }
     }
 
-    /** Acquires the most recently used connection; closes those that were idle for too long for any call. */
-    private fun acquirePooled(idempotent: Boolean): PooledConnection? {
+    /**
+     * Acquires the most recently used connection, unless [call] needs a new one; closes those that were idle for too long
+     * for any call.
+     */
+    private fun acquirePooled(call: HttpCall, idempotent: Boolean): PooledConnection? {
         val now = clock.now()
         while (pool.isNotEmpty() && isTooOld(pool.first(), true, now)) pool.removeFirst().connection.close()
         while (pool.isNotEmpty()) {
             val pooled = pool.last()
-            if (pooled.connection.isUsable && isTooOld(pooled, idempotent, now)) return null
-            pool.removeLast()
-            if (pooled.connection.isUsable) return pooled
-            pooled.connection.close()
+            if (pooled.connection.isUsable) {
+                if (isTooOld(pooled, idempotent, now) || pooled.connection.mayHaveSentIdOf(call)) return null
+                return pool.removeLast()
+            }
+            pool.removeLast().connection.close()
         }
         return null
     }
