Hold back a response that is not to the request at its entry

What callers could get: a response to another request, if a number of a call between daemons, or what leads from it to a request, were ever wrong. Only the gate compared the ids; nothing behind it did. A target that names the signature among the options of its Connection header also had it removed behind the check, so that its success reached the caller unsigned.

The entry now compares the id of what it is about to pass on, and asks for the signature of a success, after the hop-by-hop headers are gone. Anything else counts as an unknown outcome, code 301, never as not run; the event foreign_response has both ids.

Evidence: two tests of EntryServiceTest plant six such responses, and failed before (200 with the id of another request to a caller; 502 with code 301 expected). The stand-in transport of that test now echoes the id and signs its responses as targets do: its bare responses would be held back. No cause for a wrong number was found in the code.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
@@ -17,6 +17,7 @@
 import kingcuptide.forwarder.connection.CallerRequest
 import kingcuptide.forwarder.connection.Headers
 import kingcuptide.forwarder.connection.endToEnd
+import kingcuptide.forwarder.connection.first
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.TrafficCounts
@@ -191,8 +192,10 @@
         reason: PickReason,
         result: ForwardResult.Answered,
     ): BufferedResponse? {
-        val successful = result.response.status < FIRST_SERVER_ERROR
-        val bytes = result.response.body.size
+        val response = result.response.run { BufferedResponse(status, endToEnd(headers), body) }
+        if (!isOwn(response)) return handleForeignResponse(target, response)
+        val successful = response.status < FIRST_SERVER_ERROR
+        val bytes = response.body.size
         dependencies.picker.answered(target.entry.id, route.id, route.objective, result.runTime, bytes, successful)
         if (saysLeaving(result.response.headers, environment.names)) {
             dependencies.recordLeaving(LeavingTarget(target.entry.id, target.entry.startedAtUnixMs))
@@ -204,22 +207,41 @@
         environment.counts.exchanged(route.id, distance, reason, request.body.size + bytes)
         if (!successful && route.idempotent && acquireRetry()) {
             mayHaveRun = true
-            recordRetry(target, ResultCode.TARGET_OVERLOADED, "status ${result.response.status}")
+            recordRetry(target, ResultCode.TARGET_OVERLOADED, "status ${response.status}")
             return null
         }
-        if (mayHaveRun && result.response.status in NOT_RUN_STATUSES) {
-            return giveUp(ResultCode.ANSWER_LOST, null, "status ${result.response.status} after an earlier attempt")
+        if (mayHaveRun && response.status in NOT_RUN_STATUSES) {
+            return giveUp(ResultCode.ANSWER_LOST, null, "status ${response.status} after an earlier attempt")
         }
         if (!successful) {
             log.info(
                 "request_failed_by_target",
                 "request" to requestId,
                 "target" to target.entry.id,
-                "status" to result.response.status,
+                "status" to response.status,
                 "target_speed" to speedOf(target),
             )
         }
-        return BufferedResponse(result.response.status, endToEnd(result.response.headers), result.response.body)
+        return response
+    }
+
+    /** The gate checks this first. What is lost or mixed up behind it must not reach the caller. */
+    private fun isOwn(response: BufferedResponse): Boolean {
+        val names = environment.names
+        val isSigned = response.status !in SUCCESS_STATUSES || response.headers.first(names.targetSignature) != null
+        return isSigned && response.headers.first(names.requestId) == requestId
+    }
+
+    private fun handleForeignResponse(target: KnownTarget, response: BufferedResponse): BufferedResponse? {
+        log.warn(
+            "foreign_response",
+            "request" to requestId,
+            "response" to response.headers.first(environment.names.requestId),
+            "target" to target.entry.id,
+            "status" to response.status,
+            "bytes" to response.body.size,
+        )
+        return handleUnknownOutcome(target, ForwardResult.OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, null))
     }
 
     private fun handleRefusal(target: KnownTarget, result: ForwardResult.Refused): BufferedResponse? {
@@ -307,6 +329,8 @@
     private companion object {
         const val FIRST_SERVER_ERROR = 500
 
+        val SUCCESS_STATUSES = 200..299
+
         /** Statuses that promise that a request has not run. */
         val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
 
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -34,6 +34,7 @@
 import kingcuptide.forwarder.ManualClock
 import kingcuptide.forwarder.connection.BufferedResponse
 import kingcuptide.forwarder.connection.CallerRequest
+import kingcuptide.forwarder.connection.Headers
 import kingcuptide.forwarder.connection.NO_BYTES
 import kingcuptide.forwarder.connection.first
 import kingcuptide.forwarder.process.DaemonMetrics
@@ -91,10 +92,18 @@
 
         override fun submit(target: KnownTarget, call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation {
             sent += target.entry.id.value to call
-            onResult(results.removeFirst())
+            onResult(withIdOf(call, results.removeFirst()))
             return Cancellation { }
         }
     }
+
+    /** Targets send the id of the request back. */
+    private fun withIdOf(call: ForwardCall, result: ForwardResult): ForwardResult {
+        if (result !is ForwardResult.Answered) return result
+        val headers = result.response.headers.map { if (it == ECHOED_ID) "Id" to call.requestId else it }
+        return result.copy(response = BufferedResponse(result.response.status, headers, result.response.body))
+    }
+
     private val quotas = ScriptedQuotas()
     private var exitsAt = Duration.INFINITE
     private val leaving = LeavingTargets()
@@ -180,8 +189,8 @@
         entry.serve(CallerRequest("GET", path, all, NO_BYTES, clock.now()))
     }
 
-    private fun answered(status: Int) = ForwardResult.Answered(
-        BufferedResponse(status, emptyList(), NO_BYTES),
+    private fun answered(status: Int, headers: Headers = OWN_HEADERS) = ForwardResult.Answered(
+        BufferedResponse(status, headers, NO_BYTES),
         5.milliseconds,
         null,
     )
@@ -191,6 +200,41 @@
 
     private val outcomeUnknown = ForwardResult.OutcomeUnknown(ResultCode.ANSWER_LOST, null)
 
+    /** Guards against a response that a fault behind the gate, such as a wrong call number, gives to another request. */
+    @Nested
+    inner class `Responses that are not to the request` {
+        private val foreign = listOf(
+            answered(200, listOf("Id" to "8", "Proof" to "p")),
+            answered(500, listOf("Id" to "8")),
+            answered(503, listOf("Id" to "8")),
+            answered(200, listOf("Proof" to "p")),
+            answered(200, listOf(ECHOED_ID)),
+            answered(200, OWN_HEADERS + ("Connection" to "proof")),
+        )
+
+        @Test
+        fun `Given such a response, when the request may not be repeated, then its outcome is unknown`() {
+            start()
+            for (response in foreign) {
+                results += response
+                val given = serve("/book/x")
+                expectThat(given.status to given.headers.first("Kingcuptide-Code")).isEqualTo(502 to "301")
+                expectThat(given.headers.first("Id")).isNull()
+            }
+        }
+
+        @Test
+        fun `Given such a response, when the request may be repeated, then it gets that of another target`() {
+            start()
+            for (response in foreign) {
+                sent.clear()
+                results += listOf(response, answered(200))
+                expectThat(serve("/read/x").headers).isEqualTo(listOf("Id" to "7", "Proof" to "p"))
+                expectThat(sent.map { it.first }.toSet()).hasSize(2)
+            }
+        }
+    }
+
     @Nested
     inner class `Before anything is sent` {
         @Test
@@ -602,7 +646,7 @@
         @Test
         fun `Given a response that says so, when further requests arrive, then the target gets none of them`() {
             start()
-            val leaving = BufferedResponse(200, listOf("Leaving" to "1"), NO_BYTES)
+            val leaving = BufferedResponse(200, OWN_HEADERS + ("Leaving" to "1"), NO_BYTES)
             results += ForwardResult.Answered(leaving, 5.milliseconds, null)
             repeat(20) { results += answered(200) }
             repeat(21) { serve("/read/x") }
@@ -628,7 +672,7 @@
             publish("t-a", PublishedItem.Target(target("a").copy(startedAtUnixMs = 9)))
             val report =
                 GateLoadReport(0, 0, 10, Duration.ZERO, false, leavingTarget = LeavingTarget(TargetId("t-a"), 8))
-            results += ForwardResult.Answered(BufferedResponse(200, emptyList(), NO_BYTES), 5.milliseconds, report)
+            results += ForwardResult.Answered(BufferedResponse(200, OWN_HEADERS, NO_BYTES), 5.milliseconds, report)
             serve("/read/x")
             expectThat(leaving.isLeaving(TargetId("t-a"), 8)).isEqualTo(true)
             expectThat(leaving.isLeaving(TargetId("t-a"), 9)).isEqualTo(false)
@@ -650,7 +694,7 @@
     inner class `Run times of targets` {
         private fun answeredWith(runTimes: RunTimes): ForwardResult {
             val report = GateLoadReport(0, 0, 10, Duration.ZERO, false, runTimes = runTimes)
-            return ForwardResult.Answered(BufferedResponse(200, emptyList(), NO_BYTES), 5.milliseconds, report)
+            return ForwardResult.Answered(BufferedResponse(200, OWN_HEADERS, NO_BYTES), 5.milliseconds, report)
         }
 
         /** Guards against a gate that has restarted and whose target counts as a mean one until it is measured again. */
@@ -668,5 +712,11 @@
 
     private companion object {
         const val ROUTE_PRIORITY = 1
+
+        /** Stands for the id of the request that is served. */
+        val ECHOED_ID = "Id" to "echoed"
+
+        /** Headers of a signed response to the request that is served. */
+        val OWN_HEADERS: Headers = listOf(ECHOED_ID, "Proof" to "p")
     }
 }
