Report skipped responses of the target, and delays of the event loop

Cause: a response of the target that was passed to no request left no line, and neither did a pause of the process, so that logs could not tell whether a late response, a second one or a pause was behind a wrong answer or behind work for a caller that had left.

Change: HttpConnection tells an ExchangeObserver of each response to another call and of bytes that no call waits for. SkippedResponseLog writes one bounded line, response_skipped, with the id that was expected, the id that arrived, status, length, and whether it began in the read that ended the response before it, and counts it by reason. LoopDelayMonitor takes the lateness of the existing 100 ms task: one line, event_loop_delayed, for 100 ms or more, a gauge with the longest delay of the last 10 to 20 s, and the sum of the reported delays. No request that gets its response writes a line, and there is no further timer.

The load of the daemon was not measured.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
@@ -61,7 +61,7 @@
         if (!isUsable) return HttpResult.NotSent(ConnectFailure("connection closed"))
         val request = requestOf(call)
         return suspendCancellableCoroutine { continuation ->
-            receiver.awaitResponse(continuation, accepts)
+            receiver.awaitResponse(continuation, call.headers, accepts)
             continuation.invokeOnCancellation { close() }
             channel.writeAndFlush(request).addListener { sent ->
                 if (!sent.isSuccess) receiver.fail("write failed: ${sent.cause()}")
@@ -86,6 +86,7 @@
 
     private class Receiver(
         private val limits: HttpClientLimits,
+        private val observer: ExchangeObserver,
     ) : ChannelInboundHandlerAdapter() {
         var isReusable = true
         var idleLimitSeconds: Int? = null
@@ -95,6 +96,10 @@
         private var head: HttpResponse? = null
         private var headers: Headers = emptyList()
         private var skipping = false
+        private var callHeaders: Headers = emptyList()
+        private var reads = 0L
+        private var lastEndRead = 0L
+        private var skippedOther: SkippedHead? = null
         private var skippedResponses = 0
         private var hasOtherResponses = false
         private var receivedBytes = 0L
@@ -110,6 +115,7 @@
                 override fun isSharable(): Boolean = false
 
                 override fun channelRead(context: ChannelHandlerContext, message: Any) {
+                    reads++
                     if (message is ByteBuf && !canReceive(context, message.readableBytes())) {
                         message.release()
                     } else {
@@ -118,8 +124,13 @@
                 }
             }
 
-        fun awaitResponse(continuation: CancellableContinuation<HttpResult>, accepts: (Headers) -> Boolean) {
+        fun awaitResponse(
+            continuation: CancellableContinuation<HttpResult>,
+            callHeaders: Headers,
+            accepts: (Headers) -> Boolean,
+        ) {
             waitingCall = continuation
+            this.callHeaders = callHeaders
             this.accepts = accepts
             receivedBytes = 0
             skippedResponses = 0
@@ -130,6 +141,7 @@
             isReusable = false
             stopHeadTimer()
             releaseBody()
+            reportSkippedOther(isComplete = false)
         }
 
         override fun isSharable(): Boolean = false
@@ -198,6 +210,7 @@
 
         private fun receive(context: ChannelHandlerContext, message: HttpObject) {
             if (!isReusable) return
+            if (waitingCall == null) reportUnexpected(message)
             if (message.decoderResult().isFailure || waitingCall == null) {
                 return breakOff(context, if (waitingCall == null) "unexpected bytes" else "malformed response")
             }
@@ -213,6 +226,7 @@
             val isOther = !isInterim && !accepts(headers)
             skipping = isInterim || isOther
             hasOtherResponses = hasOtherResponses || isOther
+            skippedOther = if (isOther) SkippedHead(isSameRead = reads == lastEndRead) else null
             when {
                 response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS ->
                     breakOff(context, "switches to another protocol")
@@ -224,6 +238,7 @@
 
         private fun append(context: ChannelHandlerContext, content: HttpContent) {
             val bytes = content.content()
+            skippedOther?.let { it.bodyBytes += bytes.readableBytes() }
             if (head == null || skipping || !bytes.isReadable) return
             val length = bytes.readableBytes()
             if (body.size() + length > limits.maxResponseBytes) return breakOff(context, "response too large")
@@ -233,7 +248,9 @@
 
         private fun end(context: ChannelHandlerContext) {
             val response = head ?: return
+            reportSkippedOther(isComplete = true)
             head = null
+            if (response.status().code() >= FIRST_FINAL_STATUS) lastEndRead = reads
             if (!HttpUtil.isKeepAlive(response)) isReusable = false
             if (skipping) {
                 stopHeadTimer()
@@ -249,6 +266,38 @@
             if (closes) context.close()
         }
 
+        private fun reportSkippedOther(isComplete: Boolean) {
+            val skipped = skippedOther ?: return
+            val status = head?.status()?.code()
+            skippedOther = null
+            observer.skipped(
+                SkippedResponse(
+                    SkipReason.OTHER_CALL,
+                    callHeaders,
+                    status,
+                    headers,
+                    skipped.bodyBytes,
+                    isComplete,
+                    skipped.isSameRead,
+                ),
+            )
+        }
+
+        private fun reportUnexpected(message: HttpObject) {
+            val response = (message as? HttpResponse)?.takeIf { it.decoderResult().isSuccess }
+            observer.skipped(
+                SkippedResponse(
+                    SkipReason.NO_CALL,
+                    callHeaders,
+                    response?.status()?.code(),
+                    response?.headers()?.map { it.key to it.value }.orEmpty(),
+                    response?.headers()?.get(HttpHeaderNames.CONTENT_LENGTH)?.toLongOrNull(),
+                    isComplete = false,
+                    isSameRead = reads == lastEndRead,
+                ),
+            )
+        }
+
         /** A new buffer each time, since one that has grown would be kept as long as its connection. */
         private fun releaseBody() {
             limits.buffers.release(body.size())
@@ -261,6 +310,10 @@
         }
     }
 
+    private class SkippedHead(val isSameRead: Boolean) {
+        var bodyBytes = 0L
+    }
+
     companion object {
         private val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
         private val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d+)")
@@ -287,9 +340,10 @@
             loop: EventLoop,
             address: InetSocketAddress,
             limits: HttpClientLimits,
+            observer: ExchangeObserver = ExchangeObserver.NONE,
             onFailure: (ConnectFailure) -> Unit = {},
         ): HttpConnection? {
-            val receiver = Receiver(limits)
+            val receiver = Receiver(limits, observer)
             val connecting = bootstrap(loop, limits, receiver).connect(address)
             return suspendCancellableCoroutine { continuation ->
                 continuation.invokeOnCancellation { connecting.channel().close() }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/DaemonMetrics.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/DaemonMetrics.kt
@@ -51,6 +51,9 @@
     /** Counts a change of the verdict on a fingerprint. */
     fun verdict(verdict: String) = increment("kingcuptide_verdict_changes", Label("verdict", verdict))
 
+    /** Counts a response of the target beside this daemon that was passed to no call. */
+    fun responseSkipped(reason: String) = increment("kingcuptide_skipped_responses", Label("reason", reason))
+
     /** Counts a response by its HTTP status class. */
     fun answered(status: Int) = increment("kingcuptide_answers", Label("status_class", "${status / 100}xx"))
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -40,6 +40,7 @@
 import kingcuptide.forwarder.request.PeerGateTransport
 import kingcuptide.forwarder.request.QuotaService
 import kingcuptide.forwarder.request.RunningRequests
+import kingcuptide.forwarder.request.SkippedResponseLog
 import kingcuptide.forwarder.request.TargetClient
 import kingcuptide.forwarder.request.TargetFailure
 import kingcuptide.forwarder.request.TargetMonitor
@@ -80,6 +81,7 @@
     private val gate = TargetGate(clock)
     private val metrics = DaemonMetrics()
     private val counts = TrafficCounts(clock)
+    private val loopDelay = LoopDelayMonitor(clock, TICK_INTERVAL, details = ::requestsInHand)
     private val suspects = CrashSuspects(settings.host, incarnation, clock)
     private val targetAddress = addressOf(settings.targetAddress)
     private val leaving = LeavingTargets()
@@ -87,7 +89,10 @@
     private val targetMonitor =
         TargetMonitor(loop, scope, clock, targetAddress, platform.names, gate, notices, ::ownTraits, ::targetChanged)
     private val running = RunningRequests(clock)
-    private val targetClient = TargetClient(loop, clock, targetAddress) { gateService.idleConnectionEnded() }
+    private val targetClient =
+        TargetClient(loop, clock, targetAddress, SkippedResponseLog(platform.names, metrics)) {
+            gateService.idleConnectionEnded()
+        }
     private val gateService: GateService =
         GateService(
             scope,
@@ -193,6 +198,10 @@
         metrics.registerGauge("kingcuptide_source_era") { stateSync.era }
         metrics.registerGauge("kingcuptide_source_restores") { stateSync.restores }
         metrics.registerGauge("kingcuptide_source_calls_made") { follower.calls }
+        metrics.registerGauge("kingcuptide_event_loop_delay_ms") { loopDelay.maxDelay.inWholeMilliseconds }
+        metrics.registerCounter("kingcuptide_event_loop_delay_sum_ms", emptyMap()) {
+            loopDelay.totalDelay.inWholeMilliseconds
+        }
         metrics.registerGauge("kingcuptide_log_lines_dropped") { LogQueue.droppedLines.get() }
     }
 
@@ -265,11 +274,15 @@
 
     /** One timer for all that is due at any time, since each wake-up of the event loop costs processor time. */
     private fun tick() {
+        runOrLog(loopDelay::taskStarted)
         serveWaiting()
         runOrLog(::tickAll)
         frequentTask.startIfNeeded()
     }
 
+    private fun requestsInHand(): Array<Pair<String, Any?>> =
+        arrayOf("in_flight" to callers.inFlight, "at_target" to gate.inFlight, "queued" to gate.queued)
+
     private fun serveWaiting() {
         runOrLog(gate::serve)
         runOrLog(quota::tick)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetClient.kt
@@ -5,6 +5,7 @@
 import kingcuptide.coordination.request.IdleLimit
 import kingcuptide.forwarder.connection.BufferLimit
 import kingcuptide.forwarder.connection.ConnectFailure
+import kingcuptide.forwarder.connection.ExchangeObserver
 import kingcuptide.forwarder.connection.Headers
 import kingcuptide.forwarder.connection.HttpCall
 import kingcuptide.forwarder.connection.HttpClientLimits
@@ -30,12 +31,14 @@
  * Sends nothing twice: the entry decides on retries, since it has the retry allowance of the fleet. Used on the event
  * loop.
  *
+ * @param observer receives the responses that are passed to no call
  * @param onIdleConnectionEnd called when the target ends a connection on which no call waits
  */
 class TargetClient(
     private val loop: EventLoop,
     private val clock: Clock,
     private val address: InetSocketAddress,
+    private val observer: ExchangeObserver = ExchangeObserver.NONE,
     private val onIdleConnectionEnd: () -> Unit = {},
 ) : TargetCalls {
     private val limits = HttpClientLimits(CONNECT_TIMEOUT, MAX_RESPONSE_BYTES, BufferLimit(MAX_BUFFERED_BYTES))
@@ -57,7 +60,7 @@
     private suspend fun callOnNewConnection(call: HttpCall, accepts: (Headers) -> Boolean): HttpResult {
         var failure = ConnectFailure("connect failed")
         val connection =
-            HttpConnection.open(loop, address, limits) { failure = it } ?: return HttpResult.NotSent(failure)
+            HttpConnection.open(loop, address, limits, observer) { failure = it } ?: return HttpResult.NotSent(failure)
         connection.onIdleEnd(onIdleConnectionEnd)
         return exchange(connection, call, accepts)
     }
