Log and count requests that are cancelled, by where they were

Cause: an entry wrote nothing when the caller of a running request left, and a gate nothing when a queued request was withdrawn; gate_cancelled did not tell a request that the target had from one that waited for a connection. From an id it could not be said whether work was begun before or after its caller had left.

Change: request_cancelled at the entry (target, place, targets reached, time since it was received, reason); gate_withdrawn for a request in the queue; gate_cancelled has place=, waited_ms= and sent_ms=; target_lost says what makes a response invalid. All are bounded, and none is written for a request that gets its response. Counter kingcuptide_cancelled_requests{side,place}. `kingcuptide explain` knows the events, finds a skipped response by either id and shows event_loop_delayed before a request.

The load of the daemon was not measured.

--- a/cli/src/main/kotlin/kingcuptide/cli/RequestStory.kt
+++ b/cli/src/main/kotlin/kingcuptide/cli/RequestStory.kt
@@ -29,16 +29,18 @@
 
 /** Reconstructs [request] from [lines] of any number of daemons, or returns null if no line names it. */
 internal fun buildRequestStory(request: String, lines: List<LogLine>): RequestStory? {
-    val requestLines = lines.filter { it.fields["request"] == request }.sortedBy { it.time }
+    val requestLines = lines.filter {
+        request in listOf(it.fields["request"], it.fields["arrived"])
+    }.sortedBy { it.time }
     if (requestLines.isEmpty()) return null
     val resultLine = requestLines.lastOrNull { it.event in RESULT_EVENTS }
     val code = resultLine?.let(::parseResultCode)
     return RequestStory(
         request,
-        requestLines.map(::toStep),
-        findContext(requestLines, lines).map(::toStep),
+        requestLines.map { toStep(it, request) },
+        findContext(requestLines, lines).map { toStep(it, request) },
         code?.number,
-        code?.outcome?.let { it == Outcome.UNKNOWN },
+        code?.outcome?.let { it == Outcome.UNKNOWN } ?: resultLine?.let(::mayHaveRunWhenCancelled),
         describeCause(resultLine, code, requestLines),
     )
 }
@@ -58,8 +60,11 @@
         .joinToString("\n\n")
 }
 
-private fun toStep(line: LogLine): StoryStep {
-    val details = line.fields.filterKeys { it !in HIDDEN_FIELDS }.entries.joinToString(" ") { "${it.key}=${it.value}" }
+/** The request named is left out; a skipped response may name another one. */
+private fun toStep(line: LogLine, request: String): StoryStep {
+    val isHidden = { key: String, value: String -> key in HIDDEN_FIELDS || (key == "request" && value == request) }
+    val shown = line.fields.filterNot { isHidden(it.key, it.value) }
+    val details = shown.entries.joinToString(" ") { "${it.key}=${it.value}" }
     return StoryStep(line.time, line.origin, line.event, details)
 }
 
@@ -94,6 +99,7 @@
     if (resultLine.event == "request_failed_by_target") {
         return "target ${resultLine.fields["target"]} itself responded with status ${resultLine.fields["status"]}"
     }
+    if (resultLine.event == "request_cancelled") return describeCancellation(resultLine)
     val gate = requestLines.lastOrNull { it.event in GATE_EVENTS }
     val atGate = gate?.let { ", at ${it.fields["target"]}: ${describeGateEvent(it)}" }.orEmpty()
     val decision = when (code) {
@@ -105,6 +111,15 @@
     return "${code?.number ?: "no code"}, ${describeResultCode(code)}$atGate$decision$speed"
 }
 
+private fun describeCancellation(line: LogLine): String {
+    val place = line.fields["target"]?.takeIf { it != "null" }?.let { "sent to $it" } ?: "waiting at its entry"
+    return "cancelled after ${line.fields["after_ms"]} ms, $place: ${line.fields["reason"]}"
+}
+
+/** Returns whether a target may have run a cancelled request, or null for another result. */
+private fun mayHaveRunWhenCancelled(line: LogLine): Boolean? =
+    if (line.event == "request_cancelled") line.fields["place"] == "sent" || line.fields["reached"] != "0" else null
+
 /** What the entry believed of the last target that it sent the request to. */
 private fun describeAssumedSpeed(line: LogLine): String =
     "; target ${line.fields["target"]} was assumed to have ${line.fields["target_speed"]} times the mean speed"
@@ -132,6 +147,7 @@
         "${line.fields["in_flight"]} at work, ${line.fields["queued"]} waiting, limit ${line.fields["limit"]}, " +
             "cold ${line.fields["cold"]}"
     "gate_cancelled" -> "cancelled after ${line.fields["ran_ms"]} ms at the target"
+    "gate_withdrawn" -> "cancelled after ${line.fields["waited_ms"]} ms in the queue"
     else -> line.fields["reason"].orEmpty()
 }
 
@@ -165,10 +181,11 @@
     else -> code.name.lowercase().replace('_', ' ')
 }
 
-private val RESULT_EVENTS = setOf("request_given_up", "request_refused", "request_failed_by_target", "request_faulty")
+private val RESULT_EVENTS =
+    setOf("request_given_up", "request_refused", "request_failed_by_target", "request_faulty", "request_cancelled")
 private val KEY_CODES = setOf(ResultCode.KEY_MISSING, ResultCode.KEY_UNKNOWN, ResultCode.KEYS_UNCONFIRMED)
-private val GATE_EVENTS = setOf("gate_refused", "gate_cancelled", "target_lost")
-private val HIDDEN_FIELDS = setOf("request", "level", "source")
+private val GATE_EVENTS = setOf("gate_refused", "gate_cancelled", "gate_withdrawn", "target_lost")
+private val HIDDEN_FIELDS = setOf("level", "source")
 
 /** Events that may explain the result without naming the request. */
 private val CONTEXT_EVENTS =
@@ -186,6 +203,7 @@
         "version_in_force",
         "configuration_fault",
         "stop_begun",
+        "event_loop_delayed",
     )
 
 /** Changes up to this long before a request's first line are shown: failure detection takes up to 2.5 s. */
--- a/cli/src/test/kotlin/kingcuptide/cli/ExplainLogsTest.kt
+++ b/cli/src/test/kotlin/kingcuptide/cli/ExplainLogsTest.kt
@@ -38,6 +38,18 @@
             "event=request_refused request=10 code=219 status=429 workspace=acme route=/read/ version=14 left=0 " +
                 "retry_after_ms=310 knowledge_age_ms=650",
         ),
+        line(
+            "10:00:10.700",
+            "entry",
+            "event=request_cancelled request=11 target=t-1 place=sent reached=0 after_ms=40 " +
+                "reason=\"connection ended\"",
+        ),
+        line(
+            "10:00:10.800",
+            "entry",
+            "event=request_cancelled request=12 target=null place=waiting reached=0 after_ms=0 " +
+                "reason=\"connection ended\"",
+        ),
         "not an event",
     )
     private val gateLog = listOf(
@@ -46,6 +58,13 @@
             "gate",
             "event=target_lost request=7 target=t-1 code=300 reason=\"reset \\\"by\\\" peer\"",
         ),
+        line("10:00:10.650", "daemon", "event=event_loop_delayed delay_ms=320 in_flight=3 at_target=2 queued=0"),
+        line(
+            "10:00:10.695",
+            "target",
+            "event=response_skipped request=11 arrived=6 reason=other_call status=200 body_bytes=5 complete=true",
+        ),
+        line("10:00:10.705", "gate", "event=gate_cancelled request=11 target=t-1 place=running ran_ms=35"),
         line("10:00:10.250", "gate", "event=gate_refused request=7 target=t-2 in_flight=4 queued=9 limit=4 cold=false"),
     )
 
@@ -92,6 +111,23 @@
                 .contains("it has not run")
         }
 
+        @Test
+        fun `when a request of a caller that left is explained, then the cause says how long it ran and where`() {
+            expectThat(explain("11").output)
+                .contains("cause: cancelled after 40 ms, sent to t-1: connection ended")
+                .contains("it may have run")
+                .contains("event_loop_delayed")
+                .contains("gate_cancelled")
+            expectThat(explain("12").output)
+                .contains("cause: cancelled after 0 ms, waiting at its entry: connection ended")
+                .contains("it has not run")
+        }
+
+        @Test
+        fun `when the request of a skipped response is explained, then the request that it came instead of is named`() {
+            expectThat(explain("6").output).contains("response_skipped").contains("request=11 arrived=6")
+        }
+
         @Test
         fun `when the known state changed shortly before, then the change is shown, and an older one is not`() {
             expectThat(explain("7").output).contains("peer_closed").not().contains("target_leaving")
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
@@ -99,7 +100,7 @@
      */
     fun abortRequest() {
         if (!isServing) return
-        pipeline.end(sized(LOST)).forEach { release(it)?.cancel() }
+        pipeline.end(sized(LOST)).forEach { release(it)?.cancel("end of a stop") }
         pump(ignoresWritability = true)
     }
 
@@ -185,12 +186,12 @@
 
     private fun cancelAll() {
         pipeline.cancel()
-        releaseAll()
+        releaseAll("connection ended")
     }
 
     /** Cancels and forgets all that has no response. */
-    private fun releaseAll() {
-        requests.keys.toList().forEach { release(it)?.cancel() }
+    private fun releaseAll(reason: String) {
+        requests.keys.toList().forEach { release(it)?.cancel(reason) }
         releaseUnread()
     }
 
@@ -310,7 +311,7 @@
             pipeline.writeNext(isMoreArriving = unread.isNotEmpty() || assembler.isReceiving) ?: return false
         lastProgressAt = clock.now()
         if (pipeline.isEmpty) assembler.restartTime(lastProgressAt)
-        if (next.closes) releaseAll()
+        if (next.closes) releaseAll("an earlier response closes the connection")
         writeOrClose(next.response, next.closes)
         return true
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
@@ -63,6 +63,7 @@
         return suspendCancellableCoroutine { continuation ->
             receiver.awaitResponse(continuation, call.headers, accepts)
             continuation.invokeOnCancellation { close() }
+            call.onSend()
             channel.writeAndFlush(request).addListener { sent ->
                 if (!sent.isSuccess) receiver.fail("write failed: ${sent.cause()}")
             }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
@@ -35,12 +35,16 @@
         "expect",
     )
 
-/** A request to send. [headers] have no body framing, such as Content-Length: that is added on writing. */
+/**
+ * A request to send. [headers] have no body framing, such as Content-Length: that is added on writing. [onSend] is called
+ * when it is written to a connection.
+ */
 class HttpCall(
     val method: String,
     val target: String,
     val headers: Headers,
     val body: ByteArray = NO_BYTES,
+    val onSend: () -> Unit = {},
 )
 
 /** A complete response, buffered in memory. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/DaemonMetrics.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/DaemonMetrics.kt
@@ -51,6 +51,12 @@
     /** Counts a change of the verdict on a fingerprint. */
     fun verdict(verdict: String) = increment("kingcuptide_verdict_changes", Label("verdict", verdict))
 
+    /** Counts a request that was cancelled before it had a response, by where it was. */
+    fun cancelled(
+        side: Side,
+        place: String,
+    ) = increment("kingcuptide_cancelled_requests", Label("side", side.label), Label("place", place))
+
     /** Counts a response of the target beside this daemon that was passed to no call. */
     fun responseSkipped(reason: String) = increment("kingcuptide_skipped_responses", Label("reason", reason))
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -76,7 +76,12 @@
         }
         val timeout = minOf(requestedTimeout, route.timeout)
         val workspace = admission.workspace
-        val retryAfter = workspace?.let { dependencies.acquireQuota(it, admission.requestId, route, timeout) }
+        val retryAfter =
+            workspace?.let {
+                environment.cancellations.observe(admission.requestId, request.receivedAt, { null }, { 0 }) {
+                    dependencies.acquireQuota(it, admission.requestId, route, timeout)
+                }
+            }
         if (retryAfter != null) return refusals.errorResponse(ResultCode.QUOTA_SPENT, retryAfter)
         if (admission.isCall) {
             dependencies.running.called(admission.requestId, service)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -63,6 +63,7 @@
 ) {
     private val runningCalls = LinkedHashSet<GateCall>()
     private val crashCandidates = CrashCandidates(clock)
+    private val cancellations = GateCancellations(metrics)
 
     /** Submits [call] to the gate; [onResult] is called once, possibly before this returns, unless cancelled. */
     fun submit(call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation {
@@ -100,6 +101,7 @@
         private val arrivedAt = clock.now()
         private val deadline = responseBy(arrivedAt + call.remaining)
         private var job: Job? = null
+        private var startedAt: Duration? = null
         private var sentAt: Duration? = null
         private var isCompleted = false
         val request =
@@ -127,18 +129,16 @@
             if (isCompleted) return
             isCompleted = true
             gate.withdraw(request)
-            val startedAt = sentAt
-            if (startedAt != null) {
-                log.info(
-                    "gate_cancelled",
-                    "request" to call.requestId,
-                    "target" to call.targetId,
-                    "ran_ms" to (clock.now() - startedAt).inWholeMilliseconds,
-                )
-            }
+            logCancelled()
             job?.cancel()
         }
 
+        private fun logCancelled() {
+            val now = clock.now()
+            val started = startedAt ?: return cancellations.inQueue(call, now - arrivedAt)
+            cancellations.started(call, started - arrivedAt, now - started, sentAt?.let { now - it })
+        }
+
         fun refusedByGate(refusal: GateRefusal) {
             val loadReport = gate.loadReport()
             val shareCounts = gate.shareCountsOf(request.shareGroup)
@@ -168,9 +168,9 @@
                 runningCalls += this@GateCall
                 running.started(call.requestId)
                 try {
-                    val startedAt = clock.now()
-                    sentAt = startedAt
-                    val result = runOrFail(startedAt)
+                    val now = clock.now()
+                    startedAt = now
+                    val result = runOrFail(now)
                     hasResponse = result is ForwardResult.Answered
                     complete(result)
                 } finally {
@@ -199,7 +199,7 @@
             if (expected != null && expected != call.targetId) return refused(ResultCode.VERSION_BEHIND, false)
             if (isQuarantined(call)) return refused(QUARANTINE_REFUSAL.code, false, QUARANTINE_REFUSAL.retryAfter)
             val remaining = deadline - startedAt
-            val httpCall = HttpCall(call.method, call.target, headersOf(remaining), call.body)
+            val httpCall = HttpCall(call.method, call.target, headersOf(remaining), call.body) { sentAt = clock.now() }
             val result =
                 withTimeoutOrNull((remaining + DEADLINE_RESPONSE_TIME).inWholeMilliseconds) {
                     client.call(httpCall, call.idempotent) { it.first(names.requestId) in setOf(null, call.requestId) }
@@ -228,7 +228,7 @@
             targetObserver.responded(startedAt)
             metrics.recordTargetRunTime(runTime)
             // Without this id it may belong to an earlier request, even a refusal.
-            if (response.headers.first(names.requestId) != call.requestId) return invalid(response)
+            if (response.headers.first(names.requestId) != call.requestId) return invalid(response, "no request id")
             if (response.headers.first(names.notRun) != null) {
                 if (response.status != MISDIRECTED_REQUEST) noticed(response, startedAt)
                 return refused(ResultCode.TARGET_FULL, true)
@@ -239,16 +239,17 @@
             }
             val isUnsigned =
                 response.status in SUCCESS_STATUSES && response.headers.first(names.targetSignature) == null
-            if (isUnsigned || response.headers.first(CONTENT_ENCODING) != null) return invalid(response)
+            if (isUnsigned) return invalid(response, "no target signature")
+            if (response.headers.first(CONTENT_ENCODING) != null) return invalid(response, "content encoding")
             noticed(response, startedAt)
             recordResponse(result)
             if (!suspects.isEmpty) suspects.answered(call.fingerprint)
             return ForwardResult.Answered(response, runTime, gate.loadReport(), running.callsOf(call.requestId))
         }
 
-        private fun invalid(response: BufferedResponse): ForwardResult {
+        private fun invalid(response: BufferedResponse, fault: String): ForwardResult {
             crashCandidates.interrupted(call.fingerprintInput, call.targetId)
-            return outcomeUnknown(ResultCode.ANSWER_TRUNCATED, "status ${response.status}: invalid response")
+            return outcomeUnknown(ResultCode.ANSWER_TRUNCATED, "status ${response.status}: invalid response, $fault")
         }
 
         /** A target that leaves ends its connections after its last responses, which is no crash. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
@@ -41,6 +41,7 @@
 ) {
     val candidates = CandidateTargets(dependencies, transport)
     val callCosts = CallCosts()
+    val cancellations = EntryCancellations(clock, metrics)
 }
 
 /**
@@ -85,7 +86,15 @@
     var hasNotRun = false
         private set
 
-    suspend fun run(): BufferedResponse {
+    suspend fun run(): BufferedResponse =
+        environment.cancellations.observe(
+            requestId,
+            request.receivedAt,
+            { inFlightTarget?.entry?.id },
+            { targetsReached },
+        ) { responseByDeadline() }
+
+    private suspend fun responseByDeadline(): BufferedResponse {
         val remainingMs = (deadline - clock.now()).inWholeMilliseconds
         val response = if (remainingMs > 0) withTimeoutOrNull(remainingMs) { attempts() } else null
         if (response != null) return response
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder
 import kingcuptide.coordination.version.CallerLimits
 import kingcuptide.forwarder.ManualClock
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -29,6 +30,7 @@
     private val served = ArrayList<CallerRequest>()
     private var pendingResponse: CompletableDeferred<BufferedResponse>? = null
     private var cancelled = false
+    private var cancelReason: String? = null
     private val connection =
         CallerConnection(
             CoroutineScope(Dispatchers.Unconfined),
@@ -51,6 +53,9 @@
         val pending = pendingResponse ?: return BufferedResponse(200, listOf("X" to "y"), "ok".encodeToByteArray())
         try {
             return pending.await()
+        } catch (exception: CancellationException) {
+            cancelReason = exception.message
+            throw exception
         } finally {
             cancelled = !pending.isCompleted
         }
@@ -194,6 +199,7 @@
             send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
             channel.close()
             expectThat(cancelled).isTrue()
+            expectThat(cancelReason).isEqualTo("connection ended")
         }
 
         @Test
@@ -203,6 +209,7 @@
             connection.abortRequest()
             expectThat(received()).startsWith("HTTP/1.1 502 ").contains("connection: close")
             expectThat(cancelled).isTrue()
+            expectThat(cancelReason).isEqualTo("end of a stop")
             expectThat(channel.isOpen).isFalse()
         }
 
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -39,6 +39,7 @@
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.TrafficCounts
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
@@ -46,6 +47,7 @@
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
@@ -83,6 +85,8 @@
     private val running = RunningRequests(clock)
     private val results = ArrayDeque<ForwardResult>()
     private val toldInUse = HashSet<String>()
+    private val metrics = DaemonMetrics()
+    private var replies = true
     private val sent = ArrayList<Pair<String, ForwardCall>>()
     private val transport = object : GateTransport {
         override fun canSend(target: KnownTarget) = true
@@ -91,7 +95,7 @@
 
         override fun submit(target: KnownTarget, call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation {
             sent += target.entry.id.value to call
-            onResult(results.removeFirst())
+            if (replies) onResult(results.removeFirst())
             return Cancellation { }
         }
     }
@@ -117,7 +121,7 @@
                 responseBy = { minOf(it, exitsAt) },
             ),
             transport,
-            DaemonMetrics(),
+            metrics,
             TrafficCounts(clock),
         )
 
@@ -176,8 +180,12 @@
     )
 
     private fun serve(path: String, vararg headers: Pair<String, String>): BufferedResponse = runBlocking {
+        serveSuspending(path, *headers)
+    }
+
+    private suspend fun serveSuspending(path: String, vararg headers: Pair<String, String>): BufferedResponse {
         val all = listOf("Host" to "h:80", "Id" to "7", "Left" to "3000") + headers
-        entry.serve(CallerRequest("GET", path, all, NO_BYTES, clock.now()))
+        return entry.serve(CallerRequest("GET", path, all, NO_BYTES, clock.now()))
     }
 
     private fun answered(status: Int) = ForwardResult.Answered(
@@ -547,6 +555,19 @@
         }
     }
 
+    /** Guards against a caller that leaves while a target has its request without a count of it. */
+    @Test
+    fun `Given a request at a target, when it is cancelled, then it is counted as sent`() {
+        start()
+        replies = false
+        runBlocking {
+            val job = launch(start = CoroutineStart.UNDISPATCHED) { serveSuspending("/read/x") }
+            job.cancel()
+        }
+        expectThat(metrics.scrape())
+            .contains("kingcuptide_cancelled_requests_total{place=\"sent\",side=\"entry\"} 1.0")
+    }
+
     /** Guards against requests to a target that had left, which a lagging replica of the source still lists. */
     @Nested
     inner class `Targets of a state that is not confirmed` {
