--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
@@ -11,11 +11,13 @@
 import kingcuptide.coordination.request.CallerPipeline
 import kingcuptide.coordination.request.SizedResponse
 import kingcuptide.coordination.version.CallerLimits
+import kingcuptide.forwarder.process.StartQueue
 import kingcuptide.forwarder.process.eventLog
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
@@ -26,6 +28,7 @@
  *
  * @param isIdempotent whether a request may start before those before it have their responses
  * @param refuseAtStop returns the refusal of a request that has not started when the time of a stop is over
+ * @param starts delays the start of a request until the end of its connection, if that has arrived, is read
  */
 internal class CallerConnection(
     private val scope: CoroutineScope,
@@ -37,6 +40,7 @@
     private val isIdempotent: (CallerRequest) -> Boolean = { false },
     private val refuseAtStop: (CallerRequest) -> BufferedResponse = { REFUSED_AT_STOP },
     private val counts: PipelineCounts = PipelineCounts(),
+    private val starts: StartQueue,
     private val onClosed: (CallerConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var writer: CallerWriter
@@ -50,6 +54,7 @@
     /** Parts that the bounds of [pipeline] do not let in yet. Nothing is read from the socket while there are any. */
     private val unread = ArrayDeque<UnreadPart>()
     private var isPumping = false
+    private var isStartQueued = false
     private var headStartedAt: Duration? = null
     private var requestBytes = 0L
     private var droppedBytes = 0L
@@ -110,7 +115,7 @@
         refusesAll = true
         pipeline.end(sized(LOST)) {
             sized(refuseAtStop(requests.getValue(it).request))
-        }.forEach { release(it)?.cancel() }
+        }.forEach { release(it)?.cancel("end of a stop") }
         pump(ignoresWritability = true)
     }
 
@@ -189,12 +194,12 @@
 
     private fun cancelAll() {
         pipeline.cancel()
-        releaseAll()
+        releaseAll("connection ended")
     }
 
     /** Cancels and forgets all that has no response. */
-    private fun releaseAll() {
-        requests.keys.toList().forEach { release(it)?.cancel() }
+    private fun releaseAll(reason: String) {
+        requests.keys.toList().forEach { release(it)?.cancel(reason) }
         releaseUnread()
     }
 
@@ -206,22 +211,39 @@
     }
 
     /**
-     * Reads, starts and writes what [pipeline] lets. It is a loop, since a recursion for each request that is answered at
-     * once would be as deep as their number.
+     * Reads, writes and, if [isTurnToStart], starts what [pipeline] lets; at the end of a stop all that remains is refused,
+     * which needs no turn. It is a loop, since a recursion for each request that is answered at once would be as deep as
+     * their number.
      */
-    private fun pump(ignoresWritability: Boolean = false) {
+    private fun pump(ignoresWritability: Boolean = false, isTurnToStart: Boolean = false) {
         if (isPumping) return
         isPumping = true
+        val startsNow = isTurnToStart || refusesAll
         try {
             do {
-                val isBusy = takePart() or startNext() or writeNext(ignoresWritability)
+                val isBusy = takePart() or (startsNow && startNext()) or writeNext(ignoresWritability)
             } while (isBusy)
         } finally {
             isPumping = false
         }
         writer.setReading(isReading())
+        queueStart()
     }
 
+    private fun queueStart() {
+        if (isStartQueued || !pipeline.canStartNext(::isIdempotent)) return
+        isStartQueued = true
+        starts.add(::startQueued)
+    }
+
+    /** A channel is closed some time before [channelInactive]. */
+    private fun startQueued() {
+        isStartQueued = false
+        if (context.channel().isActive) pump(isTurnToStart = true)
+    }
+
+    private fun isIdempotent(id: Long): Boolean = isIdempotent(requests.getValue(id).request)
+
     private fun isReading(): Boolean =
         writer.isClosing || (unread.isEmpty() && droppedBytes <= MAX_DROPPED_BYTES)
 
@@ -285,7 +307,7 @@
      * can't make an idempotent request that starts early a non-idempotent one.
      */
     private fun startNext(): Boolean {
-        val start = pipeline.startNext { isIdempotent(requests.getValue(it).request) } ?: return false
+        val start = pipeline.startNext(::isIdempotent) ?: return false
         counts.started(start.isEarly)
         val arrived = requests.getValue(start.id)
         arrived.job =
@@ -319,7 +341,7 @@
             pipeline.writeNext(isMoreArriving = unread.isNotEmpty() || assembler.isReceiving) ?: return false
         lastProgressAt = clock.now()
         if (pipeline.isEmpty) assembler.restartTime(lastProgressAt)
-        if (next.closes) releaseAll()
+        if (next.closes) releaseAll("an earlier response closes the connection")
         writeOrClose(next.response, next.closes)
         return true
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpConnection.kt
@@ -73,6 +73,7 @@
         return suspendCancellableCoroutine { continuation ->
             receiver.awaitResponse(continuation, call, accepts)
             continuation.invokeOnCancellation { close() }
+            call.onSend()
             channel.writeAndFlush(request).addListener { sent ->
                 if (!sent.isSuccess) receiver.fail("write failed: ${sent.cause()}")
             }
@@ -96,6 +97,7 @@
 
     private class Receiver(
         private val limits: HttpClientLimits,
+        private val observer: ExchangeObserver,
     ) : ChannelInboundHandlerAdapter() {
         var isReusable = true
         var idleLimitSeconds: Int? = null
@@ -105,6 +107,10 @@
         private var head: HttpResponse? = null
         private var headers: Headers = emptyList()
         private var skipping = false
+        private var callHeaders: Headers = emptyList()
+        private var reads = 0L
+        private var lastEndRead = 0L
+        private var skippedOther: SkippedHead? = null
         private var skippedResponses = 0
         private var hasOtherResponses = false
         private var receivedBytes = 0L
@@ -118,12 +124,17 @@
 
         val isWaiting: Boolean get() = waitingCall != null
 
+        /** Whether no call waits for the bytes that arrive. */
+        private val hasNoCall: Boolean get() = waitingCall == null || completed != null
+        private val isAwaitingHead: Boolean get() = !hasNoCall && (head == null || skipping)
+
         /** Counts the bytes of a call before they are decoded, since the decoder skips some and never ends others. */
         val byteHandler =
             object : ChannelInboundHandlerAdapter() {
                 override fun isSharable(): Boolean = false
 
                 override fun channelRead(context: ChannelHandlerContext, message: Any) {
+                    reads++
                     if (message is ByteBuf && !canReceive(context, message.readableBytes())) {
                         message.release()
                     } else {
@@ -138,6 +149,7 @@
             accepts: (Headers) -> Boolean,
         ) {
             waitingCall = continuation
+            callHeaders = call.headers
             decoder.isHeadCall = call.method == HttpMethod.HEAD.name()
             this.accepts = accepts
             receivedBytes = 0
@@ -149,6 +161,7 @@
             isReusable = false
             stopHeadTimer()
             releaseBody()
+            reportSkippedOther(isComplete = false)
         }
 
         override fun isSharable(): Boolean = false
@@ -163,9 +176,9 @@
 
         /** A call that was sent before would take the bytes behind the response for those of its own. */
         override fun channelReadComplete(context: ChannelHandlerContext) {
+            if (isReusable && hasNoCall && decoder.hasUnreadBytes) endUnexpected(context, null)
             val result = completed
             if (result != null) {
-                if (decoder.hasUnreadBytes) isReusable = false
                 val closes = !isReusable
                 resume(result)
                 if (closes) context.close()
@@ -208,21 +221,18 @@
 
         private fun canReceive(context: ChannelHandlerContext, bytes: Int): Boolean {
             if (!isReusable) return false
-            if (waitingCall == null || completed != null) {
-                endUnexpected(context)
-                return false
-            }
             receivedBytes += bytes
             if (receivedBytes > maxReceivedBytes) {
                 breakOff(context, "no end of a response after $receivedBytes bytes")
                 return false
             }
-            if (isWaiting && (head == null || skipping) && headTimer == null) startHeadTimer(context)
+            if (isAwaitingHead && headTimer == null) startHeadTimer(context)
             return true
         }
 
         /** No call waits for what arrives: the connection is not used again, but a response that is complete holds. */
-        private fun endUnexpected(context: ChannelHandlerContext) {
+        private fun endUnexpected(context: ChannelHandlerContext, message: HttpObject?) {
+            reportUnexpected(message)
             isReusable = false
             if (completed == null) breakOff(context, "unexpected bytes")
         }
@@ -240,7 +250,7 @@
 
         private fun receive(context: ChannelHandlerContext, message: HttpObject) {
             if (!isReusable) return
-            if (waitingCall == null || completed != null) return endUnexpected(context)
+            if (hasNoCall) return endUnexpected(context, message)
             if (message.decoderResult().isFailure) return breakOff(context, "malformed response")
             if (message is HttpResponse) begin(context, message)
             if (message is HttpContent) append(context, message)
@@ -254,6 +264,7 @@
             val isOther = !isInterim && !accepts(headers)
             skipping = isInterim || isOther
             hasOtherResponses = hasOtherResponses || isOther
+            skippedOther = if (isOther) SkippedHead(isSameRead = reads == lastEndRead) else null
             when {
                 response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS ->
                     breakOff(context, "switches to another protocol")
@@ -267,6 +278,7 @@
 
         private fun append(context: ChannelHandlerContext, content: HttpContent) {
             val bytes = content.content()
+            skippedOther?.let { it.bodyBytes += bytes.readableBytes() }
             if (head == null || skipping || !bytes.isReadable) return
             val length = bytes.readableBytes()
             if (body.size() + length > limits.maxResponseBytes) return breakOff(context, "response too large")
@@ -276,7 +288,9 @@
 
         private fun end(context: ChannelHandlerContext) {
             val response = head ?: return
+            reportSkippedOther(isComplete = true)
             head = null
+            if (response.status().code() >= FIRST_FINAL_STATUS) lastEndRead = reads
             if (!HttpUtil.isKeepAlive(response)) isReusable = false
             if (skipping) {
                 stopHeadTimer()
@@ -290,6 +304,38 @@
             releaseBody()
         }
 
+        private fun reportSkippedOther(isComplete: Boolean) {
+            val skipped = skippedOther ?: return
+            val status = head?.status()?.code()
+            skippedOther = null
+            observer.skipped(
+                SkippedResponse(
+                    SkipReason.OTHER_CALL,
+                    callHeaders,
+                    status,
+                    headers,
+                    skipped.bodyBytes,
+                    isComplete,
+                    skipped.isSameRead,
+                ),
+            )
+        }
+
+        private fun reportUnexpected(message: HttpObject?) {
+            val response = (message as? HttpResponse)?.takeIf { it.decoderResult().isSuccess }
+            observer.skipped(
+                SkippedResponse(
+                    SkipReason.NO_CALL,
+                    callHeaders,
+                    response?.status()?.code(),
+                    response?.headers()?.map { it.key to it.value }.orEmpty(),
+                    response?.headers()?.get(HttpHeaderNames.CONTENT_LENGTH)?.toLongOrNull(),
+                    isComplete = false,
+                    isSameRead = reads == lastEndRead,
+                ),
+            )
+        }
+
         /** A new buffer each time, since one that has grown would be kept as long as its connection. */
         private fun releaseBody() {
             limits.buffers.release(body.size())
@@ -302,6 +348,10 @@
         }
     }
 
+    private class SkippedHead(val isSameRead: Boolean) {
+        var bodyBytes = 0L
+    }
+
     companion object {
         private val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
         private val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d+)")
@@ -328,9 +378,10 @@
             loop: EventLoop,
             address: InetSocketAddress,
             limits: HttpClientLimits,
+            observer: ExchangeObserver = ExchangeObserver.NONE,
             onFailure: (ConnectFailure) -> Unit = {},
         ): HttpConnection? {
-            val receiver = Receiver(limits)
+            val receiver = Receiver(limits, observer)
             val connecting = bootstrap(loop, limits, receiver).connect(address)
             return suspendCancellableCoroutine { continuation ->
                 continuation.invokeOnCancellation { connecting.channel().close() }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/HttpExchange.kt
@@ -39,6 +39,7 @@
  * A request to send. [headers] have no body framing, such as Content-Length: that is added on writing.
  *
  * @property id what tells its response from those to other calls, or null if the server does not send it back
+ * @property onSend called when it is written to a connection
  */
 class HttpCall(
     val method: String,
@@ -46,6 +47,7 @@
     val headers: Headers,
     val body: ByteArray = NO_BYTES,
     val id: String? = null,
+    val onSend: () -> Unit = {},
 )
 
 /** A complete response, buffered in memory. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -41,6 +41,7 @@
 import kingcuptide.forwarder.request.PeerGateTransport
 import kingcuptide.forwarder.request.QuotaService
 import kingcuptide.forwarder.request.RunningRequests
+import kingcuptide.forwarder.request.SkippedResponseLog
 import kingcuptide.forwarder.request.TargetClient
 import kingcuptide.forwarder.request.TargetFailure
 import kingcuptide.forwarder.request.TargetMonitor
@@ -76,12 +77,14 @@
 
     /** When another host was last heard of; the start of this daemon counts as contact. */
     private var lastPeerMessageAt = clock.now()
+    private val starts = StartQueue(loop, clock)
     private val scope = CoroutineScope(SupervisorJob() + LoopDispatcher(loop) + faultHandler)
     private val published = PublishedState(clock, platform.decoder, PublishedStateLog())
     private val readerRole = ReaderRole(settings.host.value, settings.failureDomain)
     private val gate = TargetGate(clock)
     private val metrics = DaemonMetrics()
     private val counts = TrafficCounts(clock)
+    private val loopDelay = LoopDelayMonitor(clock, TICK_INTERVAL, details = ::requestsInHand)
     private val suspects = CrashSuspects(settings.host, incarnation, clock)
     private val targetAddress = addressOf(settings.targetAddress)
     private val leaving = LeavingTargets()
@@ -89,7 +92,10 @@
     private val targetMonitor =
         TargetMonitor(loop, scope, clock, targetAddress, platform.names, gate, notices, ::ownTraits, ::targetChanged)
     private val running = RunningRequests(clock)
-    private val targetClient = TargetClient(loop, clock, targetAddress) { gateService.idleConnectionEnded() }
+    private val targetClient =
+        TargetClient(loop, clock, targetAddress, SkippedResponseLog(platform.names, metrics)) {
+            gateService.idleConnectionEnded()
+        }
     private val gateService: GateService =
         GateService(
             scope,
@@ -104,9 +110,10 @@
             running,
             metrics,
             { stop.responseBy(it) },
+            starts::addFirst,
             { frequentTask.startIfNeeded() },
         )
-    private val gateEndpoint = GateEndpoint(gateService, gate::loadReport)
+    private val gateEndpoint = GateEndpoint(clock, starts, gateService, gate::loadReport)
     private val mesh: PeerMesh =
         PeerMesh(loop, clock, settings.ip, settings.peerPort, hello(), PeerEvents(), ::distanceTo, ::ping, counts)
     private val stateSync =
@@ -160,6 +167,7 @@
             quota,
             random,
             stop::responseBy,
+            starts::awaitTurn,
         )
     private val entry = EntryService(clock, platform.names, entryDependencies, gateTransport, metrics, counts)
     private val callers =
@@ -172,6 +180,7 @@
             ::refuseByKey,
             entry::isIdempotent,
             entry::refuseAtStop,
+            starts,
             ::serveCaller,
         )
     private val readiness =
@@ -197,6 +206,10 @@
         metrics.registerGauge("kingcuptide_source_era") { stateSync.era }
         metrics.registerGauge("kingcuptide_source_restores") { stateSync.restores }
         metrics.registerGauge("kingcuptide_source_calls_made") { follower.calls }
+        metrics.registerGauge("kingcuptide_event_loop_delay_ms") { loopDelay.maxDelay.inWholeMilliseconds }
+        metrics.registerCounter("kingcuptide_event_loop_delay_sum_ms", emptyMap()) {
+            loopDelay.totalDelay.inWholeMilliseconds
+        }
         metrics.registerGauge("kingcuptide_log_lines_dropped") { LogQueue.droppedLines.get() }
     }
 
@@ -278,16 +291,21 @@
         mesh.close()
     }
 
-    private fun isIdle(): Boolean = callers.isIdle && gate.inFlight + gate.queued == 0 && mesh.pendingBytes == 0L
+    private fun isIdle(): Boolean =
+        starts.isEmpty && callers.isIdle && gate.inFlight + gate.queued == 0 && mesh.pendingBytes == 0L
 
     /** One timer for all that is due at any time, since each wake-up of the event loop costs processor time. */
     private fun tick() {
+        runOrLog(loopDelay::taskStarted)
         holdUps.tick()
         serveWaiting()
         runOrLog(::tickAll)
         frequentTask.startIfNeeded()
     }
 
+    private fun requestsInHand(): Array<Pair<String, Any?>> =
+        arrayOf("in_flight" to callers.inFlight, "at_target" to gate.inFlight, "queued" to gate.queued)
+
     private fun serveWaiting() {
         runOrLog(gate::serve)
         runOrLog(quota::tick)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -44,6 +44,7 @@
  * Carries out the decisions of the gate: sends admitted requests to the target and validates its responses.
  *
  * @param responseBy returns by when a request must be answered whose caller waits until the given time
+ * @param atTurnEnd runs its argument when cancellations that arrived with the response of the target are known
  * @param onQueued called when a request waits at the gate, which must be served regularly from then on
  */
 class GateService(
@@ -59,10 +60,12 @@
     private val running: RunningRequests,
     private val metrics: DaemonMetrics,
     private val responseBy: (Duration) -> Duration = { it },
+    private val atTurnEnd: (() -> Unit) -> Unit = { it() },
     private val onQueued: () -> Unit = {},
 ) {
     private val runningCalls = LinkedHashSet<GateCall>()
     private val crashCandidates = CrashCandidates(clock)
+    private val cancellations = GateCancellations(metrics)
 
     /** Submits [call] to the gate; [onResult] is called once, possibly before this returns, unless cancelled. */
     fun submit(call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation {
@@ -101,6 +104,7 @@
         private val callerDeadline = arrivedAt + call.remaining
         private val deadline = responseBy(callerDeadline)
         private var job: Job? = null
+        private var startedAt: Duration? = null
         private var sentAt: Duration? = null
         private var isCompleted = false
         val request =
@@ -129,18 +133,16 @@
             if (isCompleted) return
             isCompleted = true
             gate.withdraw(request)
-            val startedAt = sentAt
-            if (startedAt != null) {
-                log.info(
-                    "gate_cancelled",
-                    "request" to call.requestId,
-                    "target" to call.targetId,
-                    "ran_ms" to (clock.now() - startedAt).inWholeMilliseconds,
-                )
-            }
+            logCancelled()
             job?.cancel()
         }
 
+        private fun logCancelled() {
+            val now = clock.now()
+            val started = startedAt ?: return cancellations.inQueue(call, now - arrivedAt)
+            cancellations.started(call, started - arrivedAt, now - started, sentAt?.let { now - it })
+        }
+
         fun refusedByGate(refusal: GateRefusal) {
             val loadReport = gate.loadReport()
             val shareCounts = gate.shareCountsOf(request.shareGroup)
@@ -170,15 +172,15 @@
                 runningCalls += this@GateCall
                 running.started(call.requestId)
                 try {
-                    val startedAt = clock.now()
-                    sentAt = startedAt
-                    val result = runOrFail(startedAt)
+                    val now = clock.now()
+                    startedAt = now
+                    val result = runOrFail(now)
                     hasResponse = result is ForwardResult.Answered
                     complete(result)
                 } finally {
                     runningCalls -= this@GateCall
                     if (hasResponse) running.ended(call.requestId) else running.abandoned(call.requestId)
-                    gate.ended(request, hasResponse)
+                    atTurnEnd { gate.ended(request, hasResponse) }
                 }
             }
         }
@@ -201,7 +203,9 @@
             if (expected != null && expected != call.targetId) return refused(ResultCode.VERSION_BEHIND, false)
             if (isQuarantined(call)) return refused(QUARANTINE_REFUSAL.code, false, QUARANTINE_REFUSAL.retryAfter)
             val remaining = deadline - startedAt
-            val httpCall = HttpCall(call.method, call.target, headersOf(remaining), call.body, call.requestId)
+            val httpCall = HttpCall(call.method, call.target, headersOf(remaining), call.body, call.requestId) {
+                sentAt = clock.now()
+            }
             val result =
                 withTimeoutOrNull((remaining + DEADLINE_RESPONSE_TIME).inWholeMilliseconds) {
                     client.call(httpCall, call.idempotent) { it.first(names.requestId) in setOf(null, call.requestId) }
@@ -230,7 +234,7 @@
             targetObserver.responded(startedAt)
             metrics.recordTargetRunTime(runTime)
             // Without this id it may belong to an earlier request, even a refusal.
-            if (response.headers.first(names.requestId) != call.requestId) return invalid(response)
+            if (response.headers.first(names.requestId) != call.requestId) return invalid(response, "no request id")
             if (response.headers.first(names.notRun) != null) {
                 if (response.status != MISDIRECTED_REQUEST) noticed(response, startedAt)
                 return refused(ResultCode.TARGET_FULL, true)
@@ -241,16 +245,17 @@
             }
             val isUnsigned =
                 response.status in SUCCESS_STATUSES && response.headers.first(names.targetSignature) == null
-            if (isUnsigned || response.headers.first(CONTENT_ENCODING) != null) return invalid(response)
+            if (isUnsigned) return invalid(response, "no target signature")
+            if (response.headers.first(CONTENT_ENCODING) != null) return invalid(response, "content encoding")
             noticed(response, startedAt)
             recordResponse(result)
             if (!suspects.isEmpty) suspects.answered(call.fingerprint)
             return ForwardResult.Answered(response, runTime, gate.loadReport(), running.callsOf(call.requestId))
         }
 
-        private fun invalid(response: BufferedResponse): ForwardResult {
+        private fun invalid(response: BufferedResponse, fault: String): ForwardResult {
             crashCandidates.interrupted(call.fingerprintInput, call.targetId)
-            return outcomeUnknown(ResultCode.ANSWER_TRUNCATED, "status ${response.status}: invalid response")
+            return outcomeUnknown(ResultCode.ANSWER_TRUNCATED, "status ${response.status}: invalid response, $fault")
         }
 
         /** A target that leaves ends its connections after its last responses, which is no crash. */
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -40,6 +40,10 @@
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.TrafficCounts
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
@@ -47,6 +51,7 @@
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
@@ -84,6 +89,8 @@
     private val running = RunningRequests(clock)
     private val results = ArrayDeque<ForwardResult>()
     private val toldInUse = HashSet<String>()
+    private val metrics = DaemonMetrics()
+    private var replies = true
     private val sent = ArrayList<Pair<String, ForwardCall>>()
     private val transport = object : GateTransport {
         override fun canSend(target: KnownTarget) = true
@@ -92,7 +99,7 @@
 
         override fun submit(target: KnownTarget, call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation {
             sent += target.entry.id.value to call
-            onResult(withIdOf(call, results.removeFirst()))
+            if (replies) onResult(withIdOf(call, results.removeFirst()))
             return Cancellation { }
         }
     }
@@ -106,6 +113,7 @@
 
     private val quotas = ScriptedQuotas()
     private var exitsAt = Duration.INFINITE
+    private var awaitTurn: suspend () -> Unit = {}
     private val leaving = LeavingTargets()
     private val allowance = RetryAllowance(clock, { RetryAllowanceSettings(0.2, 100, 10.seconds) }) { 1 }
     private val entry =
@@ -124,9 +132,10 @@
                 quotas = quotas,
                 random = Random(1),
                 responseBy = { minOf(it, exitsAt) },
+                awaitTurn = { awaitTurn() },
             ),
             transport,
-            DaemonMetrics(),
+            metrics,
             TrafficCounts(clock),
         )
 
@@ -185,8 +194,25 @@
     )
 
     private fun serve(path: String, vararg headers: Pair<String, String>): BufferedResponse = runBlocking {
+        serveSuspending(path, *headers)
+    }
+
+    private suspend fun serveSuspending(path: String, vararg headers: Pair<String, String>): BufferedResponse {
         val all = listOf("Host" to "h:80", "Id" to "7", "Left" to "3000") + headers
-        entry.serve(CallerRequest("GET", path, all, NO_BYTES, clock.now()))
+        return entry.serve(CallerRequest("GET", path, all, NO_BYTES, clock.now()))
+    }
+
+    /** Guards against a retry that starts although the end of the connection has arrived with the refusal. */
+    @Test
+    fun `Given a refusal in the round of I-O in which the caller leaves, when that ends, then no other gate is asked`() {
+        start()
+        results += listOf(refused(reachedTarget = false), answered(200))
+        awaitTurn = ::awaitCancellation
+        runBlocking {
+            val request = CallerRequest("GET", "/read/x", listOf("Host" to "h:80", "Id" to "7"), NO_BYTES, clock.now())
+            launch(Dispatchers.Unconfined) { entry.serve(request) }.cancelAndJoin()
+        }
+        expectThat(sent).hasSize(1)
     }
 
     private fun answered(status: Int, headers: Headers = OWN_HEADERS) = ForwardResult.Answered(
@@ -604,6 +630,19 @@
         }
     }
 
+    /** Guards against a caller that leaves while a target has its request without a count of it. */
+    @Test
+    fun `Given a request at a target, when it is cancelled, then it is counted as sent`() {
+        start()
+        replies = false
+        runBlocking {
+            val job = launch(start = CoroutineStart.UNDISPATCHED) { serveSuspending("/read/x") }
+            job.cancel()
+        }
+        expectThat(metrics.scrape())
+            .contains("kingcuptide_cancelled_requests_total{place=\"sent\",side=\"entry\"} 1.0")
+    }
+
     /** Guards against requests to a target that had left, which a lagging replica of the source still lists. */
     @Nested
     inner class `Targets of a state that is not confirmed` {
