Start requests of callers only when the round of I/O has shown no end of their connection

Callers saw work go on for requests that they had withdrawn: a daemon that was held up started each request with the first read of its socket and learned one turn of the event loop later, after hundreds of other starts, that its connection had ended. A caller closes an idempotent request that is not read within a second, so a pause of that length leaves pairs of a request and its end in the buffers.

A socket of a caller is now read until nothing is left, which costs one more read a request, and requests start at the end of the round of I/O, when all ready sockets are read. The stop of a daemon counts a request that waits for its turn as accepted. A half-closed connection still counts as closed, as before.

Three tests get a queue that starts at once, their checks are unchanged.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/CallerPipeline.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/CallerPipeline.kt
@@ -53,6 +53,12 @@
         return id
     }
 
+    /** Returns whether [startNext] would start or answer a request. */
+    public fun canStartNext(isIdempotent: (Long) -> Boolean): Boolean {
+        val entry = entries.getOrNull(startedCount) ?: return false
+        return !startsNoMore && mayStart(entry, isIdempotent)
+    }
+
     /** Marks the next request that may start now as started, and returns it, or null if there is none. */
     public fun startNext(isIdempotent: (Long) -> Boolean): PipelineStart? {
         while (true) {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerConnection.kt
@@ -11,6 +11,7 @@
 import kingcuptide.coordination.request.CallerPipeline
 import kingcuptide.coordination.request.SizedResponse
 import kingcuptide.coordination.version.CallerLimits
+import kingcuptide.forwarder.process.StartQueue
 import kingcuptide.forwarder.process.eventLog
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -25,6 +26,7 @@
  * One connection of a caller: reads its requests, serves them as [CallerPipeline] decides, and cancels them when it closes.
  *
  * @param isIdempotent whether a request may start before those before it have their responses
+ * @param starts delays the start of a request until the end of its connection, if that has arrived, is read
  */
 internal class CallerConnection(
     private val scope: CoroutineScope,
@@ -35,6 +37,7 @@
     refuseByHead: (CallerRequest) -> BufferedResponse? = { null },
     private val isIdempotent: (CallerRequest) -> Boolean = { false },
     private val counts: PipelineCounts = PipelineCounts(),
+    private val starts: StartQueue,
     private val onClosed: (CallerConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var writer: CallerWriter
@@ -48,6 +51,7 @@
     /** Parts that the bounds of [pipeline] do not let in yet. Nothing is read from the socket while there are any. */
     private val unread = ArrayDeque<UnreadPart>()
     private var isPumping = false
+    private var isStartQueued = false
     private var headStartedAt: Duration? = null
     private var requestBytes = 0L
     private var droppedBytes = 0L
@@ -202,22 +206,37 @@
     }
 
     /**
-     * Reads, starts and writes what [pipeline] lets. It is a loop, since a recursion for each request that is answered at
-     * once would be as deep as their number.
+     * Reads, writes and, if [isTurnToStart], starts what [pipeline] lets. It is a loop, since a recursion for each request
+     * that is answered at once would be as deep as their number.
      */
-    private fun pump(ignoresWritability: Boolean = false) {
+    private fun pump(ignoresWritability: Boolean = false, isTurnToStart: Boolean = false) {
         if (isPumping) return
         isPumping = true
         try {
             do {
-                val isBusy = takePart() or startNext() or writeNext(ignoresWritability)
+                val isBusy = takePart() or (isTurnToStart && startNext()) or writeNext(ignoresWritability)
             } while (isBusy)
         } finally {
             isPumping = false
         }
         writer.setReading(isReading())
+        queueStart()
     }
 
+    private fun queueStart() {
+        if (isStartQueued || !pipeline.canStartNext(::isIdempotent)) return
+        isStartQueued = true
+        starts.add(::startQueued)
+    }
+
+    /** A channel is closed some time before [channelInactive]. */
+    private fun startQueued() {
+        isStartQueued = false
+        if (context.channel().isActive) pump(isTurnToStart = true)
+    }
+
+    private fun isIdempotent(id: Long): Boolean = isIdempotent(requests.getValue(id).request)
+
     private fun isReading(): Boolean =
         writer.isClosing || (unread.isEmpty() && droppedBytes <= MAX_DROPPED_BYTES)
 
@@ -276,7 +295,7 @@
      * can't make an idempotent request that starts early a non-idempotent one.
      */
     private fun startNext(): Boolean {
-        val start = pipeline.startNext { isIdempotent(requests.getValue(it).request) } ?: return false
+        val start = pipeline.startNext(::isIdempotent) ?: return false
         counts.started(start.isEarly)
         val arrived = requests.getValue(start.id)
         arrived.job =
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
@@ -1,6 +1,7 @@
 package kingcuptide.forwarder.connection
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
@@ -10,6 +11,7 @@
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.version.CallerLimits
 import kingcuptide.forwarder.process.DaemonMetrics
+import kingcuptide.forwarder.process.StartQueue
 import kotlinx.coroutines.CoroutineScope
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
@@ -30,6 +32,7 @@
     private val limits: () -> CallerLimits,
     private val refuseByHead: (CallerRequest) -> BufferedResponse? = { null },
     private val isIdempotent: (CallerRequest) -> Boolean = { false },
+    private val starts: StartQueue = StartQueue(loop, clock),
     private val serve: suspend (CallerRequest) -> BufferedResponse,
 ) {
     private val connections = LinkedHashSet<CallerConnection>()
@@ -52,6 +55,7 @@
                     ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG),
                 )
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, readsToEnd())
                 .childHandler(PipelineInitializer(::accept))
                 .bind(address)
                 .sync()
@@ -99,6 +103,7 @@
     }
 
     private fun endConnections() {
+        starts.runAll()
         val open = connections.toList()
         open.forEach { it.abortRequest() }
         open.forEach { it.endAtStop() }
@@ -106,6 +111,10 @@
 
     private var closing = false
 
+    /** Reads until the socket has nothing left, so that the end of a connection is read together with its last bytes. */
+    private fun readsToEnd() =
+        AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS)
+
     private fun accept(channel: Channel) {
         val connection =
             CallerConnection(
@@ -117,6 +126,7 @@
                 refuseByHead,
                 isIdempotent,
                 counts,
+                starts,
                 onClosed = { connections -= it },
             )
         connection.closesAfterResponse = closing
@@ -137,6 +147,9 @@
         val CLOSE_TIME: Duration = 60.milliseconds
         private const val BACKLOG = 4_096
 
+        /** Reads of one socket in a round of I/O. */
+        private const val MAX_READS = 16
+
         /** Bodies of all requests that are received or served at once; a third of the heap of 96 MiB. */
         private const val MAX_BUFFERED_BYTES = 32L * 1024 * 1024
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -74,6 +74,7 @@
 
     /** When another host was last heard of; the start of this daemon counts as contact. */
     private var lastPeerMessageAt = clock.now()
+    private val starts = StartQueue(loop, clock)
     private val scope = CoroutineScope(SupervisorJob() + LoopDispatcher(loop) + faultHandler)
     private val published = PublishedState(clock, platform.decoder, PublishedStateLog())
     private val readerRole = ReaderRole(settings.host.value, settings.failureDomain)
@@ -168,6 +169,7 @@
             ::callerLimits,
             ::refuseByKey,
             entry::isIdempotent,
+            starts,
             ::serveCaller,
         )
     private val readiness =
@@ -254,7 +256,7 @@
     }
 
     private suspend fun awaitIdle(onStopped: () -> Unit) {
-        while (!stop.isOver(isIdle = callers.inFlight == 0 && gate.inFlight + gate.queued == 0)) {
+        while (!stop.isOver(isIdle())) {
             delay(STOP_CHECK_INTERVAL.inWholeMilliseconds)
         }
         log.info("stop_ended", "in_flight" to callers.inFlight, "at_target" to gate.inFlight)
@@ -263,6 +265,8 @@
         mesh.close()
     }
 
+    private fun isIdle(): Boolean = starts.isEmpty && callers.inFlight == 0 && gate.inFlight + gate.queued == 0
+
     /** One timer for all that is due at any time, since each wake-up of the event loop costs processor time. */
     private fun tick() {
         serveWaiting()
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/CallerConnectionTest.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder
 import kingcuptide.coordination.version.CallerLimits
 import kingcuptide.forwarder.ManualClock
+import kingcuptide.forwarder.process.StartQueue
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -37,6 +38,7 @@
             BufferLimit(64),
             ::serve,
             ::refuseByHead,
+            starts = StartQueue(clock) { it() },
         ) { }
     private val channel =
         EmbeddedChannel(
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/FaultyCallerTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/FaultyCallerTest.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder
 import kingcuptide.coordination.version.CallerLimits
 import kingcuptide.forwarder.ManualClock
+import kingcuptide.forwarder.process.StartQueue
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -31,7 +32,14 @@
     private var serve: suspend (CallerRequest) -> BufferedResponse = { BufferedResponse(200, emptyList(), NO_BYTES) }
     private val buffers = BufferLimit(20_000)
     private val connection =
-        CallerConnection(CoroutineScope(Dispatchers.Unconfined), clock, limits, buffers, ::record) { }
+        CallerConnection(
+            CoroutineScope(Dispatchers.Unconfined),
+            clock,
+            limits,
+            buffers,
+            ::record,
+            starts = StartQueue(clock) { it() },
+        ) { }
     private val channel =
         EmbeddedChannel(
             connection.activityHandler,
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PipelinedCallerTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PipelinedCallerTest.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder
 import kingcuptide.coordination.version.CallerLimits
 import kingcuptide.forwarder.ManualClock
+import kingcuptide.forwarder.process.StartQueue
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -42,6 +43,7 @@
             ::serve,
             isIdempotent = { it.path.startsWith("/safe") },
             counts = counts,
+            starts = StartQueue(clock) { it() },
         ) { }
     private val channel =
         EmbeddedChannel(
