Submit calls of other daemons to the gate when their cancellations are read

Callers saw work go on for requests that they had withdrawn: a gate that was held up started a call, or refused others for it, although its cancellation, or the end of the connection, was behind it in the bytes that it was reading. In the same way a response let a queued call start whose cancellation had arrived with it.

Calls now wait for the end of the round of I/O, and their remaining time counts from when they were read. The connections between daemons are read to their end, as those of callers are. A response frees its slot at the end of the round, before any start.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
@@ -1,7 +1,6 @@
 package kingcuptide.forwarder.connection
 
 import io.netty.bootstrap.ServerBootstrap
-import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
@@ -111,10 +110,6 @@
 
     private var closing = false
 
-    /** Reads until the socket has nothing left, so that the end of a connection is read together with its last bytes. */
-    private fun readsToEnd() =
-        AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS)
-
     private fun accept(channel: Channel) {
         val connection =
             CallerConnection(
@@ -147,9 +142,6 @@
         val CLOSE_TIME: Duration = 60.milliseconds
         private const val BACKLOG = 4_096
 
-        /** Reads of one socket in a round of I/O. */
-        private const val MAX_READS = 16
-
         /** Bodies of all requests that are received or served at once; a third of the heap of 96 MiB. */
         private const val MAX_BUFFERED_BYTES = 32L * 1024 * 1024
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
@@ -84,6 +84,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, readsToEnd())
                 .childHandler(pipelineOf { PeerSession(clock, acceptedListener, hello, isOutbound = false) })
                 .bind(InetSocketAddress(ownIp, port))
                 .sync()
@@ -210,6 +211,7 @@
             .group(loop)
             .channelFactory { NioSocketChannel() }
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, readsToEnd())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
             .handler(pipelineOf { session })
             .connect(InetSocketAddress(link.ip, port))
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -103,9 +103,10 @@
             running,
             metrics,
             { stop.responseBy(it) },
+            starts::addFirst,
             { frequentTask.startIfNeeded() },
         )
-    private val gateEndpoint = GateEndpoint(gateService, gate::loadReport)
+    private val gateEndpoint = GateEndpoint(clock, starts, gateService, gate::loadReport)
     private val mesh: PeerMesh =
         PeerMesh(loop, clock, settings.ip, settings.peerPort, hello(), PeerEvents(), ::distanceTo, ::ping, counts)
     private val stateSync =
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateEndpoint.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateEndpoint.kt
@@ -1,5 +1,6 @@
 package kingcuptide.forwarder.request
 
+import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.request.GateLoadReport
 import kingcuptide.coordination.version.TargetId
@@ -7,10 +8,17 @@
 import kingcuptide.forwarder.connection.PeerMessage
 import kingcuptide.forwarder.connection.PeerSession
 import kingcuptide.forwarder.connection.endToEnd
+import kingcuptide.forwarder.process.StartQueue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Accepts requests that other daemons send to the target on this host. */
+/**
+ * Accepts requests that other daemons send to the target on this host. They are submitted to the gate at the end of the
+ * round of I/O, when cancellations that arrived with them are known.
+ */
 class GateEndpoint(
+    private val clock: Clock,
+    private val starts: StartQueue,
     private val gate: GateService,
     private val loadReport: () -> GateLoadReport,
 ) {
@@ -33,10 +41,25 @@
     }
 
     private fun forward(session: PeerSession, message: PeerMessage.Forward, body: ByteArray) {
+        val arrivedAt = clock.now()
         val callsOfSession = callsBySession.getOrPut(session) { HashMap() }
+        var isCancelled = false
+        callsOfSession[message.number] = Cancellation { isCancelled = true }
+        starts.add {
+            if (!isCancelled) submit(session, callsOfSession, message, body, clock.now() - arrivedAt)
+        }
+    }
+
+    private fun submit(
+        session: PeerSession,
+        callsOfSession: HashMap<Long, Cancellation>,
+        message: PeerMessage.Forward,
+        body: ByteArray,
+        waited: Duration,
+    ) {
         var completed = false
         val cancellation =
-            gate.submit(callOf(message, body)) { result ->
+            gate.submit(callOf(message, body, waited)) { result ->
                 completed = true
                 callsOfSession.remove(message.number)
                 reply(session, message.number, result)
@@ -63,15 +86,15 @@
         }
     }
 
-    private fun callOf(message: PeerMessage.Forward, body: ByteArray) =
+    private fun callOf(message: PeerMessage.Forward, body: ByteArray, waited: Duration) =
         ForwardCall(
             message.requestId,
             message.method,
             message.target,
             toHeaders(message.headers),
             body,
-            message.remainingMs.milliseconds,
-            message.untilObjectiveMs.milliseconds,
+            message.remainingMs.milliseconds - waited,
+            message.untilObjectiveMs.milliseconds - waited,
             message.objectiveMs.milliseconds,
             RouteId(message.route),
             message.priority,
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -44,6 +44,7 @@
  * Carries out the decisions of the gate: sends admitted requests to the target and validates its responses.
  *
  * @param responseBy returns by when a request must be answered whose caller waits until the given time
+ * @param atTurnEnd runs its argument when cancellations that arrived with the response of the target are known
  * @param onQueued called when a request waits at the gate, which must be served regularly from then on
  */
 class GateService(
@@ -59,6 +60,7 @@
     private val running: RunningRequests,
     private val metrics: DaemonMetrics,
     private val responseBy: (Duration) -> Duration = { it },
+    private val atTurnEnd: (() -> Unit) -> Unit = { it() },
     private val onQueued: () -> Unit = {},
 ) {
     private val runningCalls = LinkedHashSet<GateCall>()
@@ -176,7 +178,7 @@
                 } finally {
                     runningCalls -= this@GateCall
                     if (hasResponse) running.ended(call.requestId) else running.abandoned(call.requestId)
-                    gate.ended(request, hasResponse)
+                    atTurnEnd { gate.ended(request, hasResponse) }
                 }
             }
         }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateEndpointTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateEndpointTest.kt
@@ -15,6 +15,7 @@
 import kingcuptide.forwarder.connection.first
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
+import kingcuptide.forwarder.process.StartQueue
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.awaitCancellation
@@ -22,6 +23,7 @@
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
 /** Guards against calls that a gate starts, or refuses others for, although their cancellation has arrived with them. */
@@ -48,7 +50,7 @@
         RunningRequests(clock),
         DaemonMetrics(),
     )
-    private val endpoint: GateEndpoint = GateEndpoint(service, gate::loadReport)
+    private val endpoint: GateEndpoint = GateEndpoint(clock, StartQueue(clock, ::atTurnEnd), service, gate::loadReport)
     private val listener = object : PeerListener {
         override fun opened(session: PeerSession) = Unit
 
@@ -61,6 +63,10 @@
     private val hello = PeerMessage.Hello(PeerCodec.PROTOCOL_VERSION, "own", "a", 1)
     private val channel = EmbeddedChannel(PeerCodec(), PeerSession(clock, listener, hello, isOutbound = false))
 
+    private fun atTurnEnd(run: () -> Unit) {
+        channel.eventLoop().schedule(run, 0, TimeUnit.NANOSECONDS)
+    }
+
     private fun bytesOf(vararg messages: PeerMessage): ByteBuf {
         val encoder = EmbeddedChannel(PeerCodec())
         messages.forEach { encoder.writeOutbound(PeerFrame(it)) }
