Ask a further gate only when the round of I/O has shown no end of the caller's connection

Callers saw work go on for requests that they had withdrawn: a refusal or a lost answer made the entry ask the next gate at once, although the end of the caller's connection had arrived in the same round of I/O. The next attempt now waits for the end of that round.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -159,6 +159,7 @@
             quota,
             random,
             stop::responseBy,
+            starts::awaitTurn,
         )
     private val entry = EntryService(clock, platform.names, entryDependencies, gateTransport, metrics, counts)
     private val callers =
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
@@ -25,6 +25,7 @@
  * What an [EntryService] depends on: the published state, target selection, retry limits, quotas and how API keys age.
  *
  * @property responseBy returns by when a request must be answered whose caller waits until the given time
+ * @property awaitTurn suspends until the end of the connection of a caller, if it has arrived, is read
  */
 class EntryDependencies(
     val service: () -> ServiceId,
@@ -40,6 +41,7 @@
     val quotas: QuotaAdmission = QuotaAdmission.Unlimited,
     val random: Random = Random.Default,
     val responseBy: (Duration) -> Duration = { it },
+    val awaitTurn: suspend () -> Unit = {},
 ) {
     /** What this daemon knows about the age of its API keys. */
     val keyKnowledge: KeyKnowledge =
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
@@ -109,6 +109,7 @@
                 is ForwardResult.OutcomeUnknown -> handleUnknownOutcome(target, result)
             }
             if (response != null) return response
+            dependencies.awaitTurn()
         }
     }
 
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -39,6 +39,9 @@
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.TrafficCounts
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
@@ -97,6 +100,7 @@
     }
     private val quotas = ScriptedQuotas()
     private var exitsAt = Duration.INFINITE
+    private var awaitTurn: suspend () -> Unit = {}
     private val leaving = LeavingTargets()
     private val allowance = RetryAllowance(clock, { RetryAllowanceSettings(0.2, 100, 10.seconds) }) { 1 }
     private val entry =
@@ -115,6 +119,7 @@
                 quotas = quotas,
                 random = Random(1),
                 responseBy = { minOf(it, exitsAt) },
+                awaitTurn = { awaitTurn() },
             ),
             transport,
             DaemonMetrics(),
@@ -180,6 +185,19 @@
         entry.serve(CallerRequest("GET", path, all, NO_BYTES, clock.now()))
     }
 
+    /** Guards against a retry that starts although the end of the connection has arrived with the refusal. */
+    @Test
+    fun `Given a refusal in the round of I-O in which the caller leaves, when that ends, then no other gate is asked`() {
+        start()
+        results += listOf(refused(reachedTarget = false), answered(200))
+        awaitTurn = ::awaitCancellation
+        runBlocking {
+            val request = CallerRequest("GET", "/read/x", listOf("Host" to "h:80", "Id" to "7"), NO_BYTES, clock.now())
+            launch(Dispatchers.Unconfined) { entry.serve(request) }.cancelAndJoin()
+        }
+        expectThat(sent).hasSize(1)
+    }
+
     private fun answered(status: Int) = ForwardResult.Answered(
         BufferedResponse(status, emptyList(), NO_BYTES),
         5.milliseconds,
