Keep calls withdrawable while the daemon of their target reads slowly

Callers saw work go on for requests that they had withdrawn: an entry handed each call to the send buffer of its connection at once. If the other daemon read nothing for a while, as after its start, a call and its cancellation both waited in that buffer, and the call reached the target, perhaps a second late, before the gate could read the cancellation.

Calls now wait in the session while more than 16 KiB are unsent, and one that is withdrawn until then is never sent. Replies, pings and cancellations go before them. In calm the system takes all bytes at once, so nothing waits. What the system itself buffers, on both sides, can't be taken back; the gate reads that before it starts anything.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMesh.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
+import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import kingcuptide.coordination.process.Clock
@@ -85,6 +86,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, readsToEnd())
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNSENT_BYTES)
                 .childHandler(pipelineOf { PeerSession(clock, acceptedListener, hello, isOutbound = false) })
                 .bind(InetSocketAddress(ownIp, port))
                 .sync()
@@ -212,6 +214,7 @@
             .channelFactory { NioSocketChannel() }
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.RECVBUF_ALLOCATOR, readsToEnd())
+            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, UNSENT_BYTES)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
             .handler(pipelineOf { session })
             .connect(InetSocketAddress(link.ip, port))
@@ -321,6 +324,9 @@
         private const val MAX_RETIRED = 256
         private val RECONNECT_INTERVAL = 300.milliseconds
         private const val BACKLOG = 1_024
+
+        /** Bytes that the system does not take yet, above which requests wait where they can be withdrawn. */
+        private val UNSENT_BYTES = WriteBufferWaterMark(8 * 1024, 16 * 1024)
         private val log = eventLog("peers")
 
         /** Returns whether of two hosts the one at [ip] connects to the one at [otherIp]; true for exactly one of them. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
@@ -22,6 +22,9 @@
     StatePeer {
     private var channel: Channel? = null
 
+    /** Frames that wait until the peer has read more. */
+    private val unsent = LinkedHashSet<PeerFrame>()
+
     /** The hello of the peer, null until it has arrived. */
     var peer: PeerMessage.Hello? = null
         private set
@@ -48,6 +51,32 @@
         channel?.writeAndFlush(PeerFrame(message, body))
     }
 
+    /**
+     * Sends [frame] as soon as the peer reads fast enough, so that [withdraw] can take it back until then. Messages of [send]
+     * overtake it.
+     */
+    fun sendWhenWritable(frame: PeerFrame) {
+        unsent += frame
+        sendUnsent()
+    }
+
+    /** Takes back a frame of [sendWhenWritable]. Returns whether no byte of it has been sent or will be. */
+    fun withdraw(frame: PeerFrame): Boolean = unsent.remove(frame)
+
+    private fun sendUnsent() {
+        val channel = channel ?: return
+        while (unsent.isNotEmpty() && channel.isWritable) {
+            val frame = unsent.first()
+            unsent -= frame
+            channel.writeAndFlush(frame)
+        }
+    }
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        sendUnsent()
+        context.fireChannelWritabilityChanged()
+    }
+
     fun close() {
         channel?.close()
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -53,9 +53,13 @@
         }
         val number = ++lastCallNumber
         val pendingOfSession = pendingBySession.getOrPut(session) { HashMap() }
-        pendingOfSession[number] = PendingCall(call.idempotent, onResult)
-        session.send(messageOf(number, call), call.body)
-        return Cancellation { if (pendingOfSession.remove(number) != null) session.send(PeerMessage.Cancel(number)) }
+        val frame = PeerFrame(messageOf(number, call), call.body)
+        pendingOfSession[number] = PendingCall(frame, call.idempotent, onResult)
+        session.sendWhenWritable(frame)
+        return Cancellation {
+            val isPending = pendingOfSession.remove(number) != null
+            if (isPending && !session.withdraw(frame)) session.send(PeerMessage.Cancel(number))
+        }
     }
 
     /** Applies a reply from a gate: completes the call that it belongs to. */
@@ -87,7 +91,9 @@
 
     /** The gate has been silent for too long: calls that may be repeated get an unknown outcome, all others wait. */
     fun silent(session: PeerSession) =
-        loseCalls(session) { it.idempotent }.forEach { session.send(PeerMessage.Cancel(it)) }
+        loseCalls(session) { it.idempotent }.forEach { (number, call) ->
+            if (!session.withdraw(call.frame)) session.send(PeerMessage.Cancel(number))
+        }
 
     /** Returns whether calls wait for a reply on [session]. */
     fun isInUse(session: PeerSession): Boolean = !pendingBySession[session].isNullOrEmpty()
@@ -98,12 +104,12 @@
         pendingBySession.remove(session)
     }
 
-    private fun loseCalls(session: PeerSession, isLost: (PendingCall) -> Boolean): Set<Long> {
-        val callsOfSession = pendingBySession[session] ?: return emptySet()
+    private fun loseCalls(session: PeerSession, isLost: (PendingCall) -> Boolean): Map<Long, PendingCall> {
+        val callsOfSession = pendingBySession[session] ?: return emptyMap()
         val lost = callsOfSession.filterValues(isLost)
         callsOfSession.keys.removeAll(lost.keys)
         lost.values.forEach { it.onResult(ForwardResult.OutcomeUnknown(ResultCode.ANSWER_LOST, null)) }
-        return lost.keys
+        return lost
     }
 
     private fun complete(session: PeerSession, number: Long, result: () -> ForwardResult) {
@@ -130,6 +136,7 @@
         )
 
     private class PendingCall(
+        val frame: PeerFrame,
         val idempotent: Boolean,
         val onResult: (ForwardResult) -> Unit,
     )
