Refuse calls that were never sent as not run when their connection is lost

Callers got 502 for requests that had reached no target, and could not repeat those that are not idempotent: when the connection to another daemon ended or was silent, each of its calls got an unknown outcome, also those that waited for the peer to read and of which no byte had left the process. Calls of which a byte may have left keep their unknown outcome.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -41,14 +41,7 @@
         if (target.entry.ip == ownIp) return gate.submit(call, onResult)
         val session = mesh().sessionTo(target.entry.ip)
         if (session == null) {
-            onResult(
-                ForwardResult.Refused(
-                    ResultCode.PEER_UNREACHABLE,
-                    RETRY_AFTER,
-                    reachedTarget = false,
-                    loadReport = null,
-                ),
-            )
+            onResult(UNREACHABLE)
             return Cancellation { }
         }
         val number = ++lastCallNumber
@@ -89,27 +82,39 @@
         }
     }
 
-    /** The gate has been silent for too long: calls that may be repeated get an unknown outcome, all others wait. */
-    fun silent(session: PeerSession) =
-        loseCalls(session) { it.idempotent }.forEach { (number, call) ->
-            if (!session.withdraw(call.frame)) session.send(PeerMessage.Cancel(number))
-        }
+    /**
+     * The gate has been silent for too long: calls that may be repeated get an unknown outcome, and all others wait unless
+     * they have not been sent.
+     */
+    fun silent(session: PeerSession) {
+        refuseUnsent(session)
+        loseCalls(session) { it.idempotent }.forEach { session.send(PeerMessage.Cancel(it)) }
+    }
 
     /** Returns whether calls wait for a reply on [session]. */
     fun isInUse(session: PeerSession): Boolean = !pendingBySession[session].isNullOrEmpty()
 
     /** The connection is closed: the outcome of all calls sent on it is unknown. */
     fun closed(session: PeerSession) {
+        refuseUnsent(session)
         loseCalls(session) { true }
         pendingBySession.remove(session)
     }
 
-    private fun loseCalls(session: PeerSession, isLost: (PendingCall) -> Boolean): Map<Long, PendingCall> {
-        val callsOfSession = pendingBySession[session] ?: return emptyMap()
+    /** Refuses calls of which no byte has been sent: they have not run. */
+    private fun refuseUnsent(session: PeerSession) {
+        val callsOfSession = pendingBySession[session] ?: return
+        val unsent = callsOfSession.filterValues { session.withdraw(it.frame) }
+        callsOfSession.keys.removeAll(unsent.keys)
+        unsent.values.forEach { it.onResult(UNREACHABLE) }
+    }
+
+    private fun loseCalls(session: PeerSession, isLost: (PendingCall) -> Boolean): Set<Long> {
+        val callsOfSession = pendingBySession[session] ?: return emptySet()
         val lost = callsOfSession.filterValues(isLost)
         callsOfSession.keys.removeAll(lost.keys)
         lost.values.forEach { it.onResult(ForwardResult.OutcomeUnknown(ResultCode.ANSWER_LOST, null)) }
-        return lost
+        return lost.keys
     }
 
     private fun complete(session: PeerSession, number: Long, result: () -> ForwardResult) {
@@ -142,7 +147,13 @@
     )
 
     private companion object {
-        val RETRY_AFTER = 200.milliseconds
+        val UNREACHABLE =
+            ForwardResult.Refused(
+                ResultCode.PEER_UNREACHABLE,
+                200.milliseconds,
+                reachedTarget = false,
+                loadReport = null,
+            )
     }
 }
 
