--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateEndpointTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateEndpointTest.kt
@@ -7,6 +7,8 @@
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.TargetGate
 import kingcuptide.forwarder.ManualClock
+import kingcuptide.forwarder.connection.BufferedResponse
+import kingcuptide.forwarder.connection.HttpResult
 import kingcuptide.forwarder.connection.PeerCodec
 import kingcuptide.forwarder.connection.PeerFrame
 import kingcuptide.forwarder.connection.PeerListener
@@ -16,9 +18,9 @@
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.StartQueue
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.awaitCancellation
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
@@ -34,13 +36,15 @@
         slots = 2
     }
     private val sent = ArrayList<String?>()
+    private val responses = HashMap<String?, CompletableDeferred<HttpResult>>()
     private val service = GateService(
         CoroutineScope(Dispatchers.Unconfined),
         clock,
         gate,
         { call, _, _ ->
-            sent += call.headers.first(NAMES.requestId)
-            awaitCancellation()
+            val id = call.headers.first(NAMES.requestId)
+            sent += id
+            responses.getOrPut(id) { CompletableDeferred() }.await()
         },
         NAMES,
         { null },
@@ -49,6 +53,7 @@
         CrashSuspects(HostId("h"), 1, clock),
         RunningRequests(clock),
         DaemonMetrics(),
+        atTurnEnd = ::atTurnEnd,
     )
     private val endpoint: GateEndpoint = GateEndpoint(clock, StartQueue(clock, ::atTurnEnd), service, gate::loadReport)
     private val listener = object : PeerListener {
@@ -104,6 +109,15 @@
         expectThat(sent).isEmpty()
     }
 
+    @Test
+    fun `Given a queued call, when a slot is freed in the turn of its cancellation, then the next one starts`() {
+        channel.writeInbound(bytesOf(forward(1), forward(2), forward(3), forward(4)))
+        val response = BufferedResponse(404, listOf(NAMES.requestId to "1"), ByteArray(0))
+        responses.getValue("1").complete(HttpResult.Answered(response))
+        channel.writeInbound(bytesOf(PeerMessage.Cancel(3)))
+        expectThat(sent).containsExactly("1", "2", "4")
+    }
+
     private companion object {
         val NAMES =
             HeaderNames("Id", "Left", "Caller", "Expected", "Not-Run", "Proof", "Target", "Cold", "Rate", "Leaving")
