--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/CallerServer.kt
@@ -10,6 +10,7 @@
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.version.CallerLimits
 import kingcuptide.forwarder.process.DaemonMetrics
+import kingcuptide.forwarder.process.StartQueue
 import kotlinx.coroutines.CoroutineScope
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
@@ -32,6 +33,7 @@
     private val refuseByHead: (CallerRequest) -> BufferedResponse? = { null },
     private val isIdempotent: (CallerRequest) -> Boolean = { false },
     private val refuseAtStop: (CallerRequest) -> BufferedResponse = { CallerConnection.REFUSED_AT_STOP },
+    private val starts: StartQueue = StartQueue(loop, clock),
     private val serve: suspend (CallerRequest) -> BufferedResponse,
 ) {
     private val connections = LinkedHashSet<CallerConnection>()
@@ -57,6 +59,7 @@
                     ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG),
                 )
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, readsToEnd())
                 .childHandler(PipelineInitializer(::accept))
                 .bind(address)
                 .sync()
@@ -124,6 +127,7 @@
                 isIdempotent,
                 refuseAtStop,
                 counts,
+                starts,
                 onClosed = { connections -= it },
             )
         connection.closesAfterResponse = closing
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -41,21 +41,18 @@
         if (target.entry.ip == ownIp) return gate.submit(call, onResult)
         val session = mesh().sessionTo(target.entry.ip)
         if (session == null) {
-            onResult(
-                ForwardResult.Refused(
-                    ResultCode.PEER_UNREACHABLE,
-                    RETRY_AFTER,
-                    reachedTarget = false,
-                    loadReport = null,
-                ),
-            )
+            onResult(UNREACHABLE)
             return Cancellation { }
         }
         val number = ++lastCallNumber
         val pendingOfSession = pendingBySession.getOrPut(session) { HashMap() }
-        pendingOfSession[number] = PendingCall(call.idempotent, onResult)
-        session.send(messageOf(number, call), call.body)
-        return Cancellation { if (pendingOfSession.remove(number) != null) session.send(PeerMessage.Cancel(number)) }
+        val frame = PeerFrame(messageOf(number, call), call.body)
+        pendingOfSession[number] = PendingCall(frame, call.idempotent, onResult)
+        session.sendWhenWritable(frame)
+        return Cancellation {
+            val isPending = pendingOfSession.remove(number) != null
+            if (isPending && !session.withdraw(frame)) session.send(PeerMessage.Cancel(number))
+        }
     }
 
     /** Applies a reply from a gate: completes the call that it belongs to. */
@@ -85,19 +82,33 @@
         }
     }
 
-    /** The gate has been silent for too long: calls that may be repeated get an unknown outcome, all others wait. */
-    fun silent(session: PeerSession) =
+    /**
+     * The gate has been silent for too long: calls that may be repeated get an unknown outcome, and all others wait unless
+     * they have not been sent.
+     */
+    fun silent(session: PeerSession) {
+        refuseUnsent(session)
         loseCalls(session) { it.idempotent }.forEach { session.send(PeerMessage.Cancel(it)) }
+    }
 
     /** Returns whether calls wait for a reply on [session]. */
     fun isInUse(session: PeerSession): Boolean = !pendingBySession[session].isNullOrEmpty()
 
     /** The connection is closed: the outcome of all calls sent on it is unknown. */
     fun closed(session: PeerSession) {
+        refuseUnsent(session)
         loseCalls(session) { true }
         pendingBySession.remove(session)
     }
 
+    /** Refuses calls of which no byte has been sent: they have not run. */
+    private fun refuseUnsent(session: PeerSession) {
+        val callsOfSession = pendingBySession[session] ?: return
+        val unsent = callsOfSession.filterValues { session.withdraw(it.frame) }
+        callsOfSession.keys.removeAll(unsent.keys)
+        unsent.values.forEach { it.onResult(UNREACHABLE) }
+    }
+
     private fun loseCalls(session: PeerSession, isLost: (PendingCall) -> Boolean): Set<Long> {
         val callsOfSession = pendingBySession[session] ?: return emptySet()
         val lost = callsOfSession.filterValues(isLost)
@@ -130,12 +141,19 @@
         )
 
     private class PendingCall(
+        val frame: PeerFrame,
         val idempotent: Boolean,
         val onResult: (ForwardResult) -> Unit,
     )
 
     private companion object {
-        val RETRY_AFTER = 200.milliseconds
+        val UNREACHABLE =
+            ForwardResult.Refused(
+                ResultCode.PEER_UNREACHABLE,
+                200.milliseconds,
+                reachedTarget = false,
+                loadReport = null,
+            )
     }
 }
 
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PipelinedCallerTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/PipelinedCallerTest.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder
 import kingcuptide.coordination.version.CallerLimits
 import kingcuptide.forwarder.ManualClock
+import kingcuptide.forwarder.process.StartQueue
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -43,6 +44,7 @@
             isIdempotent = { it.path.startsWith("/safe") },
             refuseAtStop = { BufferedResponse(503, listOf("X" to "${it.path}-refused"), NO_BYTES) },
             counts = counts,
+            starts = StartQueue(clock) { it() },
         ) { }
     private val channel =
         EmbeddedChannel(
