--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -204,7 +204,7 @@
 
     /** Guards against a retry that starts although the end of the connection has arrived with the refusal. */
     @Test
-    fun `Given a refusal in the round of I-O in which the caller leaves, when that ends, then no other gate is asked`() {
+    fun `Given a refusal in the round of I-O in which the caller leaves, when it ends, then no other gate is asked`() {
         start()
         results += listOf(refused(reachedTarget = false), answered(200))
         awaitTurn = ::awaitCancellation
