Let starts take as much time as the round of I/O before them

A round of I/O took a quarter of a second in the median of the delayed ones, and starts had 10 ms behind each.

Starts now run for as long as the round took, at most for 250 ms, so that a withdrawal is read within half a second.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/StartQueue.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/StartQueue.kt
@@ -5,14 +5,15 @@
 import kotlinx.coroutines.suspendCancellableCoroutine
 import java.util.concurrent.TimeUnit
 import kotlin.coroutines.resume
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Starts work at the end of a round of I/O, when the event loop has read what all ready sockets have received.
  *
  * After a pause of the process a message and the one that withdraws it wait together; work that is withdrawn before the end
- * of the round does not start. Starts that take longer than [MAX_RUN_TIME] continue after another round. Used on the event
- * loop.
+ * of the round does not start. Starts that take longer than the round, within bounds, continue after another one, so that
+ * neither I/O nor starts take all the time of a busy process. Used on the event loop.
  *
  * @param scheduleTurn runs its argument at the end of a round, and after another one if called at the end of one
  */
@@ -26,6 +27,7 @@
 
     private val pending = ArrayDeque<() -> Unit>()
     private var isScheduled = false
+    private var scheduledAt = Duration.ZERO
 
     /** Whether nothing waits for the end of the round. */
     val isEmpty: Boolean get() = pending.isEmpty()
@@ -53,12 +55,14 @@
     private fun schedule() {
         if (isScheduled) return
         isScheduled = true
+        scheduledAt = clock.now()
         scheduleTurn(::runTurn)
     }
 
     private fun runTurn() {
         isScheduled = false
-        val until = clock.now() + MAX_RUN_TIME
+        val now = clock.now()
+        val until = now + (now - scheduledAt).coerceIn(MIN_RUN_TIME, MAX_RUN_TIME)
         try {
             while (pending.isNotEmpty()) {
                 runNext()
@@ -74,7 +78,10 @@
     }
 
     private companion object {
-        /** Time after which sockets are read again before further starts. */
-        val MAX_RUN_TIME = 10.milliseconds
+        /** Starts run for as long even if the round was shorter. */
+        val MIN_RUN_TIME = 10.milliseconds
+
+        /** Time after which sockets are read again: withdrawn work may start for at most half a second. */
+        val MAX_RUN_TIME = 250.milliseconds
     }
 }
