End a connection with part of a head behind a response wherever it is cut

A duplicate response that is cut behind its first line, or another line of its head, leaves no bytes in the decoder: it has taken the lines and waits for the rest. The connection then counted as free, and the rest passed for the response to the next call.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/ResponseDecoder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/ResponseDecoder.kt
@@ -1,5 +1,7 @@
 package kingcuptide.forwarder.connection
 
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponseDecoder
@@ -9,11 +11,24 @@
     /** Whether the call that waits has the method HEAD, whose responses have no body. */
     var isHeadCall = false
 
+    /** Whether the first line of a head was decoded, of which the rest has not arrived. */
+    private var isInHead = false
+
     /** Whether bytes have arrived that are not part of a decoded message. */
-    val hasUnreadBytes: Boolean get() = actualReadableBytes() > 0
+    val hasUnreadBytes: Boolean get() = isInHead || actualReadableBytes() > 0
 
     override fun isSharable(): Boolean = false
 
+    override fun createMessage(initialLine: Array<out String>): HttpMessage {
+        isInHead = true
+        return super.createMessage(initialLine)
+    }
+
+    override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        super.decode(context, buffer, out)
+        if (out.isNotEmpty()) isInHead = false
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         isHeadCall || super.isContentAlwaysEmpty(message)
 }
