Go on with a request that waited for a credit only at the end of the round of I/O

A grant of a lender released all requests that waited for it, which were sent to their gates at once, although the ends of their callers' connections could wait unread in the same round. The decision on a request that waited is now passed on at the end of the round; one whose caller has left by then gives its credit back.

The test in QuotaServiceTest fails with the decision passed on at once (a trial: no decision waits for the end of the round) and passes now.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -149,6 +149,7 @@
             metrics,
             { stop.isStopping },
             { frequentTask.startIfNeeded() },
+            starts::add,
             mesh::distinctPeers,
         )
     private val allowance = RetryAllowance(clock, { settings.retries }) { published.targets.size }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/QuotaService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/QuotaService.kt
@@ -31,6 +31,7 @@
  * Connects the quota account of this host to its peers and to the published state. Used on the event loop.
  *
  * @param onPending called when [isPending] may have become true
+ * @param atTurnEnd runs its argument when the end of a caller's connection that arrived with a credit is read
  */
 class QuotaService(
     self: HostId,
@@ -41,6 +42,7 @@
     private val metrics: DaemonMetrics,
     private val isStopping: () -> Boolean = { false },
     private val onPending: () -> Unit = {},
+    private val atTurnEnd: (() -> Unit) -> Unit = { it() },
     private val peers: () -> Collection<PeerSession>,
 ) : QuotaAdmission {
     private val tree = QuotaTree(clock, self, own)
@@ -60,13 +62,18 @@
     override suspend fun acquire(workspace: Workspace, maxWait: Duration): QuotaDecision {
         if (!workspace.hasLimit) return QuotaDecision.Allowed
         val decision = suspendCancellableCoroutine { continuation ->
+            var waits = false
             val ticket = account.acquire(quotaKey(workspace.name), maxWait) { decision ->
-                if (continuation.isActive) {
-                    continuation.resume(decision)
-                } else if (decision == QuotaDecision.Allowed) {
-                    giveBack(workspace)
+                val decide = {
+                    if (continuation.isActive) {
+                        continuation.resume(decision)
+                    } else if (decision == QuotaDecision.Allowed) {
+                        giveBack(workspace)
+                    }
                 }
+                if (waits) atTurnEnd(decide) else decide()
             }
+            waits = ticket != null
             continuation.invokeOnCancellation { ticket?.cancel() }
             if (ticket != null) onPending()
         }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/QuotaServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/QuotaServiceTest.kt
@@ -16,12 +16,14 @@
 import kingcuptide.forwarder.connection.NO_BYTES
 import kingcuptide.forwarder.process.DaemonMetrics
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEmpty
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -34,8 +36,17 @@
     private var version = 0L
     private var routing = PublishedItem.Configuration(routingOf(workspace(0.0)))
     private val published = PublishedState(time, { routing })
+    private var atTurnEnd: (() -> Unit) -> Unit = { it() }
     private val service =
-        QuotaService(HostId("h"), QuotaPeer(FailureDomainId("a")), time, Random(1), published, metrics) { emptyList() }
+        QuotaService(
+            HostId("h"),
+            QuotaPeer(FailureDomainId("a")),
+            time,
+            Random(1),
+            published,
+            metrics,
+            atTurnEnd = { atTurnEnd(it) },
+        ) { emptyList() }
 
     private fun workspace(perSecond: Double, name: String = "w") = Workspace(name, null, perSecond, 5.0, emptySet())
 
@@ -103,6 +114,29 @@
         expectThat(allowedOf(1, limited)).isEqualTo(1)
     }
 
+    /** Guards against a request that goes on although the end of its connection has arrived with its credit. */
+    @Test
+    fun `Given a caller that leaves in the round of I-O of its credit, when that ends, then it gives the credit back`() {
+        val limited = workspace(20.0)
+        publish(limited)
+        run(8_000)
+        val turnEnds = ArrayList<() -> Unit>()
+        atTurnEnd = turnEnds::add
+        var goneOn = 0
+        val waiting = List(60) {
+            CoroutineScope(Dispatchers.Unconfined).launch {
+                if (service.acquire(limited, QuotaAccount.MAX_WAIT) == QuotaDecision.Allowed) goneOn++
+            }
+        }
+        val goneOnAtOnce = goneOn
+        run(160)
+        waiting.forEach { it.cancel() }
+        expectThat(turnEnds).isNotEmpty()
+        turnEnds.forEach { it() }
+        expectThat(goneOn).isEqualTo(goneOnAtOnce)
+        expectThat(metrics.scrape()).contains("outcome=\"returned\"")
+    }
+
     @Test
     fun `Given more workspaces than labels, when they are counted, then the rest are counted together`() {
         repeat(200) { metrics.quota("w$it", QuotaOutcome.REFUSED) }
