Report errors of starts at the end of a round of I/O

Before starts were deferred, an error in one reached exceptionCaught of its channel or the fault handler of the coroutines. A scheduled task of the event loop drops what it throws, so that such an error left no line.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/StartQueue.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/StartQueue.kt
@@ -18,11 +18,12 @@
  */
 class StartQueue(
     private val clock: Clock,
+    private val log: EventLog = eventLog("daemon"),
     private val scheduleTurn: (() -> Unit) -> Unit,
 ) {
     /** Unlike a task that is executed, one that a task schedules waits for the next round. */
     constructor(loop: EventExecutor, clock: Clock) :
-        this(clock, { loop.schedule(it, 0, TimeUnit.NANOSECONDS) })
+        this(clock, scheduleTurn = { loop.schedule(it, 0, TimeUnit.NANOSECONDS) })
 
     private val pending = ArrayDeque<() -> Unit>()
     private var isScheduled = false
@@ -69,8 +70,10 @@
         }
     }
 
+    /** The event loop would drop an error without a line. */
     private fun runNext() {
-        pending.removeFirstOrNull()?.invoke()
+        val next = pending.removeFirstOrNull() ?: return
+        runCatching(next).onFailure { log.error("task_failed", it) }
     }
 
     private companion object {
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateEndpointTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/GateEndpointTest.kt
@@ -55,7 +55,8 @@
         DaemonMetrics(),
         atTurnEnd = ::atTurnEnd,
     )
-    private val endpoint: GateEndpoint = GateEndpoint(clock, StartQueue(clock, ::atTurnEnd), service, gate::loadReport)
+    private val endpoint: GateEndpoint =
+        GateEndpoint(clock, StartQueue(clock, scheduleTurn = ::atTurnEnd), service, gate::loadReport)
     private val listener = object : PeerListener {
         override fun opened(session: PeerSession) = Unit
 
