Send a call that has waited in its daemon with the time that is left

A call that waits until its peer reads was sent with the time that was left when it was submitted. Its target was told more than that by as long as the call had waited.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
@@ -22,8 +22,8 @@
     StatePeer {
     private var channel: Channel? = null
 
-    /** Frames that wait until the peer has read more. */
-    private val unsent = LinkedHashSet<PeerFrame>()
+    /** Frames that wait until the peer has read more, with the time since which they wait. */
+    private val unsent = LinkedHashMap<DelayedFrame, Duration>()
 
     /** The hello of the peer, null until it has arrived. */
     var peer: PeerMessage.Hello? = null
@@ -58,20 +58,20 @@
      * Sends [frame] as soon as the peer reads fast enough, so that [withdraw] can take it back until then. Messages of [send]
      * overtake it.
      */
-    fun sendWhenWritable(frame: PeerFrame) {
-        unsent += frame
+    fun sendWhenWritable(frame: DelayedFrame) {
+        unsent[frame] = clock.now()
         sendUnsent()
     }
 
     /** Takes back a frame of [sendWhenWritable]. Returns whether no byte of it has been sent or will be. */
-    fun withdraw(frame: PeerFrame): Boolean = unsent.remove(frame)
+    fun withdraw(frame: DelayedFrame): Boolean = unsent.remove(frame) != null
 
     private fun sendUnsent() {
         val channel = channel ?: return
         while (unsent.isNotEmpty() && channel.isWritable) {
-            val frame = unsent.first()
+            val (frame, since) = unsent.entries.first()
             unsent -= frame
-            channel.writeAndFlush(frame)
+            channel.writeAndFlush(frame.after(clock.now() - since))
         }
     }
 
@@ -124,6 +124,11 @@
     }
 }
 
+/** A frame that depends on how long it has waited; equal only to itself. */
+fun interface DelayedFrame {
+    fun after(waited: Duration): PeerFrame
+}
+
 /** Receives the events of connections to other daemons. */
 interface PeerListener {
     fun opened(session: PeerSession)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -8,11 +8,13 @@
 import kingcuptide.coordination.version.KnownTarget
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.BufferedResponse
+import kingcuptide.forwarder.connection.DelayedFrame
 import kingcuptide.forwarder.connection.Headers
 import kingcuptide.forwarder.connection.PeerFrame
 import kingcuptide.forwarder.connection.PeerMesh
 import kingcuptide.forwarder.connection.PeerMessage
 import kingcuptide.forwarder.connection.PeerSession
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Sends requests to the gate on this host directly, and to other gates over the connections to their daemons. */
@@ -46,7 +48,7 @@
         }
         val number = ++lastCallNumber
         val pendingOfSession = pendingBySession.getOrPut(session) { HashMap() }
-        val frame = PeerFrame(messageOf(number, call), call.body)
+        val frame = DelayedFrame { waited -> PeerFrame(messageOf(number, call, waited), call.body) }
         pendingOfSession[number] = PendingCall(frame, call.idempotent, onResult)
         session.sendWhenWritable(frame)
         return Cancellation {
@@ -121,15 +123,15 @@
         pendingBySession[session]?.remove(number)?.onResult?.invoke(result())
     }
 
-    private fun messageOf(number: Long, call: ForwardCall) =
+    private fun messageOf(number: Long, call: ForwardCall, waited: Duration) =
         PeerMessage.Forward(
             number,
             call.requestId,
             call.method,
             call.target,
             flatten(call.headers),
-            call.remaining.inWholeMilliseconds,
-            call.untilObjective.inWholeMilliseconds,
+            (call.remaining - waited).inWholeMilliseconds,
+            (call.untilObjective - waited).inWholeMilliseconds,
             call.objective.inWholeMilliseconds,
             call.route.value,
             call.priority,
@@ -141,7 +143,7 @@
         )
 
     private class PendingCall(
-        val frame: PeerFrame,
+        val frame: DelayedFrame,
         val idempotent: Boolean,
         val onResult: (ForwardResult) -> Unit,
     )
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SlowPeerTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SlowPeerTest.kt
@@ -128,19 +128,19 @@
     /** Fills the buffers between both daemons, since the peer reads nothing. */
     private fun submitLargeCalls() = repeat(LARGE_CALLS) { submit("large-$it", ByteArray(LARGE_BYTES)) }
 
-    /** Reads frames until that of the call [last], and returns the ids of all calls. */
-    private fun receivedCalls(last: String): List<String> {
+    /** Reads frames until that of the call [last], and returns all calls. */
+    private fun receivedCalls(last: String): List<PeerMessage.Forward> {
         val decoder = EmbeddedChannel(PeerCodec())
-        val ids = ArrayList<String>()
+        val calls = ArrayList<PeerMessage.Forward>()
         val bytes = ByteArray(BUFFER_BYTES)
-        while (last !in ids) {
+        while (calls.none { it.requestId == last }) {
             decoder.writeInbound(Unpooled.copiedBuffer(bytes, 0, peer.getInputStream().read(bytes)))
             while (true) {
                 val frame = decoder.readInbound<PeerFrame>() ?: break
-                (frame.message as? PeerMessage.Forward)?.let { ids += it.requestId }
+                (frame.message as? PeerMessage.Forward)?.let(calls::add)
             }
         }
-        return ids
+        return calls
     }
 
     @Test
@@ -150,7 +150,20 @@
         val withdrawn = submit("withdrawn", NO_BODY)
         submit("last", NO_BODY)
         onLoop { withdrawn.cancel() }
-        expectThat(receivedCalls("last")).containsExactly(List(LARGE_CALLS) { "large-$it" } + "last")
+        expectThat(receivedCalls("last").map { it.requestId })
+            .containsExactly(List(LARGE_CALLS) { "large-$it" } + "last")
+    }
+
+    /** Guards against a target that is told more time than is left, as its call has waited in the daemon of its caller. */
+    @Test
+    fun `Given a peer that reads nothing, when a call is sent later, then its time is less by as much`() {
+        connect()
+        submitLargeCalls()
+        submit("last", NO_BODY)
+        clock.advance(2.seconds)
+        val last = receivedCalls("last").last()
+        expectThat(last.requestId to last.remainingMs).isEqualTo("last" to 1_000L)
+        expectThat(last.untilObjectiveMs).isEqualTo(-1_000L)
     }
 
     @Test
