--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SlowPeerTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SlowPeerTest.kt
@@ -36,6 +36,7 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
@@ -166,6 +167,29 @@
         expectThat(last.untilObjectiveMs).isEqualTo(-1_000L)
     }
 
+    /** Guards against a call that is not sent for as long as responses to the same daemon fill the connection. */
+    @Test
+    fun `Given responses that fill the connection, when a call waits, then later ones do not all overtake it`() {
+        connect()
+        val session = checkNotNull(onLoop { mesh.sessionTo(PEER_IP) })
+        val load = PeerMessage.LoadReport(0, 0, 1, 0, false)
+        val respond = { session.send(PeerMessage.Response(0, 200, emptyList(), 1, load), ByteArray(LARGE_BYTES)) }
+        onLoop { repeat(LARGE_CALLS) { respond() } }
+        submit("last", NO_BODY)
+        val decoder = EmbeddedChannel(PeerCodec())
+        val bytes = ByteArray(BUFFER_BYTES)
+        var later = 0
+        var isSent = false
+        while (!isSent) {
+            decoder.writeInbound(Unpooled.copiedBuffer(bytes, 0, peer.getInputStream().read(bytes)))
+            for (frame in generateSequence { decoder.readInbound<PeerFrame>() }) {
+                if (frame.message is PeerMessage.Forward) isSent = true
+                if (frame.message is PeerMessage.Response && later++ < 4 * LARGE_CALLS) onLoop { respond() }
+            }
+        }
+        expectThat(later).isLessThan(2 * LARGE_CALLS)
+    }
+
     @Test
     fun `Given a peer that reads nothing, when its connection ends, then a call that was not sent has not run`() {
         connect()
