--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/StartQueue.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/StartQueue.kt
@@ -19,11 +19,12 @@
  */
 class StartQueue(
     private val clock: Clock,
+    private val log: EventLog = eventLog("daemon"),
     private val scheduleTurn: (() -> Unit) -> Unit,
 ) {
     /** Unlike a task that is executed, one that a task schedules waits for the next round. */
     constructor(loop: EventExecutor, clock: Clock) :
-        this(clock, { loop.schedule(it, 0, TimeUnit.NANOSECONDS) })
+        this(clock, scheduleTurn = { loop.schedule(it, 0, TimeUnit.NANOSECONDS) })
 
     private val pending = ArrayDeque<() -> Unit>()
     private var isScheduled = false
@@ -63,18 +64,17 @@
         isScheduled = false
         val now = clock.now()
         val until = now + (now - scheduledAt).coerceIn(MIN_RUN_TIME, MAX_RUN_TIME)
-        try {
-            while (pending.isNotEmpty()) {
-                runNext()
-                if (clock.now() >= until) break
-            }
-        } finally {
-            if (pending.isNotEmpty()) schedule()
+        while (pending.isNotEmpty()) {
+            runNext()
+            if (clock.now() >= until) break
         }
+        if (pending.isNotEmpty()) schedule()
     }
 
+    /** The event loop would drop an error without a line. */
     private fun runNext() {
-        pending.removeFirstOrNull()?.invoke()
+        val next = pending.removeFirstOrNull() ?: return
+        runCatching(next).onFailure { log.error("task_failed", it) }
     }
 
     private companion object {
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/process/StartQueueTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/process/StartQueueTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
@@ -14,7 +15,8 @@
 internal class StartQueueTest {
     private val clock = ManualClock()
     private var turn: (() -> Unit)? = null
-    private val queue = StartQueue(clock) { turn = it }
+    private val log = CapturedLog()
+    private val queue = StartQueue(clock, log.eventLog) { turn = it }
     private var started = 0
 
     private fun addStarts(count: Int) = repeat(count) {
@@ -46,14 +48,15 @@
         expectThat(started).isEqualTo(50)
     }
 
+    /** Guards against an error in a start that leaves no trace, since the event loop drops what its tasks throw. */
     @Test
-    fun `Given a start that fails, when others wait, then they run in the next round`() {
-        queue.add { error("planted") }
+    fun `Given a start that throws, when the turn ends, then it is reported and the others run`() {
+        queue.add { error("broken") }
         addStarts(1)
-        runCatching { runRound(Duration.ZERO) }
         runRound(Duration.ZERO)
         expectThat(started).isEqualTo(1)
         expectThat(queue.isEmpty).isTrue()
+        expectThat(log.lines).hasSize(1)
     }
 
     @Test
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SlowPeerTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SlowPeerTest.kt
@@ -36,6 +36,7 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
@@ -128,19 +129,19 @@
     /** Fills the buffers between both daemons, since the peer reads nothing. */
     private fun submitLargeCalls() = repeat(LARGE_CALLS) { submit("large-$it", ByteArray(LARGE_BYTES)) }
 
-    /** Reads frames until that of the call [last], and returns the ids of all calls. */
-    private fun receivedCalls(last: String): List<String> {
+    /** Reads frames until that of the call [last], and returns all calls. */
+    private fun receivedCalls(last: String): List<PeerMessage.Forward> {
         val decoder = EmbeddedChannel(PeerCodec())
-        val ids = ArrayList<String>()
+        val calls = ArrayList<PeerMessage.Forward>()
         val bytes = ByteArray(BUFFER_BYTES)
-        while (last !in ids) {
+        while (calls.none { it.requestId == last }) {
             decoder.writeInbound(Unpooled.copiedBuffer(bytes, 0, peer.getInputStream().read(bytes)))
             while (true) {
                 val frame = decoder.readInbound<PeerFrame>() ?: break
-                (frame.message as? PeerMessage.Forward)?.let { ids += it.requestId }
+                (frame.message as? PeerMessage.Forward)?.let(calls::add)
             }
         }
-        return ids
+        return calls
     }
 
     @Test
@@ -150,7 +151,43 @@
         val withdrawn = submit("withdrawn", NO_BODY)
         submit("last", NO_BODY)
         onLoop { withdrawn.cancel() }
-        expectThat(receivedCalls("last")).containsExactly(List(LARGE_CALLS) { "large-$it" } + "last")
+        expectThat(receivedCalls("last").map { it.requestId })
+            .containsExactly(List(LARGE_CALLS) { "large-$it" } + "last")
+    }
+
+    /** Guards against a target that is told more time than is left, as its call has waited in the daemon of its caller. */
+    @Test
+    fun `Given a peer that reads nothing, when a call is sent later, then its time is less by as much`() {
+        connect()
+        submitLargeCalls()
+        submit("last", NO_BODY)
+        clock.advance(2.seconds)
+        val last = receivedCalls("last").last()
+        expectThat(last.requestId to last.remainingMs).isEqualTo("last" to 1_000L)
+        expectThat(last.untilObjectiveMs).isEqualTo(-1_000L)
+    }
+
+    /** Guards against a call that is not sent for as long as responses to the same daemon fill the connection. */
+    @Test
+    fun `Given responses that fill the connection, when a call waits, then later ones do not all overtake it`() {
+        connect()
+        val session = checkNotNull(onLoop { mesh.sessionTo(PEER_IP) })
+        val load = PeerMessage.LoadReport(0, 0, 1, 0, false)
+        val respond = { session.send(PeerMessage.Response(0, 200, emptyList(), 1, load), ByteArray(LARGE_BYTES)) }
+        onLoop { repeat(LARGE_CALLS) { respond() } }
+        submit("last", NO_BODY)
+        val decoder = EmbeddedChannel(PeerCodec())
+        val bytes = ByteArray(BUFFER_BYTES)
+        var later = 0
+        var isSent = false
+        while (!isSent) {
+            decoder.writeInbound(Unpooled.copiedBuffer(bytes, 0, peer.getInputStream().read(bytes)))
+            for (frame in generateSequence { decoder.readInbound<PeerFrame>() }) {
+                if (frame.message is PeerMessage.Forward) isSent = true
+                if (frame.message is PeerMessage.Response && later++ < 4 * LARGE_CALLS) onLoop { respond() }
+            }
+        }
+        expectThat(later).isLessThan(2 * LARGE_CALLS)
     }
 
     @Test
