--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerSession.kt
@@ -25,6 +25,9 @@
     /** Frames that wait until the peer has read more, with the time since which they wait. */
     private val unsent = LinkedHashMap<DelayedFrame, Duration>()
 
+    /** Bytes of bodies that were sent since the first frame of [unsent] could have been. */
+    private var overtakingBytes = 0L
+
     /** The hello of the peer, null until it has arrived. */
     var peer: PeerMessage.Hello? = null
         private set
@@ -52,11 +55,14 @@
 
     fun send(message: PeerMessage, body: ByteArray) {
         channel?.writeAndFlush(PeerFrame(message, body))
+        if (unsent.isEmpty()) return
+        overtakingBytes += body.size
+        if (overtakingBytes >= MAX_OVERTAKING_BYTES) channel?.takeIf(Channel::isActive)?.let(::sendFirstUnsent)
     }
 
     /**
      * Sends [frame] as soon as the peer reads fast enough, so that [withdraw] can take it back until then. Messages of [send]
-     * overtake it.
+     * overtake it, at most [MAX_OVERTAKING_BYTES] of their bodies for each frame that waits.
      */
     fun sendWhenWritable(frame: DelayedFrame) {
         unsent[frame] = clock.now()
@@ -68,11 +74,14 @@
 
     private fun sendUnsent() {
         val channel = channel ?: return
-        while (unsent.isNotEmpty() && channel.isWritable) {
-            val (frame, since) = unsent.entries.first()
-            unsent -= frame
-            channel.writeAndFlush(frame.after(clock.now() - since))
-        }
+        while (unsent.isNotEmpty() && channel.isWritable) sendFirstUnsent(channel)
+    }
+
+    private fun sendFirstUnsent(channel: Channel) {
+        val (frame, since) = unsent.entries.first()
+        unsent -= frame
+        overtakingBytes = 0
+        channel.writeAndFlush(frame.after(clock.now() - since))
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
@@ -122,6 +131,10 @@
         peer = received
         listener.opened(this)
     }
+
+    private companion object {
+        const val MAX_OVERTAKING_BYTES = 256L * 1024
+    }
 }
 
 /** A frame that depends on how long it has waited; equal only to itself. */
