--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -368,7 +368,7 @@
         if (!leaving.record(id, published.target(id)?.entry?.startedAtUnixMs)) return
         log.info("target_said_leaving", "target" to id, "queued" to gate.queued)
         updateGate()
-        gate.serve()
+        starts.addFirst(gate::serve)
         mesh.pingNow()
     }
 
@@ -383,7 +383,7 @@
         reportCrashes()
         failure?.let(gateService::targetFailed)
         if (!targetMonitor.isDown) targetMonitor.targetId?.let(suspects::targetResponds)
-        gate.serve()
+        starts.addFirst(gate::serve)
     }
 
     private fun reportCrashes() = gateService.drainCrashCandidates(::hasEnded).forEach(::reportCrash)
@@ -405,7 +405,7 @@
         quota.stateChanged()
         picker.retain(published.targets.mapTo(HashSet()) { it.entry.id })
         updateGate()
-        gate.serve()
+        starts.addFirst(gate::serve)
     }
 
     /** Refuses requests that arrive too late in a stop to complete, so that their callers can retry elsewhere. */
