Refuse a request as not run if its time is up before a byte of it was sent to a target

Callers got 504, after which a non-idempotent request can't be sent again, although the request had only waited: in the queue of the gate on its own host, for a connection to the target, or for a slow peer to read. The entry took any request that a gate had accepted for one that may have run.

EntryServiceTest has a case that a cancelled call without that certainty still gets 504. Requests in the queue of a gate on another host still get 504, as the entry does not wait for that gate.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
@@ -76,6 +76,8 @@
 
 /** Cancels a request that a gate has accepted. */
 fun interface Cancellation {
-    /** The caller has left: a queued request is dropped, a running one is cancelled. */
-    fun cancel()
+    /**
+     * Drops a queued request and cancels a running one. Returns whether it is certain that no byte of it reaches a target.
+     */
+    fun cancel(): Boolean
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateEndpoint.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateEndpoint.kt
@@ -44,7 +44,10 @@
         val arrivedAt = clock.now()
         val callsOfSession = callsBySession.getOrPut(session) { HashMap() }
         var isCancelled = false
-        callsOfSession[message.number] = Cancellation { isCancelled = true }
+        callsOfSession[message.number] = Cancellation {
+            isCancelled = true
+            true
+        }
         starts.add {
             if (!isCancelled) submit(session, callsOfSession, message, body, clock.now() - arrivedAt)
         }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -129,12 +129,13 @@
             job?.cancel()
         }
 
-        override fun cancel() {
-            if (isCompleted) return
+        override fun cancel(): Boolean {
+            if (isCompleted) return false
             isCompleted = true
             gate.withdraw(request)
             logCancelled()
             job?.cancel()
+            return sentAt == null
         }
 
         private fun logCancelled() {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -44,7 +44,7 @@
         val session = mesh().sessionTo(target.entry.ip)
         if (session == null) {
             onResult(UNREACHABLE)
-            return Cancellation { }
+            return Cancellation { false }
         }
         val number = ++lastCallNumber
         val pendingOfSession = pendingBySession.getOrPut(session) { HashMap() }
@@ -53,7 +53,9 @@
         session.sendWhenWritable(frame)
         return Cancellation {
             val isPending = pendingOfSession.remove(number) != null
-            if (isPending && !session.withdraw(frame)) session.send(PeerMessage.Cancel(number))
+            val isUnsent = isPending && session.withdraw(frame)
+            if (isPending && !isUnsent) session.send(PeerMessage.Cancel(number))
+            isUnsent
         }
     }
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
@@ -81,6 +81,9 @@
     private var gateRefusals = 0
     private var mayHaveRun = false
     private var inFlightTarget: KnownTarget? = null
+
+    /** Whether the request was cancelled before any byte of it went to [inFlightTarget]. */
+    private var isWithdrawnUnsent = false
     private var soonestRefusal: ForwardResult.Refused? = null
 
     /** Whether the request was given up before any target began to work on it. */
@@ -99,7 +102,7 @@
         val remainingMs = (deadline - clock.now()).inWholeMilliseconds
         val response = if (remainingMs > 0) withTimeoutOrNull(remainingMs) { attempts() } else null
         if (response != null) return response
-        val mayRun = mayHaveRun || inFlightTarget != null
+        val mayRun = mayHaveRun || (inFlightTarget != null && !isWithdrawnUnsent)
         return giveUp(
             if (mayRun) ResultCode.DEADLINE_PASSED_RUNNING else ResultCode.DEADLINE_PASSED,
             null,
@@ -201,7 +204,7 @@
             }
             continuation.invokeOnCancellation {
                 dependencies.picker.abandoned(target.entry.id)
-                cancellation.cancel()
+                isWithdrawnUnsent = cancellation.cancel()
             }
         }
         inFlightTarget = null
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -91,6 +91,7 @@
     private val toldInUse = HashSet<String>()
     private val metrics = DaemonMetrics()
     private var replies = true
+    private var isWithdrawnUnsent = false
     private val sent = ArrayList<Pair<String, ForwardCall>>()
     private val transport = object : GateTransport {
         override fun canSend(target: KnownTarget) = true
@@ -100,7 +101,7 @@
         override fun submit(target: KnownTarget, call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation {
             sent += target.entry.id.value to call
             if (replies) onResult(withIdOf(call, results.removeFirst()))
-            return Cancellation { }
+            return Cancellation { isWithdrawnUnsent }
         }
     }
 
@@ -643,6 +644,18 @@
             .contains("kingcuptide_cancelled_requests_total{place=\"sent\",side=\"entry\"} 1.0")
     }
 
+    /** Guards against callers that can't send a non-idempotent request again although it has not reached a target. */
+    @Test
+    fun `Given a request that waits in this daemon, when its time is up, then it has not run`() {
+        start()
+        replies = false
+        val headers = listOf("Host" to "h", "Id" to "7", "Left" to "50")
+        val serve = { runBlocking { entry.serve(CallerRequest("GET", "/book/x", headers, NO_BYTES, clock.now())) } }
+        expectThat(serve().status).isEqualTo(504)
+        isWithdrawnUnsent = true
+        expectThat(serve().status).isEqualTo(503)
+    }
+
     /** Guards against requests to a target that had left, which a lagging replica of the source still lists. */
     @Nested
     inner class `Targets of a state that is not confirmed` {
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/TargetNoticeSimulation.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/TargetNoticeSimulation.kt
@@ -225,7 +225,7 @@
             }
             return Cancellation {
                 isCancelled = true
-                cancellation?.cancel()
+                cancellation?.cancel() ?: true
             }
         }
 
