--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/HttpConnectionTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/HttpConnectionTest.kt
@@ -215,7 +215,7 @@
 
         /** Guards against a connection whose decoder has taken whole lines of a head and so holds no bytes any more. */
         @Test
-        fun `Given a duplicate that is cut in its head, when the next call is sent, then it does not get the duplicate`() {
+        fun `Given a duplicate that is cut in its head, when the next call is sent, then it does not get that`() {
             val duplicate = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\na"
             for (cut in 1..duplicate.length) {
                 script(duplicate + duplicate.take(cut), duplicate.drop(cut) + duplicate.replace("1\r\nC", "2\r\nC"))
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/QuotaServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/QuotaServiceTest.kt
@@ -116,7 +116,7 @@
 
     /** Guards against a request that goes on although the end of its connection has arrived with its credit. */
     @Test
-    fun `Given a caller that leaves in the round of I-O of its credit, when that ends, then it gives the credit back`() {
+    fun `Given a caller that leaves in the round of I-O of its credit, when that ends, then it returns the credit`() {
         val limited = workspace(20.0)
         publish(limited)
         run(8_000)
