--- a/review/standin-2/Rig.java
+++ b/review/standin-2/Rig.java
@@ -9,7 +9,6 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -26,6 +25,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 
 /**
  * A small deployment on loopback: daemons as processes of their own, started with the command of deploy/system.toml, and
@@ -132,9 +132,16 @@
         return true;
     }
 
+    /** Ends all processes that were started, and removes their settings and logs. */
     @Override
     public void close() {
         machines.forEach(Machine::kill);
+        try (Stream<Path> files = Files.list(temporary)) {
+            for (Path file : files.toList()) Files.delete(file);
+            Files.delete(temporary);
+        } catch (IOException exception) {
+            System.err.println("temporary folder not removed: " + exception);
+        }
     }
 
     /** A request as a server got it, or an answer as a client got it. */
