Serve calls of targets without a key, whatever their ids

What callers saw: once a configuration had workspaces, each request whose target makes a call failed with the target's 500.

Cause: a request without a key passed as a call only if its id continued that of a request which runs at the target beside the daemon. The same condition refused calls of runs that the daemon no longer knew: after its restart, and 10 s after a lost connection.

Change: where requests need a key, one without an authorization header is a call if the target may run something. That is known from the requests that the gate has started, the deadlines of those that were abandoned, and the age of the daemon. A key that is there and not valid is refused as before. Priority, queue timeout, quota, home regions and costs follow from the same decision; the request that has made a call is found by its id, or else by the closest deadline. A new counter tells calls by their evidence.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/AccessDecision.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/AccessDecision.kt
@@ -17,22 +17,31 @@
     /**
      * Returns whether a request for [route] whose authorization header has the values [authorization] is served.
      *
-     * With [isCall], a running request of the target has made it; such a call has no key and needs none.
+     * A call that the target makes while it runs a request has no key and needs none. A key that is there must be valid,
+     * whatever [evidence] there is that the request is a call.
      */
     public fun accessTo(
         route: ForwardRoute,
         workspaces: Workspaces,
         authorization: List<String>,
-        isCall: Boolean,
+        evidence: CallEvidence,
     ): Access {
-        if (isCall && authorization.isEmpty()) return Access.Granted(null)
+        if (authorization.isEmpty() && isCall(route, workspaces, evidence)) return Access.Granted(null, isCall = true)
         return when (val lookup = workspaces.find(authorization)) {
-            KeyLookup.NotRequired -> Access.Granted(null)
+            KeyLookup.NotRequired -> Access.Granted(null, isCall = evidence == CallEvidence.ID)
             is KeyLookup.Found -> accessOf(lookup.workspace, route)
             is KeyLookup.Refused -> withoutKey(lookup, route)
         }
     }
 
+    /** Where requests of callers need no key, the lack of one does not tell a call from them. */
+    private fun isCall(route: ForwardRoute, workspaces: Workspaces, evidence: CallEvidence): Boolean =
+        when (evidence) {
+            CallEvidence.NONE -> false
+            CallEvidence.TARGET_MAY_RUN -> workspaces.requireKey && !route.allowsAnonymous
+            CallEvidence.ID -> true
+        }
+
     private fun accessOf(workspace: Workspace, route: ForwardRoute): Access {
         doubt()?.let { return Access.Refused(ResultCode.KEYS_UNCONFIRMED, it, workspace) }
         if (homeRegionsOf(route, workspace) == null) {
@@ -60,9 +69,14 @@
 
 /** Whether a request is served. */
 public sealed interface Access {
-    /** It is served, for [workspace] if it has the key of one. */
+    /**
+     * It is served, for [workspace] if it has the key of one.
+     *
+     * @property isCall whether the target beside the daemon has made it while it ran a request
+     */
     public data class Granted(
         val workspace: Workspace?,
+        val isCall: Boolean = false,
     ) : Access
 
     /** It is refused; [workspace] is that of its key if the key is known. */
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/RoutingVersion.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/RoutingVersion.kt
@@ -30,6 +30,9 @@
     /** Number of routes. */
     public val routeCount: Int = routes.size
 
+    /** The longest time for which a target may run a request of any route. */
+    public val longestTimeout: Duration = routes.maxOfOrNull { it.timeout } ?: Duration.ZERO
+
     /** Returns the route of [host] with the longest prefix of [path], which has no query; or null. */
     public fun match(host: String, path: String): ForwardRoute? {
         val byPrefix = routesByHost[host] ?: return null
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/DaemonMetrics.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/DaemonMetrics.kt
@@ -60,6 +60,9 @@
     /** Counts a response of the target beside this daemon that was passed to no call. */
     fun responseSkipped(reason: String) = increment("kingcuptide_skipped_responses", Label("reason", reason))
 
+    /** Counts a request that was admitted as a call of the target beside this daemon, by what tells that it is one. */
+    fun callAdmitted(byId: Boolean) = increment("kingcuptide_calls", Label("evidence", if (byId) "id" else "no_key"))
+
     /** Counts a response by its HTTP status class. */
     fun answered(status: Int) = increment("kingcuptide_answers", Label("status_class", "${status / 100}xx"))
 
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryAccess.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryAccess.kt
@@ -30,17 +30,16 @@
         val requestId = request.headers.first(names.requestId)
         if (requestId.isNullOrEmpty()) return Admission.Refused(ResultCode.MALFORMED_REQUEST)
         val route = routeOf(request) ?: return Admission.Refused(ResultCode.UNKNOWN_ROUTE)
-        val isCall = dependencies.running.hasMade(requestId)
+        val evidence = dependencies.running.evidenceFor(requestId, routing.longestTimeout)
         val authorization =
             request.headers.filter { it.first.equals(names.authorization, ignoreCase = true) }.map { it.second }
-        return when (val access = decision.accessTo(route, routing.workspaces, authorization, isCall)) {
+        return when (val access = decision.accessTo(route, routing.workspaces, authorization, evidence)) {
             is Access.Granted ->
                 Admission.Granted(
                     requestId,
                     route,
                     access.workspace,
-                    // A call has no key: the id of this request only happens to begin as that of a running one.
-                    isCall && access.workspace == null,
+                    access.isCall,
                     routing.workspaces.requireKey,
                 )
             is Access.Refused ->
@@ -84,7 +83,7 @@
     /**
      * It is served on [route], for [workspace] if it has the key of one.
      *
-     * @property isCall whether a running request of the target beside this daemon has made it
+     * @property isCall whether the target beside this daemon has made it while it ran a request
      * @property hidesKeys whether the configuration has workspaces, so that no target may get a key
      */
     class Granted(
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -2,11 +2,13 @@
 
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.CallerWaits
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.Verdict
 import kingcuptide.coordination.request.WeightedRoundRobin
 import kingcuptide.coordination.request.fingerprintOf
+import kingcuptide.coordination.request.serviceKeyOf
 import kingcuptide.coordination.version.ForwardRoute
 import kingcuptide.forwarder.connection.BufferedResponse
 import kingcuptide.forwarder.connection.CallerRequest
@@ -83,19 +85,33 @@
                 }
             }
         if (retryAfter != null) return refusals.errorResponse(ResultCode.QUOTA_SPENT, retryAfter)
-        if (admission.isCall) {
-            dependencies.running.called(admission.requestId, service)
-        } else {
-            dependencies.allowance.recordRequest(service)
-        }
+        val callingRequestId = recordArrival(request, admission, service, requestedTimeout)
         val waited = if (admission.isCall) Duration.ZERO else callerWaits.record(route.id, requestedTimeout)
         val headers = access.forwardedHeaders(request.headers, admission)
-        val execution = RequestExecution(environment, request, admission, headers, service, timeout, waited)
+        val execution =
+            RequestExecution(environment, request, admission, callingRequestId, headers, service, timeout, waited)
         val response = execution.run()
         if (workspace != null && execution.hasNotRun) dependencies.quotas.giveBack(workspace)
         return response
     }
 
+    /** Returns the id of the running request that has made [request], if it is a call whose maker is known. */
+    private fun recordArrival(
+        request: CallerRequest,
+        admission: Admission.Granted,
+        service: ServiceId,
+        remaining: Duration,
+    ): String? {
+        if (!admission.isCall) {
+            dependencies.allowance.recordRequest(service)
+            return null
+        }
+        metrics.callAdmitted(dependencies.running.isCallById(admission.requestId))
+        val callingRequestId = dependencies.running.callerOf(admission.requestId, request.receivedAt + remaining)
+        callingRequestId?.let { dependencies.running.addCalls(it, mapOf(serviceKeyOf(service) to 1)) }
+        return callingRequestId
+    }
+
     private fun isQuarantined(route: ForwardRoute, request: CallerRequest): Boolean {
         if (dependencies.suspects.isEmpty) return false
         val fingerprint = fingerprintOf(route.id, request.method, request.target, request.body)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -171,7 +171,7 @@
             job = scope.launch {
                 var hasResponse = false
                 runningCalls += this@GateCall
-                running.started(call.requestId)
+                running.started(call.requestId, deadline + DEADLINE_RESPONSE_TIME)
                 try {
                     val now = clock.now()
                     startedAt = now
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
@@ -49,6 +49,7 @@
  * The life of one admitted request at its entry: targets are picked and asked in turn, and asked again where that is
  * safe, until there is a response, no target is left or the time is up.
  *
+ * @param callingRequestId id of the running request of the target beside this daemon that has made this call, if known
  * @param headers what the target gets of the headers
  * @param waited how long the caller has waited before this attempt of its own
  */
@@ -56,6 +57,7 @@
     private val environment: ExecutionEnvironment,
     private val request: CallerRequest,
     private val admission: Admission.Granted,
+    private val callingRequestId: String?,
     private val headers: Headers,
     private val service: ServiceId,
     timeout: Duration,
@@ -309,7 +311,7 @@
 
     private fun recordCalls(calls: CallCounts) {
         environment.callCosts.record(route.id, calls)
-        if (isCall) dependencies.running.addCalls(requestId, calls)
+        callingRequestId?.let { dependencies.running.addCalls(it, calls) }
     }
 
     private fun reportableCode(code: ResultCode): ResultCode = codeAfterEarlierAttempts(code, mayHaveRun)
