Keep the record of a leaving target for the instance that has left

What callers saw: a target that had said that it leaves got no request any more after it had started again under its id, from any daemon.

Cause: the start of the instance that leaves was taken from the entry at the time of the response. Without an entry the greatest possible start was recorded, so that every later instance of the id counted as leaving, and load reports told it to all entries with the start of the new instance.

Change: the instance is the one to which the request was sent, by the entry or the last one before its removal. Load reports name the recorded instance, also once the entry is gone. A start that is not known holds at the gate until an entry is published again, and is not recorded by other daemons, since the gate refuses their requests.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/GateLoadReport.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/GateLoadReport.kt
@@ -9,7 +9,7 @@
  * @property limit greatest number of requests in flight; 0 if the target is not open
  * @property wait expected queue time of the next request
  * @property ratePerSecond requests a second that the target has named as its limit, or null for none
- * @property leavingTarget the target, if it has said in a response that it leaves
+ * @property leavingInstance the instance of the target that has said in a response that it leaves
  * @property runTimes run times of the target by route; empty if unknown or from a daemon that reports none
  * @property demand demand of the callers of this daemon, in pings only
  */
@@ -20,7 +20,7 @@
     val wait: Duration,
     val cold: Boolean,
     val ratePerSecond: Double? = null,
-    val leavingTarget: LeavingTarget? = null,
+    val leavingInstance: TargetInstance? = null,
     val runTimes: RunTimes = emptyMap(),
     val demand: Demand = emptyMap(),
 )
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/TargetGate.kt
@@ -97,7 +97,7 @@
     public val queued: Int get() = waiting.size
 
     /** The target beside this daemon, if it has said in a response that it leaves; load reports tell other daemons. */
-    public var leavingTarget: LeavingTarget? = null
+    public var leavingInstance: TargetInstance? = null
 
     /** Requests a second that the target takes from all hosts together, 0 or more; null if it has named no rate. */
     public var ratePerSecond: Double?
@@ -185,7 +185,16 @@
         val onTime = waiting.count { canMeetObjective(it, now) }
         val wait = minOf(expectedWait(onTime, now), MAX_REPORTED_WAIT)
         val (inFlight, limit) = running.size to limitNow()
-        return GateLoadReport(inFlight, onTime, limit, wait, isCold(now), ratePerSecond, leavingTarget, speed.runTimes)
+        return GateLoadReport(
+            inFlight,
+            onTime,
+            limit,
+            wait,
+            isCold(now),
+            ratePerSecond,
+            leavingInstance,
+            speed.runTimes,
+        )
     }
 
     /** Returns the recent requests of [group] at this gate, apart from those that came too late to be served. */
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedItem.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedItem.kt
@@ -41,7 +41,7 @@
  * @property ip address of its host, which is also the address of the daemon beside it
  * @property leaving whether it has asked to receive no further requests
  * @property coldFor remaining time for which it stays cold, counted from its report
- * @property startedAtUnixMs start time by its own clock, in milliseconds since the Unix epoch; 0 if unknown
+ * @property startedAtUnixMs start time by its own clock, in milliseconds since the Unix epoch; [UNKNOWN_START] if unknown
  * @property reports number of its reports since it started
  */
 public data class TargetEntry(
@@ -59,6 +59,11 @@
 ) {
     /** Address as `ip:port`. */
     public val address: String get() = "$ip:$port"
+
+    public companion object {
+        /** [startedAtUnixMs] of a target that does not report its start. */
+        public const val UNKNOWN_START: Long = 0
+    }
 }
 
 /** Decodes items of the source; it never throws, whatever the bytes are. */
--- a/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedState.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/version/PublishedState.kt
@@ -114,6 +114,10 @@
     /** Returns the target [id], or null. */
     public fun target(id: TargetId): KnownTarget? = targetsByKey.values.firstOrNull { it.entry.id == id }
 
+    /** Returns the entry of the target [id], or the last one if it was removed, or null if none is remembered. */
+    public fun lastEntryOf(id: TargetId): TargetEntry? =
+        target(id)?.entry ?: goneByKey.values.lastOrNull { it.entry.id == id }?.entry
+
     /**
      * Hash of this state, which is equal on daemons with equal state.
      *
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -92,7 +92,8 @@
 
     /**
      * The load of a gate. [waitMs] is the expected queue time of a new request, [ratePerSecond] the rate that the target
-     * has named, if any, and [leavingTarget] the id of the target if it has said that it leaves, with its start.
+     * has named, if any, and [leavingTarget] the id of the target if it has said that it leaves, with the start of the
+     * instance that has said so, 0 if unknown.
      * [runTimes] has pairs of route key and run time in tenths of a millisecond, [demand] groups of key, mean, trend and
      * variance in thousandths of a slot. A daemon that sends neither has told nothing of them, unless [isBrief]: then what
      * it told before still holds.
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -9,16 +9,16 @@
 import kingcuptide.coordination.request.DaemonLocation
 import kingcuptide.coordination.request.Distance
 import kingcuptide.coordination.request.Fingerprint
-import kingcuptide.coordination.request.LeavingTarget
 import kingcuptide.coordination.request.LeavingTargets
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.TargetGate
+import kingcuptide.coordination.request.TargetInstance
 import kingcuptide.coordination.request.TargetPicker
 import kingcuptide.coordination.request.TargetState
+import kingcuptide.coordination.request.instance
 import kingcuptide.coordination.request.quota.QuotaAccount
 import kingcuptide.coordination.request.quota.QuotaPeer
 import kingcuptide.coordination.version.CallerLimits
-import kingcuptide.coordination.version.KnownTarget
 import kingcuptide.coordination.version.PublishedState
 import kingcuptide.coordination.version.ReaderRole
 import kingcuptide.coordination.version.ServiceTraits
@@ -37,6 +37,7 @@
 import kingcuptide.forwarder.request.EntryService
 import kingcuptide.forwarder.request.GateEndpoint
 import kingcuptide.forwarder.request.GateService
+import kingcuptide.forwarder.request.OwnTargetLeaving
 import kingcuptide.forwarder.request.OwnTargetUse
 import kingcuptide.forwarder.request.PeerGateTransport
 import kingcuptide.forwarder.request.QuotaService
@@ -88,6 +89,7 @@
     private val suspects = CrashSuspects(settings.host, incarnation, clock)
     private val targetAddress = addressOf(settings.targetAddress)
     private val leaving = LeavingTargets()
+    private val targetLeaving = OwnTargetLeaving(published, leaving)
     private val notices = TargetNotices(clock, platform.names, gate, ::targetLeaves)
     private val targetMonitor =
         TargetMonitor(loop, scope, clock, targetAddress, platform.names, gate, notices, ::ownTraits, ::targetChanged)
@@ -112,6 +114,7 @@
             { stop.responseBy(it) },
             starts::addFirst,
             { frequentTask.startIfNeeded() },
+            targetLeaving::instanceOf,
         )
     private val gateEndpoint = GateEndpoint(clock, starts, gateService, gate::loadReport)
     private val mesh: PeerMesh =
@@ -339,9 +342,9 @@
             gate.coldRequestsPerSecond = perSecond.toInt().coerceAtLeast(1)
         }
         if (target != null) gate.slots = target.entry.slots
-        gate.leavingTarget = leavingTarget()
+        gate.leavingInstance = currentTarget()?.let(targetLeaving::leavingInstanceOf)
         gate.state = when {
-            !stop.servesTarget || isTargetLeaving(target) -> TargetState.LEAVING
+            !stop.servesTarget || currentTarget()?.let(targetLeaving::isLeaving) == true -> TargetState.LEAVING
             settings.failureDomain in published.takenOut -> TargetState.TAKEN_OUT
             targetMonitor.isDown -> TargetState.DOWN
             else -> TargetState.OPEN
@@ -351,22 +354,15 @@
         }
     }
 
-    private fun isTargetLeaving(target: KnownTarget?): Boolean = currentTarget()?.let { isLeaving(it, target) } ?: false
-
-    private fun isLeaving(id: TargetId, target: KnownTarget?): Boolean =
-        target?.entry?.leaving == true || leaving.isLeaving(id, target?.entry?.startedAtUnixMs)
-
-    /** The target beside this daemon if it has said that it leaves and the start of its instance is known. */
-    private fun leavingTarget(): LeavingTarget? {
-        val entry = currentTarget()?.let(published::target)?.entry ?: return null
-        if (!leaving.isLeaving(entry.id, entry.startedAtUnixMs)) return null
-        return LeavingTarget(entry.id, entry.startedAtUnixMs)
-    }
-
     /** The target beside this daemon says that it leaves: requests that wait for it go back to their entries. */
-    private fun targetLeaves(id: TargetId) {
-        if (!leaving.record(id, published.target(id)?.entry?.startedAtUnixMs)) return
-        log.info("target_said_leaving", "target" to id, "queued" to gate.queued)
+    private fun targetLeaves(instance: TargetInstance) {
+        if (!leaving.record(instance)) return
+        log.info(
+            "target_said_leaving",
+            "target" to instance.id,
+            "started_at" to instance.startedAtUnixMs,
+            "queued" to gate.queued,
+        )
         updateGate()
         starts.addFirst(gate::serve)
         mesh.pingNow()
@@ -393,7 +389,7 @@
 
     /** A target that leaves may end its connections, which is no crash. */
     private fun reportCrash(target: TargetId, inFlight: List<Fingerprint>) {
-        if (isLeaving(target, published.target(target))) return
+        if (targetLeaving.isLeaving(target)) return
         log.info("target_died", "target" to target, "in_flight" to inFlight.size)
         val message = PeerMessage.Suspects(suspects.targetCrashed(target, inFlight))
         mesh.distinctPeers().forEach { it.send(message) }
@@ -404,6 +400,7 @@
         mesh.retain(nearestFirst.mapTo(LinkedHashSet()) { it.entry.ip })
         quota.stateChanged()
         picker.retain(published.targets.mapTo(HashSet()) { it.entry.id })
+        leaving.stateChanged(published.targets.map { it.entry.instance })
         updateGate()
         starts.addFirst(gate::serve)
     }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/CandidateTargets.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/CandidateTargets.kt
@@ -2,6 +2,7 @@
 
 import kingcuptide.coordination.process.RegionId
 import kingcuptide.coordination.process.ServiceId
+import kingcuptide.coordination.request.instance
 import kingcuptide.coordination.version.KnownTarget
 
 /** Determines the targets that may get a request now, by the published state and the connections of this daemon. */
@@ -23,7 +24,7 @@
     }
 
     private fun isLeaving(target: KnownTarget): Boolean =
-        target.entry.leaving || dependencies.leaving.isLeaving(target.entry.id, target.entry.startedAtUnixMs)
+        target.entry.leaving || dependencies.leaving.isLeaving(target.entry.instance)
 
     private fun isIn(homeRegions: Set<RegionId>, target: KnownTarget): Boolean =
         homeRegions.isEmpty() || dependencies.location.regionOf(target.entry.failureDomain) in homeRegions
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryDependencies.kt
@@ -6,10 +6,10 @@
 import kingcuptide.coordination.request.DaemonLocation
 import kingcuptide.coordination.request.GateLoadReport
 import kingcuptide.coordination.request.KeyKnowledge
-import kingcuptide.coordination.request.LeavingTarget
 import kingcuptide.coordination.request.LeavingTargets
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.RevocationSettings
+import kingcuptide.coordination.request.TargetInstance
 import kingcuptide.coordination.request.TargetPicker
 import kingcuptide.coordination.request.quota.QuotaDecision
 import kingcuptide.coordination.request.quota.quotaRetryAfter
@@ -58,12 +58,14 @@
     fun recordLoadReport(target: TargetEntry, report: GateLoadReport) {
         picker.recordLoadReport(target.id, report)
         if (report.demand.isNotEmpty()) picker.recordDemand(target.id, target.failureDomain, report.demand)
-        report.leavingTarget?.let(::recordLeaving)
+        // Without its start the instance may be one that this daemon knows to have ended; its gate refuses requests.
+        report.leavingInstance?.takeIf { it.startedAtUnixMs != null }?.let(::recordLeaving)
     }
 
-    /** Records that [target] has said that it leaves. */
-    fun recordLeaving(target: LeavingTarget) {
-        if (leaving.record(target.id, target.startedAtUnixMs)) log.info("target_said_leaving", "target" to target.id)
+    /** Records that [instance] has said that it leaves. */
+    fun recordLeaving(instance: TargetInstance) {
+        if (!leaving.record(instance)) return
+        log.info("target_said_leaving", "target" to instance.id, "started_at" to instance.startedAtUnixMs)
     }
 
     /** Uses a credit of [workspace]; returns null, or the time after which the caller should retry if there is none. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -8,6 +8,7 @@
 import kingcuptide.coordination.request.GateRefusal
 import kingcuptide.coordination.request.GateRequest
 import kingcuptide.coordination.request.TargetGate
+import kingcuptide.coordination.request.TargetInstance
 import kingcuptide.coordination.request.TargetState
 import kingcuptide.coordination.request.Verdict
 import kingcuptide.coordination.version.TargetId
@@ -45,6 +46,7 @@
  *
  * @param responseBy returns by when a request must be answered whose caller waits until the given time
  * @param atTurnEnd runs its argument when cancellations that arrived with the response of the target are known
+ * @param instanceOf returns the instance of a target to which a request is sent now
  * @param onQueued called when a request waits at the gate, which must be served regularly from then on
  */
 class GateService(
@@ -62,6 +64,7 @@
     private val responseBy: (Duration) -> Duration = { it },
     private val atTurnEnd: (() -> Unit) -> Unit = { it() },
     private val onQueued: () -> Unit = {},
+    private val instanceOf: (TargetId) -> TargetInstance = { TargetInstance(it, null) },
 ) {
     private val runningCalls = LinkedHashSet<GateCall>()
     private val crashCandidates = CrashCandidates(clock)
@@ -203,6 +206,7 @@
             val expected = currentTarget()
             if (expected != null && expected != call.targetId) return refused(ResultCode.VERSION_BEHIND, false)
             if (isQuarantined(call)) return refused(QUARANTINE_REFUSAL.code, false, QUARANTINE_REFUSAL.retryAfter)
+            val instance = instanceOf(call.targetId)
             val remaining = deadline - startedAt
             val httpCall = HttpCall(call.method, call.target, headersOf(remaining), call.body, call.requestId) {
                 sentAt = clock.now()
@@ -225,11 +229,15 @@
                         result.reason,
                     )
                 }
-                is HttpResult.Answered -> validated(result, startedAt)
+                is HttpResult.Answered -> validated(result, startedAt, instance)
             }
         }
 
-        private fun validated(result: HttpResult.Answered, startedAt: Duration): ForwardResult {
+        private fun validated(
+            result: HttpResult.Answered,
+            startedAt: Duration,
+            instance: TargetInstance,
+        ): ForwardResult {
             val response = result.response
             val runTime = clock.now() - startedAt
             targetObserver.responded(startedAt)
@@ -237,7 +245,7 @@
             // Without this id it may belong to an earlier request, even a refusal.
             if (response.headers.first(names.requestId) != call.requestId) return invalid(response, "no request id")
             if (response.headers.first(names.notRun) != null) {
-                if (response.status != MISDIRECTED_REQUEST) noticed(response, startedAt)
+                if (response.status != MISDIRECTED_REQUEST) notices.responded(instance, response.headers, startedAt)
                 return refused(ResultCode.TARGET_FULL, true)
             }
             if (response.status == MISDIRECTED_REQUEST) {
@@ -248,7 +256,7 @@
                 response.status in SUCCESS_STATUSES && response.headers.first(names.targetSignature) == null
             if (isUnsigned) return invalid(response, "no target signature")
             if (response.headers.first(CONTENT_ENCODING) != null) return invalid(response, "content encoding")
-            noticed(response, startedAt)
+            notices.responded(instance, response.headers, startedAt)
             recordResponse(result)
             if (!suspects.isEmpty) suspects.answered(call.fingerprint)
             return ForwardResult.Answered(response, runTime, gate.loadReport(), running.callsOf(call.requestId))
@@ -266,9 +274,6 @@
             if (result.endsConnection) crashCandidates.connectionEnded()
         }
 
-        private fun noticed(response: BufferedResponse, startedAt: Duration) =
-            notices.responded(call.targetId, response.headers, startedAt)
-
         private fun headersOf(remaining: Duration) =
             call.headers +
                 (names.remainingMs to remaining.inWholeMilliseconds.coerceAtLeast(1).toString()) +
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/PeerGateTransport.kt
@@ -2,10 +2,11 @@
 
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.request.GateLoadReport
-import kingcuptide.coordination.request.LeavingTarget
 import kingcuptide.coordination.request.Outcome
 import kingcuptide.coordination.request.RunTimes
+import kingcuptide.coordination.request.TargetInstance
 import kingcuptide.coordination.version.KnownTarget
+import kingcuptide.coordination.version.TargetEntry
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.BufferedResponse
 import kingcuptide.forwarder.connection.DelayedFrame
@@ -182,8 +183,8 @@
         wait.inWholeMilliseconds,
         cold,
         ratePerSecond,
-        leavingTarget?.id?.value,
-        leavingTarget?.startedAtUnixMs ?: 0,
+        leavingInstance?.id?.value,
+        leavingInstance?.startedAtUnixMs ?: TargetEntry.UNKNOWN_START,
         flattenRunTimes(runTimes),
         flattenDemand(demand),
     )
@@ -196,7 +197,9 @@
     waitMs.milliseconds,
     cold,
     ratePerSecond,
-    leavingTarget?.let { LeavingTarget(TargetId(it), leavingStartedAtUnixMs) },
+    leavingTarget?.let { id ->
+        TargetInstance(TargetId(id), leavingStartedAtUnixMs.takeIf { it != TargetEntry.UNKNOWN_START })
+    },
     if (isBrief) knownRunTimes.orEmpty() else toRunTimes(runTimes),
     toDemand(demand),
 )
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
@@ -5,12 +5,12 @@
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.CallCosts
 import kingcuptide.coordination.request.CallCounts
-import kingcuptide.coordination.request.LeavingTarget
 import kingcuptide.coordination.request.Outcome
 import kingcuptide.coordination.request.PickReason
 import kingcuptide.coordination.request.PickRequest
 import kingcuptide.coordination.request.TargetPick
 import kingcuptide.coordination.request.codeAfterEarlierAttempts
+import kingcuptide.coordination.request.instance
 import kingcuptide.coordination.version.KnownTarget
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.BufferedResponse
@@ -225,7 +225,7 @@
         val bytes = response.body.size
         dependencies.picker.answered(target.entry.id, route.id, route.objective, result.runTime, bytes, successful)
         if (saysLeaving(result.response.headers, environment.names)) {
-            dependencies.recordLeaving(LeavingTarget(target.entry.id, target.entry.startedAtUnixMs))
+            dependencies.recordLeaving(target.entry.instance)
         }
         result.loadReport?.let { dependencies.picker.recordRate(target.entry.id, it.ratePerSecond) }
         if (successful) result.calls?.let(::recordCalls)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetNotices.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/TargetNotices.kt
@@ -2,7 +2,7 @@
 
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.request.TargetGate
-import kingcuptide.coordination.version.TargetId
+import kingcuptide.coordination.request.TargetInstance
 import kingcuptide.forwarder.connection.Headers
 import kingcuptide.forwarder.connection.first
 import kingcuptide.forwarder.process.HeaderNames
@@ -13,25 +13,25 @@
  * Applies to the gate what the target beside this daemon says of itself in its responses.
  *
  * A rate holds until a response to a request that was sent after the last response that named one names none. Leaving holds
- * for the target that has said so, which [onLeaving] gets with each such response. Until the first response, the least
+ * for the instance that has said so, which [onLeaving] gets with each such response. Until the first response, the least
  * rate that entries know holds, since a daemon that has just started knows none. Used on the event loop.
  */
 class TargetNotices(
     private val clock: Clock,
     private val names: HeaderNames,
     private val gate: TargetGate,
-    private val onLeaving: (TargetId) -> Unit,
+    private val onLeaving: (TargetInstance) -> Unit,
 ) {
     private var namedAt = -Duration.INFINITE
     private var isNamedByHealthChecks = false
     private var hasResponded = false
     private var lastInvalid: String? = null
 
-    /** The target [id] has sent a valid response with [headers] to a request that was sent at [sentAt]. */
-    fun responded(id: TargetId, headers: Headers, sentAt: Duration) {
+    /** The target [instance] has sent a valid response with [headers] to a request that was sent at [sentAt]. */
+    fun responded(instance: TargetInstance, headers: Headers, sentAt: Duration) {
         hasResponded = true
         apply(headers, sentAt, "response")
-        if (saysLeaving(headers, names)) onLeaving(id)
+        if (saysLeaving(headers, names)) onLeaving(instance)
     }
 
     /** The same for a health check, which withdraws a rate only if health checks have named it. */
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -9,11 +9,11 @@
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.DaemonLocation
 import kingcuptide.coordination.request.GateLoadReport
-import kingcuptide.coordination.request.LeavingTarget
 import kingcuptide.coordination.request.LeavingTargets
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.RetryAllowanceSettings
 import kingcuptide.coordination.request.RunTimes
+import kingcuptide.coordination.request.TargetInstance
 import kingcuptide.coordination.request.TargetPicker
 import kingcuptide.coordination.request.quota.QuotaDecision
 import kingcuptide.coordination.request.serviceKeyOf
@@ -191,7 +191,7 @@
         10,
         leaving = false,
         coldFor = Duration.ZERO,
-        startedAtUnixMs = 0,
+        startedAtUnixMs = FIRST_START,
         reports = 1,
     )
 
@@ -773,7 +773,14 @@
         fun `Given a load report that names the target, when it comes with a refusal, then the target gets no more`() {
             start()
             val report =
-                GateLoadReport(0, 0, 0, Duration.ZERO, false, leavingTarget = LeavingTarget(TargetId("t-a"), 0))
+                GateLoadReport(
+                    0,
+                    0,
+                    0,
+                    Duration.ZERO,
+                    false,
+                    leavingInstance = TargetInstance(TargetId("t-a"), FIRST_START),
+                )
             results += ForwardResult.Refused(ResultCode.DRAINING, 200.milliseconds, reachedTarget = false, report)
             repeat(20) { results += answered(200) }
             repeat(20) { serve("/read/x") }
@@ -786,17 +793,34 @@
             start()
             publish("t-a", PublishedItem.Target(target("a").copy(startedAtUnixMs = 9)))
             val report =
-                GateLoadReport(0, 0, 10, Duration.ZERO, false, leavingTarget = LeavingTarget(TargetId("t-a"), 8))
+                GateLoadReport(0, 0, 10, Duration.ZERO, false, leavingInstance = TargetInstance(TargetId("t-a"), 8))
             results += ForwardResult.Answered(BufferedResponse(200, OWN_HEADERS, NO_BYTES), 5.milliseconds, report)
             serve("/read/x")
-            expectThat(leaving.isLeaving(TargetId("t-a"), 8)).isEqualTo(true)
-            expectThat(leaving.isLeaving(TargetId("t-a"), 9)).isEqualTo(false)
+            expectThat(leaving.isLeaving(TargetInstance(TargetId("t-a"), 8))).isEqualTo(true)
+            expectThat(leaving.isLeaving(TargetInstance(TargetId("t-a"), 9))).isEqualTo(false)
+        }
+
+        /** Guards against a target that never gets a request, since a gate that lacks its entry names an earlier instance. */
+        @Test
+        fun `Given a load report without the start of the instance, when it arrives, then nothing is recorded`() {
+            start()
+            val report = GateLoadReport(
+                0,
+                0,
+                10,
+                Duration.ZERO,
+                false,
+                leavingInstance = TargetInstance(TargetId("t-a"), startedAtUnixMs = null),
+            )
+            results += ForwardResult.Answered(BufferedResponse(200, OWN_HEADERS, NO_BYTES), 5.milliseconds, report)
+            serve("/read/x")
+            expectThat(leaving.isLeaving(TargetInstance(TargetId("t-a"), FIRST_START))).isFalse()
         }
 
         @Test
         fun `Given a target that left, when another starts later under its id, then that one gets requests`() {
             start()
-            leaving.record(TargetId("t-a"), 0)
+            leaving.record(TargetInstance(TargetId("t-a"), FIRST_START))
             val successor = target("a").copy(startedAtUnixMs = 9)
             publish("t-a", PublishedItem.Target(successor))
             results += answered(200)
@@ -828,6 +852,7 @@
     private companion object {
         const val ROUTE_PRIORITY = 1
         val ROUTE_TIMEOUT = 2.seconds
+        const val FIRST_START = 1L
 
         /** Stands for the id of the request that is served. */
         val ECHOED_ID = "Id" to "echoed"
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SimulatedHost.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/SimulatedHost.kt
@@ -5,11 +5,11 @@
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.DaemonLocation
 import kingcuptide.coordination.request.GateLoadReport
-import kingcuptide.coordination.request.LeavingTarget
 import kingcuptide.coordination.request.LeavingTargets
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.RetryAllowanceSettings
 import kingcuptide.coordination.request.TargetGate
+import kingcuptide.coordination.request.TargetInstance
 import kingcuptide.coordination.request.TargetPicker
 import kingcuptide.coordination.request.TargetState
 import kingcuptide.coordination.version.PublishedState
@@ -88,9 +88,9 @@
         val picker = TargetPicker(time, location, random)
         private val allowance = RetryAllowance(time, { RetryAllowanceSettings(0.2, 58, 10.seconds) }) { 1 }
 
-        private fun targetLeaves(id: TargetId) {
-            leaving.record(id, 0)
-            targetGate.leavingTarget = LeavingTarget(id, 0)
+        private fun targetLeaves(instance: TargetInstance) {
+            leaving.record(instance)
+            targetGate.leavingInstance = instance
             targetGate.state = TargetState.LEAVING
             targetGate.serve()
         }
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/TargetNoticesTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/TargetNoticesTest.kt
@@ -1,6 +1,7 @@
 package kingcuptide.forwarder.request
 
 import kingcuptide.coordination.request.TargetGate
+import kingcuptide.coordination.request.TargetInstance
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.ManualClock
 import kingcuptide.forwarder.process.HeaderNames
@@ -18,13 +19,13 @@
     private val names =
         HeaderNames("Id", "Left", "Caller", "Expected", "Not-Run", "Proof", "Target", "Cold", "Rate", "Leaving")
     private val gate = TargetGate(clock)
-    private val left = ArrayList<TargetId>()
+    private val left = ArrayList<TargetInstance>()
     private val notices = TargetNotices(clock, names, gate) { left += it }
 
     /** A response to a request that was sent just now. */
     private fun responded(vararg rates: String) {
         clock.advance(10.milliseconds)
-        notices.responded(ID, rates.map { "rate" to it }, clock.now())
+        notices.responded(INSTANCE, rates.map { "rate" to it }, clock.now())
     }
 
     private fun healthChecked(vararg rates: String) {
@@ -52,7 +53,7 @@
         fun `Given a rate, when an earlier request gets a response without one, then the rate holds`() {
             val sentAt = clock.now()
             responded("5.6")
-            notices.responded(ID, emptyList(), sentAt)
+            notices.responded(INSTANCE, emptyList(), sentAt)
             expectThat(gate.ratePerSecond).isEqualTo(5.6)
         }
 
@@ -123,19 +124,26 @@
     inner class `A target that leaves` {
         @Test
         fun `Given a response that says so, when it arrives, then it is passed on`() {
-            notices.responded(ID, listOf("leaving" to "1"), clock.now())
-            expectThat(left).containsExactly(ID)
+            notices.responded(INSTANCE, listOf("leaving" to "1"), clock.now())
+            expectThat(left).containsExactly(INSTANCE)
         }
 
         @Test
         fun `Given another value, when it arrives, then the target does not leave`() {
-            for (value in listOf("0", "", "true", "11")) notices.responded(ID, listOf("leaving" to value), clock.now())
+            for (value in listOf(
+                "0",
+                "",
+                "true",
+                "11",
+            )) {
+                notices.responded(INSTANCE, listOf("leaving" to value), clock.now())
+            }
             expectThat(left).isEmpty()
         }
     }
 
     private companion object {
-        val ID = TargetId("t")
+        val INSTANCE = TargetInstance(TargetId("t"), 1)
     }
 
     @Nested
