Clear requests of crashes once targets survive them again

What callers saw: after two crashes of targets a page that many read got 503 for a minute at all hosts.

Cause: a fingerprint in flight at two crashes within 30 s was quarantined, whatever targets had done with it before, between and after. A popular page is in flight at each crash.

Change: what counts are the runs that start after a crash with the request in flight. If one is survived, the crash no longer counts, at all daemons; if one is in flight at the next crash, the request is quarantined. A request that its target had survived before needs a third crash. Crashes at once are one suspicion. The fingerprint covers the whole body, and callers are told with each crash, so that a harmless request does not stand for a harmful one. Daemons of an earlier build get and send the records that they know.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/CrashCandidates.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/CrashCandidates.kt
@@ -15,16 +15,16 @@
 public class CrashCandidates(
     private val clock: Clock,
 ) {
-    private val candidates = ArrayDeque<Candidate>()
-    private val responses = ArrayDeque<Candidate>()
+    private val candidates = ArrayDeque<CrashCandidate>()
+    private val responses = ArrayDeque<CrashCandidate>()
 
-    /** Records that [request] to [target] ended without a valid response. */
-    public fun interrupted(request: FingerprintInput, target: TargetId): Unit =
-        addBounded(candidates, Candidate(request, target, clock.now()))
+    /** Records that [request], sent to [target] at [startedAt], ended without a valid response. */
+    public fun interrupted(request: FingerprintInput, target: TargetId, startedAt: Duration): Unit =
+        addBounded(candidates, CrashCandidate(request, target, startedAt, clock.now()))
 
-    /** Records that [target] has sent a complete response to [request]. */
-    public fun responded(request: FingerprintInput, target: TargetId): Unit =
-        addBounded(responses, Candidate(request, target, clock.now()))
+    /** Records that [target] has sent a complete response to [request], which was sent at [startedAt]. */
+    public fun responded(request: FingerprintInput, target: TargetId, startedAt: Duration): Unit =
+        addBounded(responses, CrashCandidate(request, target, startedAt, clock.now()))
 
     /**
      * Records that a connection to the target ended while no call waited on it. Requests with a response within
@@ -40,26 +40,20 @@
     }
 
     /** Returns and removes the candidates of each target that [hasEnded]; older ones than [DETECTION_WINDOW] are dropped. */
-    public fun drain(hasEnded: (TargetId) -> Boolean): Map<TargetId, List<Fingerprint>> {
+    public fun drain(hasEnded: (TargetId) -> Boolean): Map<TargetId, List<CrashCandidate>> {
         if (candidates.isEmpty()) return emptyMap()
         val now = clock.now()
         candidates.removeAll { now - it.at > DETECTION_WINDOW }
         val ended = candidates.filter { hasEnded(it.target) }
         candidates.removeAll(ended)
-        return ended.groupBy({ it.target }, { it.request.fingerprint })
+        return ended.groupBy { it.target }
     }
 
-    private fun addBounded(deque: ArrayDeque<Candidate>, candidate: Candidate) {
+    private fun addBounded(deque: ArrayDeque<CrashCandidate>, candidate: CrashCandidate) {
         if (deque.size == MAX_CANDIDATES) deque.removeFirst()
         deque.addLast(candidate)
     }
 
-    private class Candidate(
-        val request: FingerprintInput,
-        val target: TargetId,
-        val at: Duration,
-    )
-
     internal companion object {
         /** Longest time from the end of a connection to a health check that finds the target ended, also after one that hangs. */
         val DETECTION_WINDOW = 3.seconds
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerMessage.kt
@@ -1,5 +1,6 @@
 package kingcuptide.forwarder.connection
 
+import kingcuptide.coordination.connection.CrashRecord
 import kingcuptide.coordination.connection.SuspectRecord
 import kingcuptide.coordination.request.quota.QuotaPeer
 import kotlinx.serialization.SerialName
@@ -184,10 +185,15 @@
         @CborLabel(3) val additions: List<String>,
     )
 
-    /** Records of requests that were in flight when a target crashed. */
+    /**
+     * Records of requests that were in flight when a target crashed.
+     *
+     * @property records the same for daemons of an earlier build, which know no [crashRecords]
+     */
     @Serializable
     data class Suspects(
         @CborLabel(1) val records: List<SuspectRecord>,
+        @CborLabel(2) val crashRecords: List<CrashRecord> = emptyList(),
     ) : PeerMessage
 
     /** Requests the sections in which the receiver is ahead of the sender's [asOf]; 0 requests a whole section. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/process/Forwarder.kt
@@ -1,14 +1,15 @@
 package kingcuptide.forwarder.process
 
 import io.netty.channel.EventLoop
+import kingcuptide.coordination.connection.CrashRecord
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.HoldUpDetector
 import kingcuptide.coordination.process.PlannedStop
 import kingcuptide.coordination.process.RegionId
+import kingcuptide.coordination.request.CrashCandidate
 import kingcuptide.coordination.request.CrashSuspects
 import kingcuptide.coordination.request.DaemonLocation
 import kingcuptide.coordination.request.Distance
-import kingcuptide.coordination.request.Fingerprint
 import kingcuptide.coordination.request.LeavingTargets
 import kingcuptide.coordination.request.RetryAllowance
 import kingcuptide.coordination.request.TargetGate
@@ -330,6 +331,7 @@
         roleMonitor.tick()
         updateGate()
         reportCrashes()
+        reportSurvivedRuns()
         if (targetUse.hasBegun()) mesh.pingNow { it.lastPing.let { ping -> ping == null || ping.contactAgeMs < 0 } }
     }
 
@@ -388,13 +390,29 @@
         targetMonitor.isDown || targetMonitor.targetId.let { it != null && it != target }
 
     /** A target that leaves may end its connections, which is no crash. */
-    private fun reportCrash(target: TargetId, inFlight: List<Fingerprint>) {
+    private fun reportCrash(target: TargetId, inFlight: List<CrashCandidate>) {
         if (targetLeaving.isLeaving(target)) return
         log.info("target_died", "target" to target, "in_flight" to inFlight.size)
-        val message = PeerMessage.Suspects(suspects.targetCrashed(target, inFlight))
+        sendToAll(suspects.targetCrashed(target, inFlight, gateService.survivedRuns()))
+    }
+
+    /** Tells all daemons of requests that the target beside this one has survived since a crash. */
+    private fun reportSurvivedRuns() {
+        val records = suspects.survived(gateService::survivedRuns)
+        if (records.isEmpty()) return
+        log.info("crash_suspects_cleared", "requests" to records.size)
+        sendToAll(records)
+    }
+
+    private fun sendToAll(records: List<CrashRecord>) {
+        if (records.isEmpty()) return
+        val message = suspectsOf(records)
         mesh.distinctPeers().forEach { it.send(message) }
     }
 
+    private fun suspectsOf(records: List<CrashRecord>) =
+        PeerMessage.Suspects(records.mapNotNull(CrashSuspects::toEarlier), records)
+
     private fun publishedStateChanged() {
         val nearestFirst = published.targets.sortedBy { location.distanceTo(it.entry.failureDomain) }
         mesh.retain(nearestFirst.mapTo(LinkedHashSet()) { it.entry.ip })
@@ -464,7 +482,12 @@
                 is PeerMessage.SectionSnapshot -> stateSync.received(session, message)
                 is PeerMessage.ItemUpdates -> stateSync.received(session, message)
                 is PeerMessage.SectionRequest -> stateSync.sectionsRequested(session, message)
-                is PeerMessage.Suspects -> suspects.merge(message.records)
+                is PeerMessage.Suspects ->
+                    if (message.crashRecords.isEmpty()) {
+                        suspects.mergeEarlier(message.records)
+                    } else {
+                        suspects.merge(message.crashRecords)
+                    }
                 is PeerMessage.Forward, is PeerMessage.Cancel -> gateEndpoint.received(session, frame)
                 is PeerMessage.Response, is PeerMessage.Refusal, is PeerMessage.OutcomeUnknown ->
                     gateTransport.received(session, frame)
@@ -492,7 +515,7 @@
         /** A peer that has just started, or was not connected when a target crashed, has missed the records. */
         private fun sendSuspects(session: PeerSession) {
             val records = suspects.records()
-            if (records.isNotEmpty()) session.send(PeerMessage.Suspects(records))
+            if (records.isNotEmpty()) session.send(suspectsOf(records))
         }
 
         private fun pinged(session: PeerSession, ping: PeerMessage.Ping) {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -5,9 +5,9 @@
 import kingcuptide.coordination.process.ServiceId
 import kingcuptide.coordination.request.CallerWaits
 import kingcuptide.coordination.request.CrashSuspects
+import kingcuptide.coordination.request.FingerprintInput
 import kingcuptide.coordination.request.Verdict
 import kingcuptide.coordination.request.WeightedRoundRobin
-import kingcuptide.coordination.request.fingerprintOf
 import kingcuptide.coordination.request.serviceKeyOf
 import kingcuptide.coordination.version.ForwardRoute
 import kingcuptide.forwarder.connection.BufferedResponse
@@ -114,7 +114,8 @@
 
     private fun isQuarantined(route: ForwardRoute, request: CallerRequest): Boolean {
         if (dependencies.suspects.isEmpty) return false
-        val fingerprint = fingerprintOf(route.id, request.method, request.target, request.body)
-        return dependencies.suspects.verdict(fingerprint) == Verdict.QUARANTINED
+        val caller = dependencies.service().value
+        val input = FingerprintInput(route.id, request.method, request.target, request.body, caller)
+        return dependencies.suspects.verdict(input) == Verdict.QUARANTINED
     }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/ForwardCall.kt
@@ -3,7 +3,6 @@
 import kingcuptide.coordination.process.ResultCode
 import kingcuptide.coordination.process.RouteId
 import kingcuptide.coordination.request.CallCounts
-import kingcuptide.coordination.request.Fingerprint
 import kingcuptide.coordination.request.FingerprintInput
 import kingcuptide.coordination.request.GateLoadReport
 import kingcuptide.coordination.request.Outcome
@@ -11,6 +10,8 @@
 import kingcuptide.coordination.version.TargetId
 import kingcuptide.forwarder.connection.BufferedResponse
 import kingcuptide.forwarder.connection.Headers
+import kingcuptide.forwarder.connection.first
+import kingcuptide.forwarder.process.HeaderNames
 import kotlin.time.Duration
 
 /**
@@ -37,10 +38,9 @@
     val ratePerSecond: Double? = null,
     val runTimes: RunTimes? = null,
 ) {
-    val fingerprintInput = FingerprintInput(route, method, target, body)
-
-    /** Equal for requests with the same route, method, target and body. */
-    val fingerprint: Fingerprint get() = fingerprintInput.fingerprint
+    /** Returns what identifies requests with the same route, method, target, body and caller. */
+    fun fingerprintInput(names: HeaderNames): FingerprintInput =
+        FingerprintInput(route, method, target, body, headers.first(names.callerService).orEmpty())
 }
 
 /** Result of a forwarded request. [loadReport] is the load of the gate, null if it sent none. */
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -2,11 +2,14 @@
 
 import kingcuptide.coordination.process.Clock
 import kingcuptide.coordination.process.ResultCode
+import kingcuptide.coordination.request.CrashCandidate
 import kingcuptide.coordination.request.CrashCandidates
 import kingcuptide.coordination.request.CrashSuspects
-import kingcuptide.coordination.request.Fingerprint
+import kingcuptide.coordination.request.FingerprintInput
 import kingcuptide.coordination.request.GateRefusal
 import kingcuptide.coordination.request.GateRequest
+import kingcuptide.coordination.request.SurvivedRun
+import kingcuptide.coordination.request.SurvivedRuns
 import kingcuptide.coordination.request.TargetGate
 import kingcuptide.coordination.request.TargetInstance
 import kingcuptide.coordination.request.TargetState
@@ -68,12 +71,13 @@
 ) {
     private val runningCalls = LinkedHashSet<GateCall>()
     private val crashCandidates = CrashCandidates(clock)
+    private val survivedRuns = SurvivedRuns(clock)
     private val cancellations = GateCancellations(metrics)
 
     /** Submits [call] to the gate; [onResult] is called once, possibly before this returns, unless cancelled. */
     fun submit(call: ForwardCall, onResult: (ForwardResult) -> Unit): Cancellation {
         val gateCall = GateCall(call, onResult)
-        if (isQuarantined(call)) return gateCall.apply { refusedByGate(QUARANTINE_REFUSAL) }
+        if (gateCall.isQuarantined()) return gateCall.apply { refusedByGate(QUARANTINE_REFUSAL) }
         if (currentTarget() in setOf(null, call.targetId)) told(call)
         gate.offer(gateCall.request)
         if (gate.queued > 0) onQueued()
@@ -85,15 +89,23 @@
         call.runTimes?.let(gate::runTimesTold)
     }
 
-    private fun isQuarantined(call: ForwardCall): Boolean =
-        !suspects.isEmpty && suspects.verdict(call.fingerprint) == Verdict.QUARANTINED
-
     /** Returns and removes the requests that may have crashed each target that [hasEnded]. */
-    fun drainCrashCandidates(hasEnded: (TargetId) -> Boolean): Map<TargetId, List<Fingerprint>> =
-        crashCandidates.drain(hasEnded)
+    fun drainCrashCandidates(hasEnded: (TargetId) -> Boolean): Map<TargetId, List<CrashCandidate>> =
+        crashCandidates.drain(hasEnded).also { if (it.isNotEmpty()) survivedRuns.targetCrashed() }
+
+    /** Returns the requests that the target has survived. */
+    fun survivedRuns(): List<SurvivedRun> = survivedRuns.latest()
 
     /** The target has ended a connection on which no call waited. */
-    fun idleConnectionEnded() = crashCandidates.connectionEnded()
+    fun idleConnectionEnded() {
+        crashCandidates.connectionEnded()
+        survivedRuns.connectionEnded()
+    }
+
+    private fun interrupted(request: FingerprintInput, target: TargetId, startedAt: Duration) {
+        crashCandidates.interrupted(request, target, startedAt)
+        survivedRuns.connectionEnded()
+    }
 
     /** Ends the idempotent requests that get no response after [failure], so that their entries can retry them. */
     fun targetFailed(failure: TargetFailure) =
@@ -123,10 +135,15 @@
                 isCutShort = deadline < callerDeadline,
             )
 
+        private val fingerprintInput = call.fingerprintInput(names)
+
         val idempotent: Boolean get() = call.idempotent
 
         val targetId: TargetId get() = call.targetId
 
+        fun isQuarantined(): Boolean =
+            !suspects.isEmpty && suspects.verdict(fingerprintInput) == Verdict.QUARANTINED
+
         fun abort(failure: TargetFailure) {
             complete(outcomeUnknown(ResultCode.ANSWER_LOST, failure.reason))
             job?.cancel()
@@ -205,7 +222,7 @@
         private suspend fun run(startedAt: Duration): ForwardResult {
             val expected = currentTarget()
             if (expected != null && expected != call.targetId) return refused(ResultCode.VERSION_BEHIND, false)
-            if (isQuarantined(call)) return refused(QUARANTINE_REFUSAL.code, false, QUARANTINE_REFUSAL.retryAfter)
+            if (isQuarantined()) return refused(QUARANTINE_REFUSAL.code, false, QUARANTINE_REFUSAL.retryAfter)
             val instance = instanceOf(call.targetId)
             val remaining = deadline - startedAt
             val httpCall = HttpCall(call.method, call.target, headersOf(remaining), call.body, call.requestId) {
@@ -222,7 +239,7 @@
                     refused(ResultCode.TARGET_DOWN, reachedTarget = false)
                 }
                 is HttpResult.Broken -> {
-                    crashCandidates.interrupted(call.fingerprintInput, call.targetId)
+                    interrupted(fingerprintInput, call.targetId, startedAt)
                     if (!result.responseStarted || result.isConnectionLost) targetObserver.suspect(result.reason)
                     outcomeUnknown(
                         if (result.responseStarted) ResultCode.ANSWER_TRUNCATED else ResultCode.ANSWER_LOST,
@@ -243,7 +260,11 @@
             targetObserver.responded(startedAt)
             metrics.recordTargetRunTime(runTime)
             // Without this id it may belong to an earlier request, even a refusal.
-            if (response.headers.first(names.requestId) != call.requestId) return invalid(response, "no request id")
+            if (response.headers.first(names.requestId) !=
+                call.requestId
+            ) {
+                return invalid(response, startedAt, "no request id")
+            }
             if (response.headers.first(names.notRun) != null) {
                 if (response.status != MISDIRECTED_REQUEST) notices.responded(instance, response.headers, startedAt)
                 return refused(ResultCode.TARGET_FULL, true)
@@ -254,24 +275,28 @@
             }
             val isUnsigned =
                 response.status in SUCCESS_STATUSES && response.headers.first(names.targetSignature) == null
-            if (isUnsigned) return invalid(response, "no target signature")
-            if (response.headers.first(CONTENT_ENCODING) != null) return invalid(response, "content encoding")
+            if (isUnsigned) return invalid(response, startedAt, "no target signature")
+            if (response.headers.first(CONTENT_ENCODING) !=
+                null
+            ) {
+                return invalid(response, startedAt, "content encoding")
+            }
             notices.responded(instance, response.headers, startedAt)
-            recordResponse(result)
-            if (!suspects.isEmpty) suspects.answered(call.fingerprint)
+            recordResponse(result, startedAt)
             return ForwardResult.Answered(response, runTime, gate.loadReport(), running.callsOf(call.requestId))
         }
 
-        private fun invalid(response: BufferedResponse, fault: String): ForwardResult {
-            crashCandidates.interrupted(call.fingerprintInput, call.targetId)
+        private fun invalid(response: BufferedResponse, startedAt: Duration, fault: String): ForwardResult {
+            interrupted(fingerprintInput, call.targetId, startedAt)
             return outcomeUnknown(ResultCode.ANSWER_TRUNCATED, "status ${response.status}: invalid response, $fault")
         }
 
         /** A target that leaves ends its connections after its last responses, which is no crash. */
-        private fun recordResponse(result: HttpResult.Answered) {
+        private fun recordResponse(result: HttpResult.Answered, startedAt: Duration) {
             if (gate.state == TargetState.LEAVING) return
-            crashCandidates.responded(call.fingerprintInput, call.targetId)
-            if (result.endsConnection) crashCandidates.connectionEnded()
+            crashCandidates.responded(fingerprintInput, call.targetId, startedAt)
+            if (result.response.status < FIRST_SERVER_ERROR) survivedRuns.responded(fingerprintInput, startedAt)
+            if (result.endsConnection) idleConnectionEnded()
         }
 
         private fun headersOf(remaining: Duration) =
@@ -312,6 +337,7 @@
         /** Share group of all requests without a workspace; with a single group a gate keeps strict priority. */
         const val NO_WORKSPACE = ""
         const val MISDIRECTED_REQUEST = 421
+        const val FIRST_SERVER_ERROR = 500
         const val CONTENT_ENCODING = "Content-Encoding"
         val SUCCESS_STATUSES = 200..299
         val log = eventLog("gate")
