Take a response whose status is none for no response

Cause: no place decided what a status is. Numbers below 200 counted as interim, all others as final.

Change: three digits of which the first is 1 to 5 are a status.

Result: the new case of HttpConnectionTest got no result for 000 within 0.5 s on; each of its 22 forms is broken at once now.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/ResponseDecoder.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/ResponseDecoder.kt
@@ -19,8 +19,10 @@
 
     override fun isSharable(): Boolean = false
 
+    /** An exception makes the message one that can't be decoded. */
     override fun createMessage(initialLine: Array<out String>): HttpMessage {
         isInHead = true
+        require(isHttpStatus(initialLine[STATUS_INDEX])) { "no HTTP status: ${initialLine[STATUS_INDEX]}" }
         return super.createMessage(initialLine)
     }
 
@@ -31,4 +33,9 @@
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         isHeadCall || super.isContentAlwaysEmpty(message)
+
+    private companion object {
+        /** Index of the status in the parts of a status line. */
+        const val STATUS_INDEX = 1
+    }
 }
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/ResponseReceiver.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/ResponseReceiver.kt
@@ -177,7 +177,8 @@
     private fun receive(context: ChannelHandlerContext, message: HttpObject) {
         if (!isReusable) return
         if (hasNoCall) return endUnexpected(context, message)
-        if (message.decoderResult().isFailure) return breakOff(context, "malformed response")
+        val decoded = message.decoderResult()
+        if (decoded.isFailure) return breakOff(context, "malformed response: ${decoded.cause().message}")
         if (message is HttpResponse) begin(context, message)
         if (message is HttpContent) append(context, message)
         if (message is LastHttpContent) end(context)
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/RequestExecution.kt
@@ -18,6 +18,7 @@
 import kingcuptide.forwarder.connection.Headers
 import kingcuptide.forwarder.connection.endToEnd
 import kingcuptide.forwarder.connection.first
+import kingcuptide.forwarder.connection.isHttpStatus
 import kingcuptide.forwarder.process.DaemonMetrics
 import kingcuptide.forwarder.process.HeaderNames
 import kingcuptide.forwarder.process.TrafficCounts
@@ -256,7 +257,7 @@
     private fun isOwn(response: BufferedResponse): Boolean {
         val names = environment.names
         val isSigned = response.status !in SUCCESS_STATUSES || response.headers.first(names.targetSignature) != null
-        return isSigned && response.headers.first(names.requestId) == requestId
+        return isHttpStatus(response.status) && isSigned && response.headers.first(names.requestId) == requestId
     }
 
     private fun handleForeignResponse(target: KnownTarget, response: BufferedResponse): BufferedResponse? {
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/HttpConnectionTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/HttpConnectionTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
@@ -269,6 +270,21 @@
         fun `Given a response without length, when its connection is reset, then it is incomplete`() =
             expectBroken("HTTP/1.1 200 OK\r\n\r\nabc", resets = true)
 
+        /** Guards against a caller that waits for a response until its deadline, or gets one with a status that is none. */
+        @Test
+        fun `Given a status that is none, when its head arrives, then the call is broken at once`() {
+            for (status in listOf("000", "001", "099", "600", "999", "20", "0200", "+20", "-20", "2x0", "1000")) {
+                for (rest in listOf("Content-Length: 1\r\n\r\na", "\r\na")) {
+                    script("HTTP/1.1 $status X\r\n$rest", NOT_SENT)
+                    withConnection {
+                        val result = withTimeoutOrNull(ARRIVAL_MS) { it.get() }
+                        expectThat(result).describedAs(status).isA<HttpResult.Broken>()
+                        expectThat(it.isUsable).isFalse()
+                    }
+                }
+            }
+        }
+
         @Test
         fun `Given bytes that are not HTTP, when they arrive, then the call is broken`() =
             expectBroken("\u0000\u0001garbage\r\n\r\n")
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/request/EntryServiceTest.kt
@@ -238,6 +238,8 @@
             answered(200, listOf("Proof" to "p")),
             answered(200, listOf(ECHOED_ID)),
             answered(200, OWN_HEADERS + ("Connection" to "proof")),
+            answered(0),
+            answered(600),
         )
 
         @Test
