Buffer bodies of responses in blocks

What callers saw: nothing in this form yet; the daemons ran out of heap. Eight daemons with a heap of 64 MiB, whose targets all send bodies without end to 24 callers for 8 s: OutOfMemoryError in the logs of all eight. Each ends the connection on which it happens. No process ended, and all 506 requests of other callers were served.

Cause: up to 32 MiB of bodies are buffered, but an array that grows needs its old and its new size, so that the heap held up to three times as much.

Change: a body is kept in blocks of up to 64 KiB.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/ResponseReceiver.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/ResponseReceiver.kt
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CancellableContinuation
-import java.io.ByteArrayOutputStream
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 import kotlin.coroutines.resume
@@ -41,7 +40,7 @@
     private var hasOtherResponses = false
     private var receivedBytes = 0L
     private var headTimer: Future<*>? = null
-    private var body = ByteArrayOutputStream(INITIAL_BODY_BYTES)
+    private var body = BodyBuffer()
 
     /** The result of [waitingCall], until all that was read with its last byte is decoded. */
     private var completed: HttpResult.Answered? = null
@@ -208,9 +207,9 @@
         skippedOther?.let { it.bodyBytes += bytes.readableBytes() }
         if (head == null || skipping || !bytes.isReadable) return
         val length = bytes.readableBytes()
-        if (body.size() + length > limits.maxResponseBytes) return breakOff(context, "response too large")
+        if (body.size + length > limits.maxResponseBytes) return breakOff(context, "response too large")
         if (!limits.buffers.tryReserve(length)) return breakOff(context, "too many bytes of responses are buffered")
-        bytes.readBytes(body, length)
+        body.append(bytes)
     }
 
     private fun end(context: ChannelHandlerContext) {
@@ -265,8 +264,8 @@
 
     /** A new buffer each time, since one that has grown would be kept as long as its connection. */
     private fun releaseBody() {
-        limits.buffers.release(body.size())
-        body = ByteArrayOutputStream(INITIAL_BODY_BYTES)
+        limits.buffers.release(body.size)
+        body = BodyBuffer()
     }
 
     private fun recordIdleLimit(response: HttpResponse) {
@@ -282,7 +281,6 @@
         val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d+)")
         const val KEEP_ALIVE_HEADER = "Keep-Alive"
         const val FIRST_FINAL_STATUS = 200
-        const val INITIAL_BODY_BYTES = 1_024
         const val MAX_LINE_BYTES = 8_192
         const val MAX_HEAD_BYTES = 65_536
 
