Read no frames behind one that could not be decoded

Cause: the decoder kept the bytes behind the failed frame and read them as frames until its connection was closed, and once more when it was.

Change: nothing is read after an error.

Result: the new case of FaultyFrameTest read a frame on, none now.

--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/connection/PeerCodec.kt
@@ -17,6 +17,9 @@
     private val heads: EncodedHeads = EncodedHeads(),
     private val onSent: (kind: String, bytes: Int) -> Unit = { _, _ -> },
 ) : ByteToMessageCodec<PeerFrame>() {
+    /** Whether a frame could not be decoded, so that nothing tells where the next one begins. */
+    private var isBroken = false
+
     override fun isSharable(): Boolean = false
 
     override fun encode(context: ChannelHandlerContext, frame: PeerFrame, out: ByteBuf) {
@@ -31,6 +34,21 @@
     }
 
     override fun decode(context: ChannelHandlerContext, input: ByteBuf, out: MutableList<Any>) {
+        if (isBroken) {
+            input.skipBytes(input.readableBytes())
+            return
+        }
+        try {
+            decodeFrame(input, out)
+        } catch (
+            @Suppress("TooGenericExceptionCaught") throwable: Throwable,
+        ) {
+            isBroken = true
+            throw throwable
+        }
+    }
+
+    private fun decodeFrame(input: ByteBuf, out: MutableList<Any>) {
         if (input.readableBytes() < LENGTH_BYTES) return
         val length = input.getInt(input.readerIndex())
         if (length !in HEADER_BYTES..MAX_FRAME_BYTES) {
--- a/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/FaultyFrameTest.kt
+++ b/forwarder/src/test/kotlin/kingcuptide/forwarder/connection/FaultyFrameTest.kt
@@ -3,12 +3,15 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.DecoderException
 import kingcuptide.forwarder.ManualClock
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.api.expectThrows
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import kotlin.random.Random
 
@@ -74,6 +77,17 @@
         }
     }
 
+    /** Guards against bytes of a body that are read as frames, after the frame that they belong to could not be decoded. */
+    @Test
+    fun `Given a frame that can't be decoded, when more bytes arrive, then no frame is read from them`() {
+        val malformed = frame(kind = 2, head = byteArrayOf(0x1f))
+        val channel = EmbeddedChannel(PeerCodec())
+        val bytes = Unpooled.wrappedBuffer(malformed, Unpooled.wrappedBuffer(encoded(PeerMessage.Cancel(1))))
+        expectThrows<DecoderException> { channel.writeInbound(bytes) }
+        channel.finish()
+        expectThat(channel.readInbound<PeerFrame>()).isNull()
+    }
+
     @Test
     fun `Given an error while a message is handled, when it is thrown, then only its connection ends`() {
         for (thrown in listOf(NoSuchElementException("test"), StackOverflowError(), OutOfMemoryError("test"))) {
