Compute fingerprints only while a request may be quarantined

Crashes are kept for two minutes, also those that are cleared. A verdict needs two that are not, so that no hash of each request is computed otherwise. CrashSuspectsTest has the case; not measured.

--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/CrashSuspects.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/CrashSuspects.kt
@@ -34,6 +34,9 @@
     /** Whether there is no record of any crash. */
     public val isEmpty: Boolean get() = table.isEmpty
 
+    /** Whether any request may be quarantined; if not, no fingerprint needs to be computed for a verdict. */
+    public val mayQuarantine: Boolean get() = table.mayQuarantine
+
     /** Returns the verdict on [request]. */
     public fun verdict(request: FingerprintInput): Verdict = table.verdict(request, clock.now())
 
--- a/coordination/src/main/kotlin/kingcuptide/coordination/request/CrashTable.kt
+++ b/coordination/src/main/kotlin/kingcuptide/coordination/request/CrashTable.kt
@@ -26,6 +26,10 @@
 
     val isEmpty: Boolean get() = crashesByFingerprint.isEmpty()
 
+    /** Whether any request may be quarantined, which needs two crashes that are not cleared. */
+    var mayQuarantine: Boolean = false
+        private set
+
     fun verdict(request: FingerprintInput, now: Duration): Verdict {
         val crashes = crashesByFingerprint[request.fingerprint] ?: return Verdict.CLEAR
         val ofCaller = crashes.mapNotNull { it.runOf(request.callerKey) }
@@ -45,6 +49,7 @@
         if (crashes.isEmpty()) return
         if (record.fingerprint !in crashesByFingerprint) makeRoom()
         crashesByFingerprint[record.fingerprint] = crashes
+        changed()
     }
 
     /** Records that [run] was survived. Returns whether that clears its caller of a crash. */
@@ -53,6 +58,7 @@
         if (crashes.none { it.isClearedBy(run) }) return false
         crashesByFingerprint[run.request.fingerprint] =
             crashes.map { if (it.isClearedBy(run)) it.clearedBy(run) else it }
+        changed()
         return true
     }
 
@@ -60,8 +66,10 @@
     fun hasSuspects(): Boolean = crashesByFingerprint.values.any { crashes -> crashes.any { !it.report.isCleared } }
 
     fun removeExpired(now: Duration) {
+        if (isEmpty) return
         crashesByFingerprint.replaceAll { _, crashes -> crashes.filter { now < it.at + retention } }
         crashesByFingerprint.values.removeIf { it.isEmpty() }
+        changed()
     }
 
     fun record(fingerprint: Fingerprint, now: Duration): CrashRecord {
@@ -73,6 +81,10 @@
     fun records(now: Duration): List<CrashRecord> =
         crashesByFingerprint.entries.sortedByDescending { it.value.first().at }.map { record(it.key, now) }
 
+    private fun changed() {
+        mayQuarantine = crashesByFingerprint.values.any { crashes -> crashes.count { !it.report.isCleared } > 1 }
+    }
+
     private fun isQuarantined(runs: List<InterruptedRun>, now: Duration): Boolean =
         runs.any { now < it.endedAt + quarantineFor && isProof(it, runs) }
 
--- a/coordination/src/test/kotlin/kingcuptide/coordination/request/CrashSuspectsTest.kt
+++ b/coordination/src/test/kotlin/kingcuptide/coordination/request/CrashSuspectsTest.kt
@@ -9,6 +9,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -120,6 +121,18 @@
             expectThat(verdicts(crashing)).isEqualTo(setOf(Verdict.CLEAR))
         }
 
+        /** Guards against a hash of each request for minutes after crashes that no request is refused for. */
+        @Test
+        fun `Given crashes that are cleared, when requests come, then none of them needs a verdict`() {
+            crash(0, crashing)
+            expectThat(daemons.any { it.mayQuarantine }).isFalse()
+            survived(1, crashing)
+            crash(1, crashing)
+            expectThat(daemons.any { it.mayQuarantine }).isFalse()
+            crash(2, crashing)
+            expectThat(daemons.all { it.mayQuarantine }).isTrue()
+        }
+
         @Test
         fun `Given a page that many request, when it is in flight at each crash, then it is never quarantined`() {
             repeat(20) {
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/EntryService.kt
@@ -113,7 +113,7 @@
     }
 
     private fun isQuarantined(route: ForwardRoute, request: CallerRequest): Boolean {
-        if (dependencies.suspects.isEmpty) return false
+        if (!dependencies.suspects.mayQuarantine) return false
         val caller = dependencies.service().value
         val input = FingerprintInput(route.id, request.method, request.target, request.body, caller)
         return dependencies.suspects.verdict(input) == Verdict.QUARANTINED
--- a/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
+++ b/forwarder/src/main/kotlin/kingcuptide/forwarder/request/GateService.kt
@@ -142,7 +142,7 @@
         val targetId: TargetId get() = call.targetId
 
         fun isQuarantined(): Boolean =
-            !suspects.isEmpty && suspects.verdict(fingerprintInput) == Verdict.QUARANTINED
+            suspects.mayQuarantine && suspects.verdict(fingerprintInput) == Verdict.QUARANTINED
 
         fun abort(failure: TargetFailure) {
             complete(outcomeUnknown(ResultCode.ANSWER_LOST, failure.reason))
