--- a/review/standin-3/Client.java
+++ b/review/standin-3/Client.java
@@ -13,13 +13,19 @@
     final OutputStream out;
 
     Client(String address, int timeoutMs) throws IOException {
+        this(address, timeoutMs, 0);
+    }
+
+    /** A client whose system buffers [receiveBufferBytes] of what it does not read, or as many as usual if 0. */
+    Client(String address, int timeoutMs, int receiveBufferBytes) throws IOException {
         int colon = address.lastIndexOf(':');
         socket = new Socket();
+        if (receiveBufferBytes > 0) socket.setReceiveBufferSize(receiveBufferBytes);
         socket.setTcpNoDelay(true);
         InetAddress ip = InetAddress.getByName(address.substring(0, colon));
         socket.connect(new InetSocketAddress(ip, Integer.parseInt(address.substring(colon + 1))), 1_000);
         socket.setSoTimeout(timeoutMs);
-        in = new BufferedInputStream(socket.getInputStream(), 65_536);
+        in = new BufferedInputStream(socket.getInputStream(), 8_192);
         out = socket.getOutputStream();
     }
 
