--- a/review/standin-3/BusyCase.java
+++ b/review/standin-3/BusyCase.java
@@ -17,7 +17,7 @@
     private BusyCase() {}
 
     static int run(Record record, boolean hasTrouble) throws Exception {
-        try (Rig rig = new Rig(record, 35, false)) {
+        try (Rig rig = new Rig(record, 35)) {
             rig.store.put("op/config", Rig.configuration(3, List.of("reports", "stock"), List.of(
                 Rig.rule("r-reports", "safe", "/reports/", "reports", "6s", "4s"),
                 Rig.rule("r-warm", "safe", "/warm/", "reports", "2s"),
--- a/review/standin-3/ColdCase.java
+++ b/review/standin-3/ColdCase.java
@@ -25,7 +25,7 @@
     private ColdCase() {}
 
     static int run(Record record, boolean hasTrouble) throws Exception {
-        try (Rig rig = new Rig(record, 33, false)) {
+        try (Rig rig = new Rig(record, 33)) {
             rig.store.put("op/config", Rig.configuration(3, List.of("orders", "stock"), List.of(
                 Rig.rule("r-orders", "unsafe", "/orders/", "orders", "2s"),
                 Rig.rule("r-stock", "safe", "/stock/", "stock", "2s"))));
--- a/review/standin-3/LimitsCase.java
+++ b/review/standin-3/LimitsCase.java
@@ -12,7 +12,7 @@
     private LimitsCase() {}
 
     static int run(Record record, boolean hasTrouble) throws Exception {
-        try (Rig rig = new Rig(record, 34, false)) {
+        try (Rig rig = new Rig(record, 34)) {
             rig.store.put("op/config", Rig.configuration(3, List.of("orders", "stock"), List.of(
                 Rig.rule("r-orders", "unsafe", "/orders/", "orders", "4s"),
                 Rig.rule("r-stock", "safe", "/stock/", "stock", "2s"))));
--- a/review/standin-3/ReaderCase.java
+++ b/review/standin-3/ReaderCase.java
@@ -24,7 +24,7 @@
     private ReaderCase() {}
 
     static int run(Record record, boolean hasTrouble) throws Exception {
-        try (Rig rig = new Rig(record, 36, false)) {
+        try (Rig rig = new Rig(record, 36)) {
             rig.store.put("op/config", Rig.configuration(3, List.of("sheets", "stock"), List.of(
                 Rig.rule("r-sheets", "download", "/sheets/", "sheets", "60s", "20s"),
                 Rig.rule("r-warm", "safe", "/warm/", "sheets", "2s"),
