--- a/review/standin-3/Server.java
+++ b/review/standin-3/Server.java
@@ -93,6 +93,14 @@
         for (Socket socket : sockets) reset(socket);
     }
 
+    /** Starts again under its id, as after a loss of power. */
+    synchronized void startAgain(Store store) {
+        for (Socket socket : sockets) reset(socket);
+        born = System.currentTimeMillis();
+        sequence = 0;
+        beat(store);
+    }
+
     /**
      * The server crashes and falls silent: it answers nothing any more, neither on open connections nor on new ones. After
      * [ms] another process of it starts, under the id that it had, and the old connections are reset.
